--- /dev/null
+++ b/src/blackboard/mod.rs
@@ -0,0 +1,175 @@
+//! What this node knows: one typed board that every controller reads and writes.
+
+use std::sync::Arc;
+
+use crate::prelude::*;
+
+/// A VM's name; unique in a deployment and kept by its replacement.
+pub type VmAddress = Arc<str>;
+
+/// The random number a process draws at start, so that it is never taken for an earlier one.
+pub type Incarnation = u128;
+
+/// A hash that stands for the content of a request.
+pub type Fingerprint = u64;
+
+/// This node itself.
+#[derive(Clone, Debug)]
+pub struct OwnIdentity {
+    /// The VM's name.
+    pub name: VmAddress,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where callers connect.
+    pub caller_address: Arc<str>,
+    /// Where peers connect.
+    pub peer_address: Arc<str>,
+    /// This process's incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// An entry VM of the deployment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmRecord {
+    /// Its name.
+    pub name: VmAddress,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where callers connect.
+    pub caller_address: Arc<str>,
+    /// Where peers connect.
+    pub peer_address: Arc<str>,
+    /// Whether the VM list or the VM itself says that it is leaving.
+    pub leaving: bool,
+    /// Whether the VM list names it; a VM can also be known from its own messages.
+    pub listed: bool,
+    /// The process it last spoke as.
+    pub incarnation: Option<Incarnation>,
+    /// Until when it is taken for dead.
+    pub suspected_until: Option<Moment>,
+    /// When a message from it last arrived.
+    pub heard_at: Option<Moment>,
+}
+
+impl VmRecord {
+    /// Whether the VM is taken for alive.
+    pub fn is_live(&self, now: Moment) -> bool {
+        self.suspected_until.is_none_or(|deadline| now.reached(deadline))
+    }
+}
+
+/// A published revision that was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedRevision {
+    /// Its number.
+    pub revision: Revision,
+    /// All its faults, one a line.
+    pub reasons: String,
+}
+
+/// The register in force and what is known of its freshness.
+#[derive(Clone, Debug, Default)]
+pub struct RegisterFacts {
+    /// The highest accepted revision.
+    pub revision: Revision,
+    /// Its content.
+    pub register: Arc<Register>,
+    /// Its text as published, to pass on to peers.
+    pub text: Arc<str>,
+    /// The newest revision that was refused, if it is newer than the one in force.
+    pub refused: Option<RefusedRevision>,
+    /// Until when the revision counts as confirmed.
+    pub fresh_until: Moment,
+}
+
+/// What is known of one upstream from this node's own dealings with it.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamFacts {
+    /// Requests of this node that it holds.
+    pub in_flight: u32,
+    /// Until when it is taken for dead.
+    pub down_until: Option<Moment>,
+    /// The load it last reported, in requests.
+    pub reported_load: u32,
+    /// A smoothed time for one unit of its work, in microseconds; zero where none is known.
+    pub pace_us: u64,
+}
+
+/// How far the drain of this node has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainFacts {
+    /// Until when answers that name this node may be in use.
+    pub accept_until: Moment,
+    /// When the drain ends even if work is left.
+    pub exit_at: Moment,
+    /// When the outcomes of this process's keys were handed off; no key starts after it.
+    pub handoff_at: Option<Moment>,
+}
+
+/// The board.
+#[derive(Debug)]
+pub struct Blackboard {
+    /// This node.
+    pub own: OwnIdentity,
+    /// The register in force.
+    pub register: RegisterFacts,
+    /// The other entry VMs, by name.
+    pub vms: FastMap<VmAddress, VmRecord>,
+    /// The upstreams, by name.
+    pub upstreams: FastMap<Arc<str>, UpstreamFacts>,
+    /// Requests that are not to run, with the end of each hold.
+    pub quarantine: FastMap<Fingerprint, Moment>,
+    /// Requests that were running on one upstream as it died, with the end of the suspicion.
+    pub suspects: FastMap<Fingerprint, Moment>,
+    /// The drain, once it has begun.
+    pub drain: Option<DrainFacts>,
+}
+
+impl Blackboard {
+    /// A board that knows only this node.
+    pub fn new(own: OwnIdentity) -> Self {
+        Self {
+            own,
+            register: RegisterFacts::default(),
+            vms: FastMap::default(),
+            upstreams: FastMap::default(),
+            quarantine: FastMap::default(),
+            suspects: FastMap::default(),
+            drain: None,
+        }
+    }
+
+    /// The other VMs that are taken for alive.
+    pub fn live_peers(&self, now: Moment) -> impl Iterator<Item = &VmRecord> {
+        self.vms.values().filter(move |vm| vm.is_live(now))
+    }
+
+    /// The facts of one upstream, made where there are none.
+    pub fn upstream_mut(&mut self, name: &Arc<str>) -> &mut UpstreamFacts {
+        self.upstreams.entry(name.clone()).or_default()
+    }
+
+    /// Whether an upstream may get new work.
+    pub fn is_usable(&self, upstream: &Upstream, now: Moment) -> bool {
+        let down_until = self
+            .upstreams
+            .get(upstream.name.as_str())
+            .and_then(|facts| facts.down_until);
+        !upstream.leaving && down_until.is_none_or(|deadline| now.reached(deadline))
+    }
+
+    /// Whether a fingerprint is held back.
+    pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Moment) -> Option<Moment> {
+        self.quarantine
+            .get(&fingerprint)
+            .copied()
+            .filter(|deadline| !now.reached(*deadline))
+    }
+
+    /// Whether a fingerprint is under suspicion.
+    pub fn is_suspect(&self, fingerprint: Fingerprint, now: Moment) -> bool {
+        self.suspects
+            .get(&fingerprint)
+            .is_some_and(|deadline| !now.reached(*deadline))
+    }
+}
--- /dev/null
+++ b/src/clock/mod.rs
@@ -0,0 +1,53 @@
+//! Instants as plain numbers, so that decision code never reads a clock itself.
+
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A point on this process's monotonic clock, in milliseconds since the process began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// The instant that lies `span_ms` milliseconds later.
+    pub fn after_ms(self, span_ms: u64) -> Self {
+        Self(self.0.saturating_add(span_ms))
+    }
+
+    /// Milliseconds from this instant to `deadline`, zero once it has passed.
+    pub fn until_ms(self, deadline: Self) -> u64 {
+        deadline.0.saturating_sub(self.0)
+    }
+
+    /// Whether `deadline` has been reached.
+    pub fn reached(self, deadline: Self) -> bool {
+        self >= deadline
+    }
+
+    /// The time left before `deadline`.
+    pub fn remaining(self, deadline: Self) -> Duration {
+        Duration::from_millis(self.until_ms(deadline))
+    }
+}
+
+fn process_start() -> Instant {
+    static START: OnceLock<Instant> = OnceLock::new();
+    *START.get_or_init(Instant::now)
+}
+
+/// The present instant.
+pub fn now() -> Moment {
+    Moment(process_start().elapsed().as_millis() as u64)
+}
+
+/// Milliseconds since the Unix epoch by the machine's wall clock.
+pub fn epoch_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis() as u64)
+}
+
+/// The monotonic instant of a wall-clock deadline, or `None` when it has passed.
+pub fn moment_of_epoch(deadline_epoch_ms: u64) -> Option<Moment> {
+    let left_ms = deadline_epoch_ms.checked_sub(epoch_ms())?;
+    (left_ms > 0).then(|| now().after_ms(left_ms))
+}
--- /dev/null
+++ b/src/command_line/arguments.rs
@@ -0,0 +1,143 @@
+//! The arguments, as argh reads them.
+
+use argh::FromArgs;
+
+use crate::prelude::*;
+
+/// Route language-model and plain requests from callers to upstreams.
+#[derive(FromArgs)]
+pub struct CommandLine {
+    /// what to do
+    #[argh(subcommand)]
+    pub subcommand: Subcommand,
+}
+
+/// What the program can do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Subcommand {
+    /// Runs an entry.
+    Entry(EntryArguments),
+    /// Prints settings.
+    Settings(SettingsArguments),
+    /// Checks a register.
+    Check(CheckArguments),
+    /// Prints a report.
+    Report(ReportArguments),
+    /// Prints a status.
+    Status(StatusArguments),
+    /// Explains a code.
+    Explain(ExplainArguments),
+}
+
+macro_rules! setting_arguments {
+    ($(#[$about:meta])* $name:ident, $command:literal, { $($(#[$help:meta])* $field:ident => $flag:literal,)* }) => {
+        $(#[$about])*
+        #[derive(FromArgs)]
+        #[argh(subcommand, name = $command)]
+        pub struct $name {
+            $($(#[$help])* #[argh(option)] pub $field: Option<String>,)*
+        }
+
+        impl $name {
+            /// The flags that were given, by name.
+            pub fn flags(&self) -> FastMap<&'static str, String> {
+                let mut flags = FastMap::default();
+                $(if let Some(value) = &self.$field {
+                    flags.insert($flag, value.clone());
+                })*
+                flags
+            }
+        }
+    };
+}
+
+macro_rules! entry_arguments {
+    ($(#[$about:meta])* $name:ident, $command:literal) => {
+        setting_arguments! {
+            $(#[$about])* $name, $command, {
+                /// this VM's name, unique in the deployment
+                name => "name",
+                /// this VM's availability zone
+                zone => "zone",
+                /// IP address and port for callers (127.0.0.1:7100)
+                listen => "listen",
+                /// address told to callers (as --listen)
+                advertise => "advertise",
+                /// IP address and port for peers (127.0.0.1:7200)
+                peer_listen => "peer-listen",
+                /// address told to peers (as --peer-listen)
+                peer_advertise => "peer-advertise",
+                /// IP address and port of the configuration service
+                platform => "platform",
+                /// peer addresses to ask at start, with commas between them
+                seeds => "seeds",
+                /// secret that all VMs of the deployment share; better given as DOTTERELSPAN_SHARED_KEY
+                shared_key => "shared-key",
+                /// how long callers may keep a resolve answer, in ms (10000)
+                resolve_keep_ms => "resolve-keep-ms",
+                /// how long an abandoned stream can be resumed, in ms (3000)
+                resume_window_ms => "resume-window-ms",
+                /// longest drain after SIGTERM, in ms (600000)
+                drain_limit_ms => "drain-limit-ms",
+                /// longest request body, in bytes (1000000)
+                body_limit_bytes => "body-limit-bytes",
+                /// how long a request's head, and its body, may take, in ms (10000)
+                read_limit_ms => "read-limit-ms",
+                /// most requests held at once (10000)
+                request_limit => "request-limit",
+                /// most engines that one owner schedules (24)
+                group_size => "group-size",
+                /// how engines are chosen: owner, or a baseline (owner)
+                policy => "policy",
+            }
+        }
+    };
+}
+
+entry_arguments! {
+    /// Run an entry until it is told to leave (SIGTERM) and has left. Each flag --a-b can also be given as the
+    /// environment variable DOTTERELSPAN_A_B; the flag goes first.
+    EntryArguments, "entry"
+}
+
+entry_arguments! {
+    /// Print the settings that `entry` would use with the same flags and environment, and where each came from.
+    SettingsArguments, "settings"
+}
+
+/// Check a register file: every fault with its line, place, reason and code.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArguments {
+    /// the file
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// Print the short report of a running entry.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct ReportArguments {
+    /// the entry's IP address and port for callers
+    #[argh(positional)]
+    pub address: String,
+}
+
+/// Print the status of a running entry as JSON.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArguments {
+    /// the entry's IP address and port for callers
+    #[argh(positional)]
+    pub address: String,
+}
+
+/// Explain a result code, or all of them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArguments {
+    /// the code's number; all codes where it is missing
+    #[argh(positional)]
+    pub code: Option<u16>,
+}
--- /dev/null
+++ b/src/command_line/commands.rs
@@ -0,0 +1,166 @@
+//! What each subcommand does.
+
+use spdlog::formatter::{PatternFormatter, pattern};
+use spdlog::sink::{Sink, StdStreamSink};
+
+use super::arguments::{CheckArguments, EntryArguments, ExplainArguments, SettingsArguments};
+use crate::clock;
+use crate::prelude::*;
+use crate::register::parse_register;
+use crate::result_code::TABLE;
+use crate::runtime::{NodeError, run_node};
+use crate::settings::{EntrySettings, SettingReader};
+use crate::traffic::upstream;
+
+/// How long a running entry may take to answer, in milliseconds.
+const FETCH_LIMIT_MS: u64 = 5_000;
+
+/// The longest report that is read, in bytes.
+const FETCH_LIMIT_BYTES: usize = 4_000_000;
+
+/// The codes with which the process ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum ExitStatus {
+    /// All went well; an entry has left in good order.
+    Done = 0,
+    /// The command line can't be read. Ends the process from within the argument library.
+    Usage = 1,
+    /// Settings are missing or can't be used.
+    Settings = 2,
+    /// The register has faults.
+    Register = 3,
+    /// An address can't be listened on, or the process can't be set up.
+    Start = 4,
+    /// The running entry, or the file, can't be reached.
+    Unreachable = 5,
+    /// There is no such result code.
+    UnknownCode = 6,
+}
+
+/// Logs one line of key=value pairs for each event on standard error.
+fn set_up_log() {
+    let formatter = PatternFormatter::new(pattern!(
+        "time={date}T{time}.{millisecond} level={level} {payload}{eol}"
+    ));
+    let sink = StdStreamSink::builder().stderr().formatter(formatter).build();
+    let Ok(sink) = sink else { return };
+    let sink: std::sync::Arc<dyn Sink> = std::sync::Arc::new(sink);
+    let logger = spdlog::Logger::builder()
+        .sink(sink)
+        .flush_level_filter(spdlog::LevelFilter::All)
+        .build();
+    if let Ok(logger) = logger {
+        spdlog::set_default_logger(std::sync::Arc::new(logger));
+    }
+}
+
+/// Reads settings, or prints every fault.
+fn read_settings(
+    flags: &FastMap<&'static str, String>,
+) -> Option<(EntrySettings, Vec<crate::settings::SettingRow>)> {
+    let environment = |name: &str| std::env::var(name).ok();
+    let mut reader = SettingReader::new(flags, &environment);
+    let settings = EntrySettings::read(&mut reader);
+    for fault in &reader.faults {
+        eprintln!("{fault}");
+    }
+    settings
+        .filter(|_| reader.faults.is_empty())
+        .map(|settings| (settings, reader.rows))
+}
+
+/// Runs an entry.
+pub fn run_entry(arguments: &EntryArguments) -> ExitStatus {
+    let Some((settings, _)) = read_settings(&arguments.flags()) else {
+        return ExitStatus::Settings;
+    };
+    set_up_log();
+    match run_node(settings) {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            let code = match error {
+                NodeError::Listen { .. } => ResultCode::ListenFailed,
+                NodeError::Setup { .. } | NodeError::Metrics { .. } => ResultCode::SettingInvalid,
+            };
+            eprintln!("{error} [{} {}]", code.number(), code.entry().name);
+            ExitStatus::Start
+        }
+    }
+}
+
+/// Prints the settings in force and where each came from.
+pub fn print_settings(arguments: &SettingsArguments) -> ExitStatus {
+    let Some((_, rows)) = read_settings(&arguments.flags()) else {
+        return ExitStatus::Settings;
+    };
+    for row in rows {
+        println!("{}={} source={}", row.name, row.value, row.source.as_str());
+    }
+    ExitStatus::Done
+}
+
+/// Checks a register file.
+pub fn check_register(arguments: &CheckArguments) -> ExitStatus {
+    let text = match std::fs::read_to_string(&arguments.file) {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("can't read {}: {error}", arguments.file);
+            return ExitStatus::Unreachable;
+        }
+    };
+    match parse_register(&text) {
+        Ok(register) => {
+            println!(
+                "good: {} workspaces, {} zones, {} upstreams, {} operations",
+                register.workspaces.len(),
+                register.zones.len(),
+                register.upstreams.len(),
+                register.operations.len()
+            );
+            ExitStatus::Done
+        }
+        Err(report) => {
+            eprint!("{report}");
+            ExitStatus::Register
+        }
+    }
+}
+
+/// Prints what a running entry answers at a path.
+pub fn fetch(address: &str, path: &str) -> ExitStatus {
+    let body = async_std::task::block_on(async {
+        let request = upstream::get(address, path)?;
+        let deadline = clock::now().after_ms(FETCH_LIMIT_MS);
+        let mut response = upstream::exchange(address, request, deadline).await.ok()?;
+        upstream::read_body(&mut response, FETCH_LIMIT_BYTES).await
+    });
+    match body {
+        Some(body) => {
+            println!("{}", String::from_utf8_lossy(&body).trim_end());
+            ExitStatus::Done
+        }
+        None => {
+            eprintln!("no entry answers at {address}");
+            ExitStatus::Unreachable
+        }
+    }
+}
+
+/// Explains a result code, or all of them.
+pub fn explain(arguments: &ExplainArguments) -> ExitStatus {
+    let wanted = |number: u16| arguments.code.is_none_or(|code| code == number);
+    let rows: Vec<_> = TABLE.iter().filter(|entry| wanted(entry.code.number())).collect();
+    for entry in &rows {
+        let (number, effect) = (entry.code.number(), entry.effect.as_str());
+        println!(
+            "{number} {} ({effect})\n  {}\n  {}",
+            entry.name, entry.meaning, entry.remedy
+        );
+    }
+    if rows.is_empty() {
+        eprintln!("there is no such code; `dotterelspan explain` lists all");
+        return ExitStatus::UnknownCode;
+    }
+    ExitStatus::Done
+}
--- /dev/null
+++ b/src/command_line/mod.rs
@@ -0,0 +1,24 @@
+//! The command line: what each subcommand takes, and the codes with which the process ends.
+
+mod arguments;
+mod commands;
+
+pub use commands::ExitStatus;
+
+use std::process::ExitCode;
+
+use arguments::{CommandLine, Subcommand};
+
+/// Reads the command line and runs the subcommand.
+pub fn run() -> ExitCode {
+    let line: CommandLine = argh::from_env();
+    let status = match line.subcommand {
+        Subcommand::Entry(arguments) => commands::run_entry(&arguments),
+        Subcommand::Settings(arguments) => commands::print_settings(&arguments),
+        Subcommand::Check(arguments) => commands::check_register(&arguments),
+        Subcommand::Report(arguments) => commands::fetch(&arguments.address, "/v1/report"),
+        Subcommand::Status(arguments) => commands::fetch(&arguments.address, "/v1/status"),
+        Subcommand::Explain(arguments) => commands::explain(&arguments),
+    };
+    ExitCode::from(status as u8)
+}
--- /dev/null
+++ b/src/controllers/idempotency/controller.rs
@@ -0,0 +1,304 @@
+//! Issues keys, lets their calls run once, sends foreign calls to their owners, and hands outcomes off on leaving.
+
+use super::ledger::{ClaimVerdict, HandoffRecord, HandoffState, KeyLedger};
+use super::{IdempotencyKey, IssuedKey, KeyOutcome, KeyRequest, StoredAnswer};
+use crate::blackboard::Incarnation;
+use crate::controllers::Reply;
+use crate::controllers::message::{KeyCall, PeerMessage};
+use crate::prelude::*;
+
+/// When to ask again for a call whose owner can't be reached or that is running, in milliseconds.
+const ASK_AGAIN_MS: u64 = 1_000;
+
+/// How long outcomes handed off by a peer are kept, in milliseconds.
+const HANDOFF_KEPT_MS: u64 = 3_600_000;
+
+/// The most handed-off processes that are remembered.
+const HANDOFF_LIMIT: usize = 1_024;
+
+/// How often old records are let go, in milliseconds.
+const FORGET_EVERY_MS: u64 = 1_000;
+
+/// The outcomes that a leaving process left here.
+#[derive(Debug)]
+struct HandedOutcomes {
+    next_serial: u64,
+    states: FastMap<u64, HandoffState>,
+    forget_at: Moment,
+}
+
+impl HandedOutcomes {
+    fn look_up(&self, serial: u64) -> Result<StoredAnswer, RefusalNotice> {
+        match self.states.get(&serial) {
+            Some(HandoffState::Ended(outcome)) => outcome.to_result(),
+            Some(HandoffState::Running) => Err(RefusalNotice::new(ResultCode::KeyHandedOffRunning, "")),
+            None if serial >= self.next_serial => {
+                Err(RefusalNotice::new(ResultCode::BadKey, "it was never issued"))
+            }
+            None => Err(RefusalNotice::new(
+                ResultCode::KeyRevoked,
+                "its owner left before it ran",
+            )),
+        }
+    }
+}
+
+/// A call of this node's caller that was sent to the owner of its key.
+#[derive(Debug)]
+struct ForwardedCall {
+    ticket: ReplyTicket,
+    owner: VmAddress,
+    deadline: Moment,
+}
+
+/// Keeps the run-once promise.
+#[derive(Default)]
+pub struct IdempotencyController {
+    ledger: KeyLedger,
+    /// Claimants that wait for a running call, by serial.
+    joined: FastMap<u64, Vec<ReplyTicket>>,
+    forwarded: FastMap<u64, ForwardedCall>,
+    handed: FastMap<Incarnation, HandedOutcomes>,
+    next_forget: Moment,
+    is_closed: bool,
+}
+
+impl IdempotencyController {
+    fn issue(&mut self, request: &KeyRequest, turn: &Turn<'_>) -> Reply {
+        if self.is_closed || turn.board.drain.is_some() {
+            return Reply::Refused(RefusalNotice::new(ResultCode::Leaving, "it issues no more keys"));
+        }
+        let (serial, is_repeat) = self.ledger.issue(request);
+        let key = IdempotencyKey {
+            owner: turn.board.own.name.clone(),
+            owner_address: turn.board.own.peer_address.clone(),
+            incarnation: turn.board.own.incarnation,
+            serial,
+            deadline_epoch_ms: request.deadline_epoch_ms,
+        };
+        Reply::Key(IssuedKey { key, is_repeat })
+    }
+
+    fn claim(&mut self, ticket: ReplyTicket, key: &IdempotencyKey, body_hash: u64, turn: &mut Turn<'_>) {
+        if key.incarnation != turn.board.own.incarnation {
+            let reply = to_reply(self.judge_foreign(key.incarnation, key.serial));
+            turn.reply(ticket, reply);
+            return;
+        }
+        let reply = match self.ledger.claim(key.serial, body_hash, turn.now) {
+            ClaimVerdict::Start => Reply::Start,
+            ClaimVerdict::Ended(result) => to_reply(result),
+            ClaimVerdict::Running => {
+                self.joined.entry(key.serial).or_default().push(ticket);
+                return;
+            }
+        };
+        turn.reply(ticket, reply);
+    }
+
+    /// What this process can say of a key that another process issued.
+    fn judge_foreign(&self, incarnation: Incarnation, serial: u64) -> Result<StoredAnswer, RefusalNotice> {
+        match self.handed.get(&incarnation) {
+            Some(handed) => handed.look_up(serial),
+            None => Err(RefusalNotice::new(ResultCode::KeyOwnerGone, "")),
+        }
+    }
+
+    fn finish(&mut self, serial: u64, outcome: &KeyOutcome, turn: &mut Turn<'_>) {
+        self.ledger.finish(serial, outcome, turn.now);
+        let reply = match outcome {
+            KeyOutcome::Answered(answer) => Reply::Answer(answer.clone()),
+            KeyOutcome::Unknown => Reply::Refused(RefusalNotice::new(ResultCode::OutcomeUnknown, "")),
+            KeyOutcome::Unstarted(notice) => Reply::Refused(notice.clone()),
+        };
+        for ticket in self.joined.remove(&serial).unwrap_or_default() {
+            turn.actions.push(Action::Reply {
+                ticket,
+                reply: reply.clone(),
+            });
+        }
+    }
+
+    fn revoke(&mut self, key: &IdempotencyKey, turn: &Turn<'_>) -> Reply {
+        if key.incarnation != turn.board.own.incarnation {
+            return to_reply(self.judge_foreign(key.incarnation, key.serial));
+        }
+        match self.ledger.revoke(key.serial) {
+            ClaimVerdict::Ended(Err(notice)) if notice.code == ResultCode::KeyRevoked => Reply::Revoked,
+            ClaimVerdict::Ended(result) => to_reply(result),
+            ClaimVerdict::Start | ClaimVerdict::Running => {
+                let notice = RefusalNotice::new(ResultCode::KeyRunning, "it can't be revoked any more");
+                Reply::Refused(notice.retry_after_ms(ASK_AGAIN_MS))
+            }
+        }
+    }
+
+    fn forward(&mut self, ticket: ReplyTicket, call: &KeyCall, turn: &mut Turn<'_>) {
+        if let Some(handed) = self.handed.get(&call.incarnation) {
+            let reply = to_reply(handed.look_up(call.serial));
+            turn.reply(ticket, reply);
+            return;
+        }
+        let known = turn.board.vms.get(&call.owner);
+        let is_replaced = known
+            .and_then(|vm| vm.incarnation)
+            .is_some_and(|seen| seen != call.incarnation);
+        if is_replaced {
+            let notice = RefusalNotice::new(ResultCode::KeyOwnerGone, call.owner.to_string());
+            turn.actions.push(Action::Reply {
+                ticket,
+                reply: Reply::Refused(notice),
+            });
+            return;
+        }
+        let forwarded = ForwardedCall {
+            ticket,
+            owner: call.owner.clone(),
+            deadline: call.deadline,
+        };
+        self.forwarded.insert(call.call_id, forwarded);
+        turn.actions.push(Action::Send {
+            to: call.owner.clone(),
+            address: call.owner_address.clone(),
+            message: PeerMessage::KeyCall(call.clone()),
+        });
+    }
+
+    fn take_answer(
+        &mut self,
+        call_id: u64,
+        answer: &Result<StoredAnswer, RefusalNotice>,
+        turn: &mut Turn<'_>,
+    ) {
+        if let Some(forwarded) = self.forwarded.remove(&call_id) {
+            turn.actions.push(Action::Reply {
+                ticket: forwarded.ticket,
+                reply: to_reply(answer.clone()),
+            });
+        }
+    }
+
+    /// Ends the wait for answers that will not come.
+    fn give_up(&mut self, is_over: impl Fn(&ForwardedCall) -> bool, turn: &mut Turn<'_>) {
+        for (_, call) in self.forwarded.extract_if(|_, call| is_over(call)) {
+            let notice = RefusalNotice::new(ResultCode::KeyOwnerUnreachable, call.owner.to_string());
+            turn.actions.push(Action::Reply {
+                ticket: call.ticket,
+                reply: Reply::Refused(notice.retry_after_ms(ASK_AGAIN_MS)),
+            });
+        }
+    }
+
+    fn close(&mut self, turn: &mut Turn<'_>) {
+        self.is_closed = true;
+        let records = self.ledger.close();
+        turn.actions.push(Action::Log(format!(
+            "event=keys_handed_off records={}",
+            records.len()
+        )));
+        let message = PeerMessage::Handoff {
+            incarnation: turn.board.own.incarnation,
+            next_serial: self.ledger.next_serial(),
+            records,
+        };
+        turn.broadcast(&message);
+    }
+
+    fn take_handoff(
+        &mut self,
+        incarnation: Incarnation,
+        next_serial: u64,
+        records: &[HandoffRecord],
+        now: Moment,
+    ) {
+        if self.handed.len() >= HANDOFF_LIMIT && !self.handed.contains_key(&incarnation) {
+            return;
+        }
+        let states = records
+            .iter()
+            .map(|record| (record.serial, record.state.clone()))
+            .collect();
+        let handed = HandedOutcomes {
+            next_serial,
+            states,
+            forget_at: now.after_ms(HANDOFF_KEPT_MS),
+        };
+        self.handed.insert(incarnation, handed);
+    }
+
+    fn tick(&mut self, turn: &mut Turn<'_>) {
+        let is_handing_off = turn.board.drain.is_some_and(|drain| drain.handoff_at.is_some());
+        if is_handing_off && !self.is_closed {
+            self.close(turn);
+        }
+        let now = turn.now;
+        self.give_up(|call| now.reached(call.deadline), turn);
+        if !turn.now.reached(self.next_forget) {
+            return;
+        }
+        self.next_forget = turn.now.after_ms(FORGET_EVERY_MS);
+        self.ledger.forget(turn.now);
+        self.handed
+            .retain(|_, handed| !turn.now.reached(handed.forget_at));
+    }
+}
+
+fn to_reply(result: Result<StoredAnswer, RefusalNotice>) -> Reply {
+    match result {
+        Ok(answer) => Reply::Answer(answer),
+        Err(notice) => Reply::Refused(notice),
+    }
+}
+
+impl Controller for IdempotencyController {
+    fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
+        match event {
+            Event::Tick { .. } => self.tick(turn),
+            Event::KeyWanted { ticket, request } => {
+                let reply = self.issue(request, turn);
+                turn.actions.push(Action::Reply {
+                    ticket: *ticket,
+                    reply,
+                });
+            }
+            Event::KeyClaimed {
+                ticket,
+                key,
+                body_hash,
+            } => {
+                self.claim(*ticket, key, *body_hash, turn);
+            }
+            Event::KeyFinished { serial, outcome } => self.finish(*serial, outcome, turn),
+            Event::KeyRevoked { ticket, key } => {
+                let reply = self.revoke(key, turn);
+                turn.actions.push(Action::Reply {
+                    ticket: *ticket,
+                    reply,
+                });
+            }
+            Event::KeyCallForwarded { ticket, call } => self.forward(*ticket, call, turn),
+            Event::KeyCallAnswered { to, call_id, answer } => {
+                let message = PeerMessage::KeyAnswer {
+                    call_id: *call_id,
+                    answer: answer.clone(),
+                };
+                turn.send_to(to, message);
+            }
+            Event::PeerUnreachable { vm } => self.give_up(|call| call.owner == *vm, turn),
+            Event::PeerMessage { from, message, .. } => match message {
+                PeerMessage::KeyCall(call) => turn.actions.push(Action::RunForwarded {
+                    from: from.clone(),
+                    call: call.clone(),
+                }),
+                PeerMessage::KeyAnswer { call_id, answer } => self.take_answer(*call_id, answer, turn),
+                PeerMessage::Handoff {
+                    incarnation,
+                    next_serial,
+                    records,
+                } => self.take_handoff(*incarnation, *next_serial, records, turn.now),
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/controllers/idempotency/key.rs
@@ -0,0 +1,107 @@
+//! The idempotency key: who alone may run it, what for, and until when; authenticated by the deployment's secret.
+
+use std::sync::Arc;
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+use crate::blackboard::Incarnation;
+use crate::prelude::*;
+use crate::settings::SharedKey;
+
+/// The first field of a key; a later format gets another.
+const FORMAT: &str = "k1";
+
+/// Between the fields of a key.
+const SEPARATOR: char = '~';
+
+/// Bytes of the authentication code that a key carries.
+const CODE_BYTES: usize = 16;
+
+/// What a key is good for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct KeyScope {
+    /// The customer.
+    pub workspace: Arc<str>,
+    /// The plain service.
+    pub service: Arc<str>,
+    /// The operation.
+    pub operation: Arc<str>,
+}
+
+/// An idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IdempotencyKey {
+    /// The VM of the process that may run it.
+    pub owner: VmAddress,
+    /// Where that process listens for peers.
+    pub owner_address: Arc<str>,
+    /// That process.
+    pub incarnation: Incarnation,
+    /// Its number among the process's keys.
+    pub serial: u64,
+    /// The wall-clock instant after which it must not start, in milliseconds since the epoch.
+    pub deadline_epoch_ms: u64,
+}
+
+impl IdempotencyKey {
+    /// The key as callers hold it.
+    pub fn encode(&self, scope: &KeyScope, secret: &SharedKey) -> String {
+        let fields = self.fields();
+        let code = authenticate(&fields, scope, secret);
+        format!("{fields}{SEPARATOR}{}", hex::encode(code))
+    }
+
+    fn fields(&self) -> String {
+        format!(
+            "{FORMAT}{SEPARATOR}{}{SEPARATOR}{}{SEPARATOR}{:032x}{SEPARATOR}{}{SEPARATOR}{}",
+            self.owner, self.owner_address, self.incarnation, self.serial, self.deadline_epoch_ms
+        )
+    }
+
+    /// Reads a key, or gives `None` for one that was not issued for this scope by this deployment.
+    pub fn decode(text: &str, scope: &KeyScope, secret: &SharedKey) -> Option<Self> {
+        let (fields, code) = text.rsplit_once(SEPARATOR)?;
+        let code = hex::decode(code).ok()?;
+        verifier(fields, scope, secret)
+            .verify_truncated_left(&code)
+            .ok()?;
+        if code.len() != CODE_BYTES {
+            return None;
+        }
+        let mut parts = fields.split(SEPARATOR);
+        if parts.next()? != FORMAT {
+            return None;
+        }
+        let key = Self {
+            owner: parts.next()?.into(),
+            owner_address: parts.next()?.into(),
+            incarnation: Incarnation::from_str_radix(parts.next()?, 16).ok()?,
+            serial: parts.next()?.parse().ok()?,
+            deadline_epoch_ms: parts.next()?.parse().ok()?,
+        };
+        parts.next().is_none().then_some(key)
+    }
+}
+
+fn verifier(fields: &str, scope: &KeyScope, secret: &SharedKey) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("HMAC takes keys of any length");
+    for part in [
+        "idempotency-key",
+        fields,
+        &scope.workspace,
+        &scope.service,
+        &scope.operation,
+    ] {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part.as_bytes());
+    }
+    mac
+}
+
+fn authenticate(fields: &str, scope: &KeyScope, secret: &SharedKey) -> [u8; CODE_BYTES] {
+    let whole = verifier(fields, scope, secret).finalize().into_bytes();
+    let mut code = [0; CODE_BYTES];
+    code.copy_from_slice(&whole[..CODE_BYTES]);
+    code
+}
--- /dev/null
+++ b/src/controllers/idempotency/ledger.rs
@@ -0,0 +1,276 @@
+//! The owner's memory of its keys: which were started, and how they ended.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::{KeyOutcome, KeyRequest, KeyScope, StoredAnswer};
+use crate::prelude::*;
+
+/// How long an answer is kept for repeats, in milliseconds.
+const ANSWER_KEPT_MS: u64 = 600_000;
+
+/// The most bytes of answers that are kept.
+const ANSWERS_LIMIT_BYTES: usize = 16_000_000;
+
+/// How long after its deadline an unstarted key is still told apart from one never issued, in milliseconds.
+const EXPIRED_KEPT_MS: u64 = 600_000;
+
+/// How a key ended, as kept by the owner or handed to a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoredOutcome {
+    /// The service answered so.
+    Answered(StoredAnswer),
+    /// It ran; the answer is no longer kept.
+    RanAnswerGone,
+    /// It was sent and its answer was lost.
+    Unknown,
+    /// It was revoked before it ran.
+    Revoked,
+}
+
+impl StoredOutcome {
+    /// What a caller that asks again is told.
+    pub fn to_result(&self) -> Result<StoredAnswer, RefusalNotice> {
+        match self {
+            Self::Answered(answer) => Ok(answer.clone()),
+            Self::RanAnswerGone => Err(RefusalNotice::new(ResultCode::KeyRanAnswerGone, "")),
+            Self::Unknown => Err(RefusalNotice::new(ResultCode::OutcomeUnknown, "")),
+            Self::Revoked => Err(RefusalNotice::new(ResultCode::KeyRevoked, "")),
+        }
+    }
+}
+
+/// The state of a key that is handed to a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HandoffState {
+    /// It was still running.
+    Running,
+    /// It ended.
+    Ended(StoredOutcome),
+}
+
+/// A key of a leaving process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HandoffRecord {
+    /// Its number.
+    pub serial: u64,
+    /// Its state.
+    pub state: HandoffState,
+}
+
+/// The owner's answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimVerdict {
+    /// The claimant runs the call now; nobody else will.
+    Start,
+    /// Another claimant is running it.
+    Running,
+    /// It ended.
+    Ended(Result<StoredAnswer, RefusalNotice>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum KeyState {
+    Issued,
+    Started,
+    Ended(StoredOutcome),
+}
+
+#[derive(Debug)]
+struct KeyRecord {
+    scope: KeyScope,
+    name: Option<Arc<str>>,
+    state: KeyState,
+    body_hash: Option<u64>,
+    deadline: Moment,
+    forget_at: Moment,
+}
+
+/// The keys of one process.
+#[derive(Debug, Default)]
+pub struct KeyLedger {
+    next_serial: u64,
+    records: FastMap<u64, KeyRecord>,
+    names: FastMap<(KeyScope, Arc<str>), u64>,
+    /// Serials that were started and whose records are gone.
+    ran: BTreeSet<u64>,
+    answer_bytes: usize,
+    is_closed: bool,
+}
+
+impl KeyLedger {
+    /// Issues a serial, or gives the one issued before under the same name, with whether it is such a repeat.
+    pub fn issue(&mut self, request: &KeyRequest) -> (u64, bool) {
+        let named = request
+            .name
+            .as_ref()
+            .map(|name| (request.scope.clone(), name.clone()));
+        if let Some(serial) = named.as_ref().and_then(|named| self.names.get(named)) {
+            return (*serial, true);
+        }
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        if let Some(named) = named {
+            self.names.insert(named, serial);
+        }
+        let record = KeyRecord {
+            scope: request.scope.clone(),
+            name: request.name.clone(),
+            state: KeyState::Issued,
+            body_hash: None,
+            deadline: request.deadline,
+            forget_at: request.deadline.after_ms(EXPIRED_KEPT_MS),
+        };
+        self.records.insert(serial, record);
+        (serial, false)
+    }
+
+    /// The deadline under which a serial was issued.
+    pub fn deadline(&self, serial: u64) -> Option<Moment> {
+        self.records.get(&serial).map(|record| record.deadline)
+    }
+
+    /// Claims the right to run a key; given at most once, unless the run ends unstarted.
+    pub fn claim(&mut self, serial: u64, body_hash: u64, now: Moment) -> ClaimVerdict {
+        if serial >= self.next_serial {
+            return refuse(ResultCode::BadKey, "it was never issued");
+        }
+        let is_closed = self.is_closed;
+        let Some(record) = self.records.get_mut(&serial) else {
+            return self.claim_forgotten(serial);
+        };
+        if record.body_hash.is_some_and(|known| known != body_hash) {
+            return refuse(ResultCode::KeyBodyDiffers, "");
+        }
+        match &record.state {
+            KeyState::Started => ClaimVerdict::Running,
+            KeyState::Ended(outcome) => ClaimVerdict::Ended(outcome.to_result()),
+            KeyState::Issued if is_closed => refuse(ResultCode::KeyRevoked, "its owner is leaving"),
+            KeyState::Issued if now.reached(record.deadline) => refuse(ResultCode::KeyExpired, ""),
+            KeyState::Issued => {
+                record.state = KeyState::Started;
+                record.body_hash = Some(body_hash);
+                ClaimVerdict::Start
+            }
+        }
+    }
+
+    fn claim_forgotten(&self, serial: u64) -> ClaimVerdict {
+        if self.ran.contains(&serial) {
+            return ClaimVerdict::Ended(StoredOutcome::RanAnswerGone.to_result());
+        }
+        refuse(ResultCode::KeyExpired, "")
+    }
+
+    /// Notes how a started key ended.
+    pub fn finish(&mut self, serial: u64, outcome: &KeyOutcome, now: Moment) {
+        let Some(record) = self.records.get_mut(&serial) else {
+            return;
+        };
+        if record.state != KeyState::Started {
+            return;
+        }
+        record.state = match outcome {
+            KeyOutcome::Unstarted(_) => KeyState::Issued,
+            KeyOutcome::Unknown => KeyState::Ended(StoredOutcome::Unknown),
+            KeyOutcome::Answered(answer) => {
+                self.answer_bytes += answer.body.len();
+                KeyState::Ended(StoredOutcome::Answered(answer.clone()))
+            }
+        };
+        record.forget_at = record.forget_at.max(now.after_ms(ANSWER_KEPT_MS));
+    }
+
+    /// Revokes a key that has not run: from then on "not run" stays true.
+    pub fn revoke(&mut self, serial: u64) -> ClaimVerdict {
+        let Some(record) = self.records.get_mut(&serial) else {
+            return self.claim_forgotten(serial);
+        };
+        match &record.state {
+            KeyState::Started => ClaimVerdict::Running,
+            KeyState::Ended(outcome) => ClaimVerdict::Ended(outcome.to_result()),
+            KeyState::Issued => {
+                record.state = KeyState::Ended(StoredOutcome::Revoked);
+                ClaimVerdict::Ended(StoredOutcome::Revoked.to_result())
+            }
+        }
+    }
+
+    /// Lets go of what is older than its bound; that a key ran is kept for good.
+    pub fn forget(&mut self, now: Moment) {
+        let over: Vec<u64> = self
+            .records
+            .iter()
+            .filter(|(_, record)| now.reached(record.forget_at) && record.state != KeyState::Started)
+            .map(|(serial, _)| *serial)
+            .collect();
+        for serial in over {
+            self.forget_one(serial);
+        }
+        while self.answer_bytes > ANSWERS_LIMIT_BYTES {
+            let Some(oldest) = self.oldest_answer() else {
+                return;
+            };
+            self.forget_one(oldest);
+        }
+    }
+
+    fn oldest_answer(&self) -> Option<u64> {
+        let answered =
+            |record: &KeyRecord| matches!(record.state, KeyState::Ended(StoredOutcome::Answered(_)));
+        self.records
+            .iter()
+            .filter(|(_, record)| answered(record))
+            .map(|(serial, _)| *serial)
+            .min()
+    }
+
+    fn forget_one(&mut self, serial: u64) {
+        let Some(record) = self.records.remove(&serial) else {
+            return;
+        };
+        if let Some(name) = record.name {
+            self.names.remove(&(record.scope, name));
+        }
+        match record.state {
+            KeyState::Issued | KeyState::Ended(StoredOutcome::Revoked) => {}
+            KeyState::Ended(StoredOutcome::Answered(answer)) => {
+                self.answer_bytes -= answer.body.len();
+                self.ran.insert(serial);
+            }
+            KeyState::Started | KeyState::Ended(_) => {
+                self.ran.insert(serial);
+            }
+        }
+    }
+
+    /// Starts no key from now on, and gives the state of all that were started or revoked.
+    pub fn close(&mut self) -> Vec<HandoffRecord> {
+        self.is_closed = true;
+        let gone = self.ran.iter().map(|serial| HandoffRecord {
+            serial: *serial,
+            state: HandoffState::Ended(StoredOutcome::RanAnswerGone),
+        });
+        let kept = self.records.iter().filter_map(|(serial, record)| {
+            let state = match &record.state {
+                KeyState::Issued => return None,
+                KeyState::Started => HandoffState::Running,
+                KeyState::Ended(outcome) => HandoffState::Ended(outcome.clone()),
+            };
+            Some(HandoffRecord {
+                serial: *serial,
+                state,
+            })
+        });
+        gone.chain(kept).collect()
+    }
+
+    /// Serials from this on were never issued.
+    pub fn next_serial(&self) -> u64 {
+        self.next_serial
+    }
+}
+
+fn refuse(code: ResultCode, detail: &str) -> ClaimVerdict {
+    ClaimVerdict::Ended(Err(RefusalNotice::new(code, detail)))
+}
--- /dev/null
+++ b/src/controllers/mod.rs
@@ -0,0 +1,334 @@
+//! The decision logic: state machines that take an event and the present instant and give actions.
+//!
+//! Nothing here does input or output or reads a clock, so each part can be embedded, replayed and tested alone.
+
+pub mod drain;
+pub mod idempotency;
+pub mod membership;
+pub mod message;
+pub mod quarantine;
+pub mod reaping;
+pub mod rendezvous;
+pub mod resolve;
+pub mod retry_budget;
+pub mod revision;
+pub mod services;
+pub mod slots;
+
+use std::sync::Arc;
+
+use crate::blackboard::{Fingerprint, Incarnation};
+use crate::prelude::*;
+use idempotency::{IdempotencyKey, KeyOutcome, KeyRequest};
+use message::{KeyCall, PeerMessage, VmIntroduction};
+use services::{ServiceAsk, ServiceResult};
+use slots::{PlacementAsk, PlacementGrant, PlacementResult, RequestId};
+
+/// Names a waiting task of the traffic side, so that a reply finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ReplyTicket(pub u64);
+
+/// Where an offered register came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegisterSource {
+    /// The configuration service.
+    Service,
+    /// A peer.
+    Peer(VmAddress),
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick {
+        /// Requests that this node holds.
+        active_requests: u64,
+    },
+    /// A register was read from the service or passed on by a peer.
+    RegisterOffered {
+        /// Its number.
+        revision: Revision,
+        /// Its text.
+        text: Arc<str>,
+        /// Who offered it.
+        source: RegisterSource,
+    },
+    /// The configuration service answered that nothing newer is published.
+    RegisterConfirmed {
+        /// The newest revision that the service knows.
+        revision: Revision,
+    },
+    /// The VM list was read.
+    VmsListed {
+        /// All VMs on it.
+        vms: Vec<VmRecord>,
+    },
+    /// A peer introduced itself on a new link.
+    PeerJoined {
+        /// What it says of itself.
+        introduction: VmIntroduction,
+    },
+    /// A peer sent a message.
+    PeerMessage {
+        /// Its name.
+        from: VmAddress,
+        /// Its process.
+        incarnation: Incarnation,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A message could not be delivered.
+    PeerUnreachable {
+        /// The VM it was for.
+        vm: VmAddress,
+    },
+    /// A generation needs upstreams.
+    PlacementWanted {
+        /// Who waits.
+        ticket: ReplyTicket,
+        /// What it needs.
+        ask: PlacementAsk,
+    },
+    /// The prefill of a placed generation ended, so its engine is free for the next.
+    PrefillDone {
+        /// Which request.
+        request: RequestId,
+    },
+    /// A placed generation ended, or one that waited for a place was given up.
+    PlacementDone {
+        /// Which request.
+        request: RequestId,
+        /// How it went.
+        result: PlacementResult,
+    },
+    /// A call needs a replica of a plain service.
+    ServiceWanted {
+        /// Who waits.
+        ticket: ReplyTicket,
+        /// What it needs.
+        ask: ServiceAsk,
+    },
+    /// A call to a plain service ended.
+    ServiceDone {
+        /// Which replica.
+        replica: Arc<str>,
+        /// How it went.
+        result: ServiceResult,
+    },
+    /// An upstream reported its load.
+    LoadReported {
+        /// Which upstream.
+        upstream: Arc<str>,
+        /// Requests it holds.
+        load: u32,
+    },
+    /// A request was running on an upstream as it died.
+    RequestDied {
+        /// The request's content.
+        fingerprint: Fingerprint,
+        /// Which upstream.
+        upstream: Arc<str>,
+        /// Which start of the upstream.
+        boot: u64,
+    },
+    /// A request ran to its end.
+    RequestCompleted {
+        /// The request's content.
+        fingerprint: Fingerprint,
+    },
+    /// A caller asks for an idempotency key.
+    KeyWanted {
+        /// Who waits.
+        ticket: ReplyTicket,
+        /// What it is for.
+        request: KeyRequest,
+    },
+    /// A call with a key of this process wants to run.
+    KeyClaimed {
+        /// Who waits.
+        ticket: ReplyTicket,
+        /// The key.
+        key: IdempotencyKey,
+        /// A hash of the call's content.
+        body_hash: u64,
+    },
+    /// A claimed call ended.
+    KeyFinished {
+        /// The key's serial.
+        serial: u64,
+        /// How it ended.
+        outcome: KeyOutcome,
+    },
+    /// A caller revokes a key of this process.
+    KeyRevoked {
+        /// Who waits.
+        ticket: ReplyTicket,
+        /// The key.
+        key: IdempotencyKey,
+    },
+    /// A call belongs to the owner of its key, another process.
+    KeyCallForwarded {
+        /// Who waits.
+        ticket: ReplyTicket,
+        /// The call.
+        call: KeyCall,
+    },
+    /// A call that a peer forwarded has its answer.
+    KeyCallAnswered {
+        /// The peer.
+        to: VmAddress,
+        /// The number the peer gave the call.
+        call_id: u64,
+        /// The answer.
+        answer: Result<idempotency::StoredAnswer, RefusalNotice>,
+    },
+    /// The process was told to leave.
+    LeaveOrdered {
+        /// Until when answers that name this node may be in use.
+        accept_until: Moment,
+        /// When the drain ends even if work is left.
+        exit_at: Moment,
+    },
+}
+
+/// The answer to a waiting task.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Upstreams for a generation.
+    Placed(PlacementGrant),
+    /// A replica of a plain service.
+    Replica(Arc<str>),
+    /// A new idempotency key.
+    Key(idempotency::IssuedKey),
+    /// The claimant is to run the call now.
+    Start,
+    /// The call has run; this was its answer.
+    Answer(idempotency::StoredAnswer),
+    /// The key was revoked.
+    Revoked,
+    /// A refusal.
+    Refused(RefusalNotice),
+}
+
+/// Something to be done outside.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Answer a waiting task.
+    Reply {
+        /// Which.
+        ticket: ReplyTicket,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Send a message to a peer.
+    Send {
+        /// Its name.
+        to: VmAddress,
+        /// Where it listens.
+        address: Arc<str>,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Close the link to a peer, so that the next message takes a new connection.
+    ResetLink {
+        /// Its name.
+        vm: VmAddress,
+    },
+    /// Run a call that a peer forwarded.
+    RunForwarded {
+        /// The peer.
+        from: VmAddress,
+        /// The call.
+        call: KeyCall,
+    },
+    /// Give the traffic side a new view of the board.
+    Publish,
+    /// Write an event to the log.
+    Log(String),
+    /// End the process.
+    Exit,
+}
+
+/// One event's turn: the board, the present instant, and what is to be done.
+pub struct Turn<'a> {
+    /// The board.
+    pub board: &'a mut Blackboard,
+    /// The present instant.
+    pub now: Moment,
+    /// What is to be done.
+    pub actions: Vec<Action>,
+}
+
+impl Turn<'_> {
+    /// Answers a waiting task.
+    pub fn reply(&mut self, ticket: ReplyTicket, reply: Reply) {
+        self.actions.push(Action::Reply { ticket, reply });
+    }
+
+    /// Gives the traffic side a new view of the board.
+    pub fn publish(&mut self) {
+        self.actions.push(Action::Publish);
+    }
+
+    /// Writes an event to the log.
+    pub fn log(&mut self, line: String) {
+        self.actions.push(Action::Log(line));
+    }
+
+    /// Sends a message to a VM that the board knows.
+    pub fn send_to(&mut self, vm: &VmAddress, message: PeerMessage) {
+        let Some(record) = self.board.vms.get(vm) else {
+            return;
+        };
+        self.actions.push(Action::Send {
+            to: vm.clone(),
+            address: record.peer_address.clone(),
+            message,
+        });
+    }
+
+    /// Sends a message to all VMs that are taken for alive; for rare events only.
+    pub fn broadcast(&mut self, message: &PeerMessage) {
+        for peer in self.board.live_peers(self.now) {
+            self.actions.push(Action::Send {
+                to: peer.name.clone(),
+                address: peer.peer_address.clone(),
+                message: message.clone(),
+            });
+        }
+    }
+}
+
+/// A part of the decision logic.
+pub trait Controller: Send {
+    /// Takes one event.
+    fn handle(&mut self, event: &Event, turn: &mut Turn<'_>);
+}
+
+/// All controllers of a node over one board.
+pub struct ControlCore {
+    /// The board.
+    pub board: Blackboard,
+    controllers: Vec<Box<dyn Controller>>,
+}
+
+impl ControlCore {
+    /// A core with the given parts, which see each event in this order.
+    pub fn new(board: Blackboard, controllers: Vec<Box<dyn Controller>>) -> Self {
+        Self { board, controllers }
+    }
+
+    /// Lets every controller see the event.
+    pub fn handle(&mut self, event: &Event, now: Moment) -> Vec<Action> {
+        let mut turn = Turn {
+            board: &mut self.board,
+            now,
+            actions: Vec::new(),
+        };
+        for controller in &mut self.controllers {
+            controller.handle(event, &mut turn);
+        }
+        turn.actions
+    }
+}
--- /dev/null
+++ b/src/controllers/rendezvous.rs
@@ -0,0 +1,31 @@
+//! Rendezvous hashing: every node that knows the same VMs names the same owner, without asking.
+
+use std::hash::Hasher;
+
+use rustc_hash::FxHasher;
+
+/// Bits of the finalizer's shifts.
+const MIX_SHIFT: u32 = 32;
+
+/// A hash of two texts that is the same on all nodes.
+pub fn weight(key: &str, candidate: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write(key.as_bytes());
+    hasher.write_u8(0xff);
+    hasher.write(candidate.as_bytes());
+    finish(hasher.finish())
+}
+
+/// Spreads the bits of a weak hash, so that near-equal inputs rank independently.
+fn finish(mut bits: u64) -> u64 {
+    bits ^= bits >> MIX_SHIFT;
+    bits = bits.wrapping_mul(0xd6e8_feb8_6659_fd93);
+    bits ^= bits >> MIX_SHIFT;
+    bits = bits.wrapping_mul(0xd6e8_feb8_6659_fd93);
+    bits ^ (bits >> MIX_SHIFT)
+}
+
+/// The candidate that ranks first for a key.
+pub fn owner<'a>(key: &str, candidates: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    candidates.max_by_key(|candidate| (weight(key, candidate), *candidate))
+}
--- /dev/null
+++ b/src/controllers/resolve.rs
@@ -0,0 +1,20 @@
+//! Which entry addresses a caller should use.
+
+use std::sync::Arc;
+
+use super::rendezvous::weight;
+use crate::prelude::*;
+
+/// How many addresses an answer holds at most.
+const ANSWER_LEN: usize = 3;
+
+/// Addresses for one caller, best first: own zone before others, spread by a hash of the caller.
+pub fn rank_entries(board_vms: &[VmRecord], zone: Option<&str>, caller: &str) -> Vec<Arc<str>> {
+    let mut ranked: Vec<&VmRecord> = board_vms.iter().filter(|vm| !vm.leaving).collect();
+    ranked.sort_by_key(|vm| {
+        let is_far = zone.is_some_and(|zone| &*vm.zone != zone);
+        (is_far, std::cmp::Reverse(weight(caller, &vm.name)))
+    });
+    ranked.truncate(ANSWER_LEN);
+    ranked.iter().map(|vm| vm.caller_address.clone()).collect()
+}
--- /dev/null
+++ b/src/controllers/revision.rs
@@ -0,0 +1,115 @@
+//! Which configuration is in force: the highest accepted revision seen, never an earlier one.
+
+use std::sync::Arc;
+
+use super::RegisterSource;
+use super::message::PeerMessage;
+use crate::blackboard::RefusedRevision;
+use crate::prelude::*;
+use crate::register::parse_register;
+
+/// How long a revision counts as confirmed after the service or a peer agreed with it.
+pub const CONFIRMATION_MS: u64 = 10_000;
+
+/// How long to wait for a peer's content before asking again.
+const CONTENT_WAIT_MS: u64 = 500;
+
+/// Accepts, refuses and passes on registers.
+#[derive(Debug, Default)]
+pub struct RevisionController {
+    /// The highest revision already judged, accepted or not.
+    judged: Revision,
+    /// Until when content is on its way from a peer.
+    wanted_until: Option<Moment>,
+}
+
+impl RevisionController {
+    fn offer(&mut self, revision: Revision, text: &Arc<str>, source: &RegisterSource, turn: &mut Turn<'_>) {
+        if *source == RegisterSource::Service && revision >= turn.board.register.revision {
+            turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
+        }
+        if revision <= self.judged {
+            return;
+        }
+        self.judged = revision;
+        self.wanted_until = None;
+        match parse_register(text) {
+            Ok(register) => {
+                let facts = &mut turn.board.register;
+                facts.revision = revision;
+                facts.register = Arc::new(register);
+                facts.text = text.clone();
+                facts.refused = None;
+                facts.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
+                turn.actions.push(Action::Log(format!(
+                    "event=register_accepted revision={revision} source={source:?}"
+                )));
+            }
+            Err(report) => {
+                let reasons = report.to_string();
+                turn.actions.push(Action::Log(format!(
+                    "event=register_refused revision={revision} faults={}",
+                    report.faults.len()
+                )));
+                turn.board.register.refused = Some(RefusedRevision { revision, reasons });
+            }
+        }
+        turn.publish();
+    }
+
+    fn hear_of(&mut self, peer: &VmAddress, revision: Revision, turn: &mut Turn<'_>) {
+        if revision == turn.board.register.revision && revision > 0 {
+            turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
+        }
+        let is_waiting = self
+            .wanted_until
+            .is_some_and(|deadline| !turn.now.reached(deadline));
+        if revision <= self.judged || is_waiting {
+            return;
+        }
+        self.wanted_until = Some(turn.now.after_ms(CONTENT_WAIT_MS));
+        turn.send_to(peer, PeerMessage::RegisterWanted { revision });
+    }
+
+    fn pass_on(&self, peer: &VmAddress, wanted: Revision, turn: &mut Turn<'_>) {
+        let facts = &turn.board.register;
+        if facts.revision < wanted || facts.revision == 0 {
+            return;
+        }
+        let message = PeerMessage::RegisterContent {
+            revision: facts.revision,
+            text: facts.text.clone(),
+        };
+        turn.send_to(peer, message);
+    }
+}
+
+impl Controller for RevisionController {
+    fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
+        match event {
+            Event::RegisterOffered {
+                revision,
+                text,
+                source,
+            } => {
+                self.offer(*revision, text, source, turn);
+            }
+            Event::RegisterConfirmed { revision } if *revision == turn.board.register.revision => {
+                turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
+            }
+            Event::PeerJoined { introduction } => {
+                self.hear_of(&introduction.name, introduction.revision, turn);
+            }
+            Event::PeerMessage { from, message, .. } => match message {
+                PeerMessage::Heartbeat { revision, .. } => self.hear_of(from, *revision, turn),
+                PeerMessage::RegisterWanted { revision } => self.pass_on(from, *revision, turn),
+                PeerMessage::RegisterContent { revision, text } => {
+                    let source = RegisterSource::Peer(from.clone());
+                    self.offer(*revision, text, &source, turn);
+                }
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/controllers/slots/choice.rs
@@ -0,0 +1,129 @@
+//! Choosing engines alone: the way without an owner, and the baselines that measurements compare with.
+
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::{PlacementAsk, PlacementGrant};
+use crate::prelude::*;
+use crate::register::EngineRole;
+
+/// How engines are chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementPolicy {
+    /// The owner of the engines' group grants slots.
+    Owner,
+    /// Any engine.
+    Random,
+    /// Each engine in turn.
+    RoundRobin,
+    /// The better of two by the load they report.
+    TwoChoicesReported,
+    /// The better of two by this node's own requests in flight.
+    TwoChoicesOwn,
+    /// The best of all by this node's own requests in flight.
+    LeastOwn,
+}
+
+impl PlacementPolicy {
+    /// All policies.
+    pub const ALL: [Self; 6] = [
+        Self::Owner,
+        Self::Random,
+        Self::RoundRobin,
+        Self::TwoChoicesReported,
+        Self::TwoChoicesOwn,
+        Self::LeastOwn,
+    ];
+
+    /// The word used in settings.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Owner => "owner",
+            Self::Random => "random",
+            Self::RoundRobin => "round-robin",
+            Self::TwoChoicesReported => "two-choices-reported",
+            Self::TwoChoicesOwn => "two-choices-own",
+            Self::LeastOwn => "least-own",
+        }
+    }
+}
+
+/// Chooses engines from what this node knows alone.
+#[derive(Debug)]
+pub struct LocalChooser {
+    random: SmallRng,
+    turn: usize,
+}
+
+impl LocalChooser {
+    /// A chooser whose random numbers follow from the seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(seed),
+            turn: 0,
+        }
+    }
+
+    /// Engines for a request, or `None` when no suitable one is usable.
+    pub fn choose(
+        &mut self,
+        policy: PlacementPolicy,
+        ask: &PlacementAsk,
+        board: &Blackboard,
+        now: Moment,
+    ) -> Option<PlacementGrant> {
+        let decode = self.choose_one(policy, ask, EngineRole::Decode, board, now)?;
+        let prefill = self.choose_one(policy, ask, EngineRole::Prefill, board, now)?;
+        Some(PlacementGrant { decode, prefill })
+    }
+
+    fn choose_one(
+        &mut self,
+        policy: PlacementPolicy,
+        ask: &PlacementAsk,
+        role: EngineRole,
+        board: &Blackboard,
+        now: Moment,
+    ) -> Option<Arc<str>> {
+        let register = &board.register.register;
+        let usable: Vec<&str> = register
+            .engines(&ask.model, role)
+            .filter(|engine| board.is_usable(engine, now))
+            .filter(|engine| !ask.avoid.iter().any(|name| **name == *engine.name))
+            .map(|engine| engine.name.as_str())
+            .collect();
+        if usable.is_empty() {
+            return None;
+        }
+        let own = |name: &str| board.upstreams.get(name).map_or(0, |facts| facts.in_flight);
+        let reported = |name: &str| board.upstreams.get(name).map_or(0, |facts| facts.reported_load);
+        let chosen = match policy {
+            PlacementPolicy::Random => self.draw(&usable),
+            PlacementPolicy::RoundRobin => {
+                self.turn += 1;
+                usable[self.turn % usable.len()]
+            }
+            PlacementPolicy::TwoChoicesReported => self.better_of_two(&usable, reported),
+            PlacementPolicy::Owner | PlacementPolicy::TwoChoicesOwn => self.better_of_two(&usable, own),
+            PlacementPolicy::LeastOwn => {
+                let start = self.random.random_range(0..usable.len());
+                let mut turned = usable.clone();
+                turned.rotate_left(start);
+                turned.into_iter().min_by_key(|name| own(name))?
+            }
+        };
+        Some(chosen.into())
+    }
+
+    fn draw<'a>(&mut self, names: &[&'a str]) -> &'a str {
+        names[self.random.random_range(0..names.len())]
+    }
+
+    fn better_of_two<'a>(&mut self, names: &[&'a str], load: impl Fn(&str) -> u32) -> &'a str {
+        let first = self.draw(names);
+        let second = self.draw(names);
+        if load(second) < load(first) { second } else { first }
+    }
+}
--- /dev/null
+++ b/src/controllers/slots/client.rs
@@ -0,0 +1,508 @@
+//! Both sides of a slot exchange on one node: asks the owner for its own requests, and answers as an owner.
+
+use super::{
+    EngineGroup, GroupLedger, LocalChooser, PlacementAsk, PlacementGrant, PlacementPolicy, RequestId,
+    group_count,
+};
+use crate::controllers::Reply;
+use crate::controllers::membership::SUSPICION_MS;
+use crate::controllers::message::{PeerMessage, SlotVerdict};
+use crate::controllers::rendezvous;
+use crate::controllers::retry_budget::RetryBudget;
+use crate::prelude::*;
+
+/// How long an owner may take to answer, in milliseconds.
+const ANSWER_LIMIT_MS: u64 = 300;
+
+/// How often a queued request asks again, so that the loss of its owner is noticed, in milliseconds.
+const ASK_AGAIN_MS: u64 = 500;
+
+/// How often an owner looks for holders that are gone, in milliseconds.
+const SWEEP_EVERY_MS: u64 = 500;
+
+/// When to come back after no engine was found usable, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Groups that are asked before a request is refused.
+const GROUPS_TO_TRY: usize = 2;
+
+/// A request of this node that waits for an owner's answer.
+#[derive(Debug)]
+struct PendingAsk {
+    ticket: ReplyTicket,
+    ask: PlacementAsk,
+    /// Groups still to ask, the present one first.
+    groups: Vec<u32>,
+    owner: VmAddress,
+    answer_by: Moment,
+    ask_again_at: Moment,
+}
+
+/// A request of this node that has its engines.
+#[derive(Debug)]
+struct ActiveLease {
+    grant: PlacementGrant,
+    /// The group and its owner; `None` when this node chose alone.
+    owner: Option<(EngineGroup, VmAddress)>,
+}
+
+/// Grants slots as an owner, and gets them for this node's own requests.
+pub struct SlotController {
+    policy: PlacementPolicy,
+    group_size: usize,
+    chooser: LocalChooser,
+    budget: RetryBudget,
+    ledgers: FastMap<EngineGroup, GroupLedger>,
+    pending: FastMap<RequestId, PendingAsk>,
+    active: FastMap<RequestId, ActiveLease>,
+    next_sweep: Moment,
+}
+
+impl SlotController {
+    /// A controller with the given way of choosing.
+    pub fn new(policy: PlacementPolicy, group_size: usize, seed: u64) -> Self {
+        Self {
+            policy,
+            group_size,
+            chooser: LocalChooser::new(seed),
+            budget: RetryBudget::default(),
+            ledgers: FastMap::default(),
+            pending: FastMap::default(),
+            active: FastMap::default(),
+            next_sweep: Moment::default(),
+        }
+    }
+
+    fn place(&mut self, ticket: ReplyTicket, ask: &PlacementAsk, turn: &mut Turn<'_>) {
+        if let Some(refusal) = self.refuse(ask, turn) {
+            turn.actions.push(Action::Reply {
+                ticket,
+                reply: Reply::Refused(refusal),
+            });
+            return;
+        }
+        if self.policy != PlacementPolicy::Owner {
+            self.choose_alone(ticket, ask, self.policy, turn);
+            return;
+        }
+        let groups = self.rank_groups(ask, turn);
+        self.ask_owner(ticket, ask.clone(), groups, turn);
+    }
+
+    fn refuse(&mut self, ask: &PlacementAsk, turn: &Turn<'_>) -> Option<RefusalNotice> {
+        if let Some(until) = turn.board.is_quarantined(ask.fingerprint, turn.now) {
+            let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{:016x}", ask.fingerprint));
+            return Some(notice.retry_after_ms(turn.now.until_ms(until)));
+        }
+        if turn.now.reached(ask.deadline) {
+            return Some(RefusalNotice::new(
+                ResultCode::DeadlinePassed,
+                "while being placed",
+            ));
+        }
+        if !ask.is_retry {
+            self.budget.earn(&ask.workspace);
+            return None;
+        }
+        if self.budget.spend(&ask.workspace) {
+            return None;
+        }
+        let notice = RefusalNotice::new(ResultCode::RetryBudgetSpent, ask.workspace.to_string());
+        Some(notice.retry_after_ms(RETRY_AFTER_MS))
+    }
+
+    /// The groups to ask, the one most likely to have the prompt's prefix first.
+    fn rank_groups(&self, ask: &PlacementAsk, turn: &Turn<'_>) -> Vec<u32> {
+        let count = group_count(&turn.board.register.register, &ask.model, self.group_size);
+        let key = ask.prefix.first().copied().unwrap_or(ask.fingerprint).to_string();
+        let mut groups: Vec<u32> = (0..count).collect();
+        groups.sort_by_key(|group| std::cmp::Reverse(rendezvous::weight(&key, &group.to_string())));
+        groups.truncate(GROUPS_TO_TRY);
+        groups
+    }
+
+    /// The VM that owns a group, as this node sees it.
+    fn owner_of(&self, key: &EngineGroup, turn: &Turn<'_>) -> VmAddress {
+        let name = format!("{}/{}", key.model, key.index);
+        let own = (turn.board.drain.is_none()).then_some(&*turn.board.own.name);
+        let peers = turn
+            .board
+            .live_peers(turn.now)
+            .filter(|vm| !vm.leaving)
+            .map(|vm| &*vm.name);
+        let owner = rendezvous::owner(&name, peers.chain(own));
+        owner.map_or_else(|| turn.board.own.name.clone(), VmAddress::from)
+    }
+
+    fn ask_owner(&mut self, ticket: ReplyTicket, ask: PlacementAsk, groups: Vec<u32>, turn: &mut Turn<'_>) {
+        let group = groups.first().copied().unwrap_or(0);
+        let key = EngineGroup::new(&ask.model, group);
+        let owner = self.owner_of(&key, turn);
+        let request = ask.request.clone();
+        let pending = PendingAsk {
+            ticket,
+            ask,
+            groups,
+            owner: owner.clone(),
+            answer_by: turn.now.after_ms(ANSWER_LIMIT_MS),
+            ask_again_at: turn.now.after_ms(ASK_AGAIN_MS),
+        };
+        self.pending.insert(request.clone(), pending);
+        self.send_ask(&request, &key, &owner, turn);
+    }
+
+    /// Sends a pending request to its owner, which may be this node.
+    fn send_ask(&mut self, request: &RequestId, key: &EngineGroup, owner: &VmAddress, turn: &mut Turn<'_>) {
+        let Some(pending) = self.pending.get(request) else {
+            return;
+        };
+        if *owner == turn.board.own.name {
+            let ask = pending.ask.clone();
+            let group_size = self.group_size;
+            let verdict = self
+                .own_ledger(key)
+                .ask(&ask, None, turn.board, group_size, turn.now);
+            self.take_verdict(request, verdict, turn);
+            return;
+        }
+        let message = PeerMessage::SlotAsk {
+            group: key.index,
+            ask: pending.ask.clone(),
+        };
+        turn.send_to(owner, message);
+    }
+
+    fn own_ledger(&mut self, key: &EngineGroup) -> &mut GroupLedger {
+        self.ledgers
+            .entry(key.clone())
+            .or_insert_with(|| GroupLedger::new(key))
+    }
+
+    /// Takes the answer to one of this node's own requests.
+    fn take_verdict(&mut self, request: &RequestId, verdict: SlotVerdict, turn: &mut Turn<'_>) {
+        if verdict == SlotVerdict::Queued {
+            if let Some(pending) = self.pending.get_mut(request) {
+                pending.answer_by = turn.now.after_ms(ASK_AGAIN_MS + ANSWER_LIMIT_MS);
+            }
+            return;
+        }
+        let Some(pending) = self.pending.remove(request) else {
+            return;
+        };
+        let group = pending.groups.first().copied().unwrap_or(0);
+        let key = EngineGroup::new(&pending.ask.model, group);
+        match verdict {
+            SlotVerdict::Queued => {}
+            SlotVerdict::Granted { decode, prefill } => {
+                let grant = PlacementGrant { decode, prefill };
+                let owner = Some((key, pending.owner));
+                self.activate(pending.ticket, request, grant, owner, turn);
+            }
+            SlotVerdict::Refused(_) if pending.groups.len() > 1 => {
+                let groups = pending.groups[1..].to_vec();
+                self.ask_owner(pending.ticket, pending.ask, groups, turn);
+            }
+            SlotVerdict::Refused(notice) => turn.actions.push(Action::Reply {
+                ticket: pending.ticket,
+                reply: Reply::Refused(notice),
+            }),
+        }
+    }
+
+    fn activate(
+        &mut self,
+        ticket: ReplyTicket,
+        request: &RequestId,
+        grant: PlacementGrant,
+        owner: Option<(EngineGroup, VmAddress)>,
+        turn: &mut Turn<'_>,
+    ) {
+        turn.board.upstream_mut(&grant.decode).in_flight += 1;
+        turn.board.upstream_mut(&grant.prefill).in_flight += 1;
+        let lease = ActiveLease {
+            grant: grant.clone(),
+            owner,
+        };
+        self.active.insert(request.clone(), lease);
+        turn.actions.push(Action::Reply {
+            ticket,
+            reply: Reply::Placed(grant),
+        });
+    }
+
+    fn choose_alone(
+        &mut self,
+        ticket: ReplyTicket,
+        ask: &PlacementAsk,
+        policy: PlacementPolicy,
+        turn: &mut Turn<'_>,
+    ) {
+        match self.chooser.choose(policy, ask, turn.board, turn.now) {
+            Some(grant) => self.activate(ticket, &ask.request, grant, None, turn),
+            None => {
+                let notice = RefusalNotice::new(ResultCode::NoUpstream, ask.model.to_string());
+                turn.actions.push(Action::Reply {
+                    ticket,
+                    reply: Reply::Refused(notice.retry_after_ms(RETRY_AFTER_MS)),
+                });
+            }
+        }
+    }
+
+    /// Tells the group's owner, or the ledger here, about one of this node's requests.
+    fn tell_owner(
+        &mut self,
+        key: &EngineGroup,
+        owner: &VmAddress,
+        message: PeerMessage,
+        turn: &mut Turn<'_>,
+    ) {
+        if *owner != turn.board.own.name {
+            turn.send_to(owner, message);
+            return;
+        }
+        self.take_release(&message, turn.now);
+        self.serve_group(key, turn);
+    }
+
+    /// Books a prefill's end or a release in the ledger here.
+    fn take_release(&mut self, message: &PeerMessage, now: Moment) -> Option<EngineGroup> {
+        match message {
+            PeerMessage::SlotPrefillDone { group, request } => {
+                self.ledgers.get_mut(group)?.prefill_done(request, now);
+                Some(group.clone())
+            }
+            PeerMessage::SlotRelease {
+                group,
+                request,
+                pace_us,
+            } => {
+                self.ledgers.get_mut(group)?.release(request, *pace_us, now);
+                Some(group.clone())
+            }
+            _ => None,
+        }
+    }
+
+    fn finish_prefill(&mut self, request: &RequestId, turn: &mut Turn<'_>) {
+        let Some(lease) = self.active.get(request) else {
+            return;
+        };
+        if let Some((key, owner)) = lease.owner.clone() {
+            let message = PeerMessage::SlotPrefillDone {
+                group: key.clone(),
+                request: request.clone(),
+            };
+            self.tell_owner(&key, &owner, message, turn);
+        }
+    }
+
+    fn finish(&mut self, request: &RequestId, pace_us: u64, turn: &mut Turn<'_>) {
+        let owner = if let Some(lease) = self.active.remove(request) {
+            for name in [&lease.grant.decode, &lease.grant.prefill] {
+                let facts = turn.board.upstream_mut(name);
+                facts.in_flight = facts.in_flight.saturating_sub(1);
+            }
+            lease.owner
+        } else if let Some(pending) = self.pending.remove(request) {
+            let group = pending.groups.first().copied().unwrap_or(0);
+            Some((EngineGroup::new(&pending.ask.model, group), pending.owner))
+        } else {
+            None
+        };
+        if let Some((key, owner)) = owner {
+            let message = release_of(&key, request, pace_us);
+            self.tell_owner(&key, &owner, message, turn);
+        }
+    }
+
+    fn serve_group(&mut self, key: &EngineGroup, turn: &mut Turn<'_>) {
+        let Some(ledger) = self.ledgers.get_mut(key) else {
+            return;
+        };
+        let grants = ledger.serve_queue(turn.board, self.group_size, turn.now);
+        for grant in grants {
+            let Some(holder) = grant.holder else {
+                self.take_verdict(&grant.request, grant.verdict, turn);
+                continue;
+            };
+            self.send_answer(&holder, key, &grant.request, grant.verdict, turn);
+        }
+    }
+
+    fn answer_ask(&mut self, from: &VmAddress, group: u32, ask: &PlacementAsk, turn: &mut Turn<'_>) {
+        let key = EngineGroup::new(&ask.model, group);
+        let group_size = self.group_size;
+        let verdict = self
+            .own_ledger(&key)
+            .ask(ask, Some(from.clone()), turn.board, group_size, turn.now);
+        self.send_answer(from, &key, &ask.request, verdict, turn);
+    }
+
+    fn send_answer(
+        &self,
+        holder: &VmAddress,
+        key: &EngineGroup,
+        request: &RequestId,
+        verdict: SlotVerdict,
+        turn: &mut Turn<'_>,
+    ) {
+        let message = PeerMessage::SlotAnswer {
+            group: key.clone(),
+            request: request.clone(),
+            verdict,
+        };
+        turn.send_to(holder, message);
+    }
+
+    /// Takes an owner's answer; a grant that nobody here waits for goes back.
+    fn take_answer(
+        &mut self,
+        from: &VmAddress,
+        key: &EngineGroup,
+        request: &RequestId,
+        verdict: &SlotVerdict,
+        turn: &mut Turn<'_>,
+    ) {
+        let is_expected = self
+            .pending
+            .get(request)
+            .is_some_and(|pending| pending.owner == *from);
+        if is_expected {
+            self.take_verdict(request, verdict.clone(), turn);
+            return;
+        }
+        let holds_it = self.active.get(request).and_then(|lease| lease.owner.as_ref());
+        let is_held = holds_it.is_some_and(|(_, owner)| owner == from);
+        if matches!(verdict, SlotVerdict::Granted { .. }) && !is_held {
+            turn.send_to(from, release_of(key, request, 0));
+        }
+    }
+
+    /// Gives up on owners that do not answer, and asks again for what is queued.
+    fn tend_pending(&mut self, turn: &mut Turn<'_>) {
+        let due: Vec<RequestId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| {
+                turn.now.reached(pending.answer_by) || turn.now.reached(pending.ask_again_at)
+            })
+            .map(|(request, _)| request.clone())
+            .collect();
+        for request in due {
+            self.tend_one(&request, turn);
+        }
+    }
+
+    fn tend_one(&mut self, request: &RequestId, turn: &mut Turn<'_>) {
+        let Some(pending) = self.pending.get_mut(request) else {
+            return;
+        };
+        if turn.now.reached(pending.ask.deadline) {
+            let ticket = pending.ticket;
+            self.finish(request, 0, turn);
+            let notice = RefusalNotice::new(ResultCode::QueueTimeout, "the deadline came while it waited");
+            turn.actions.push(Action::Reply {
+                ticket,
+                reply: Reply::Refused(notice.retry_after_ms(RETRY_AFTER_MS)),
+            });
+            return;
+        }
+        let is_lost = turn.now.reached(pending.answer_by) && pending.owner != turn.board.own.name;
+        if is_lost {
+            let Some(pending) = self.pending.remove(request) else {
+                return;
+            };
+            let group = pending.groups.first().copied().unwrap_or(0);
+            let key = EngineGroup::new(&pending.ask.model, group);
+            turn.send_to(&pending.owner, release_of(&key, request, 0));
+            self.give_up_owner(&pending.owner, turn);
+            self.choose_alone(pending.ticket, &pending.ask, PlacementPolicy::Owner, turn);
+            return;
+        }
+        pending.ask_again_at = turn.now.after_ms(ASK_AGAIN_MS);
+        let group = pending.groups.first().copied().unwrap_or(0);
+        let key = EngineGroup::new(&pending.ask.model, group);
+        let old_owner = pending.owner.clone();
+        let owner = self.owner_of(&key, turn);
+        if owner != old_owner {
+            let message = release_of(&key, request, 0);
+            self.tell_owner(&key, &old_owner, message, turn);
+            if let Some(pending) = self.pending.get_mut(request) {
+                pending.owner = owner.clone();
+                pending.answer_by = turn.now.after_ms(ANSWER_LIMIT_MS);
+            }
+        }
+        self.send_ask(request, &key, &owner, turn);
+    }
+
+    fn give_up_owner(&self, owner: &VmAddress, turn: &mut Turn<'_>) {
+        if let Some(vm) = turn.board.vms.get_mut(owner)
+            && vm.is_live(turn.now)
+        {
+            vm.suspected_until = Some(turn.now.after_ms(SUSPICION_MS));
+            turn.publish();
+            turn.actions.push(Action::ResetLink { vm: owner.clone() });
+            turn.actions
+                .push(Action::Log(format!("event=owner_silent vm={owner}")));
+        }
+    }
+
+    fn sweep(&mut self, turn: &mut Turn<'_>) {
+        if !turn.now.reached(self.next_sweep) {
+            return;
+        }
+        self.next_sweep = turn.now.after_ms(SWEEP_EVERY_MS);
+        let vms = &turn.board.vms;
+        let is_gone = |name: &VmAddress| vms.get(name).is_none_or(|vm| !vm.is_live(turn.now));
+        for ledger in self.ledgers.values_mut() {
+            ledger.expire(turn.now, is_gone);
+        }
+        let keys: Vec<EngineGroup> = self.ledgers.keys().cloned().collect();
+        for key in keys {
+            self.serve_group(&key, turn);
+        }
+    }
+}
+
+fn release_of(key: &EngineGroup, request: &RequestId, pace_us: u64) -> PeerMessage {
+    PeerMessage::SlotRelease {
+        group: key.clone(),
+        request: request.clone(),
+        pace_us,
+    }
+}
+
+impl Controller for SlotController {
+    fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
+        match event {
+            Event::Tick { .. } => {
+                self.tend_pending(turn);
+                self.sweep(turn);
+            }
+            Event::PlacementWanted { ticket, ask } => self.place(*ticket, ask, turn),
+            Event::PrefillDone { request } => self.finish_prefill(request, turn),
+            Event::PlacementDone { request, result } => {
+                self.finish(request, result.pace_us, turn);
+            }
+            Event::LoadReported { upstream, load } => turn.board.upstream_mut(upstream).reported_load = *load,
+            Event::PeerMessage { from, message, .. } => match message {
+                PeerMessage::SlotAsk { group, ask } => self.answer_ask(from, *group, ask, turn),
+                PeerMessage::SlotAnswer {
+                    group,
+                    request,
+                    verdict,
+                } => {
+                    self.take_answer(from, group, request, verdict, turn);
+                }
+                PeerMessage::SlotPrefillDone { .. } | PeerMessage::SlotRelease { .. } => {
+                    if let Some(key) = self.take_release(message, turn.now) {
+                        self.serve_group(&key, turn);
+                    }
+                }
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/controllers/slots/ledger.rs
@@ -0,0 +1,482 @@
+//! The owner's side: counts the slots of one group of engines exactly and serves its queue.
+
+use std::sync::Arc;
+
+use super::prefix::{BLOCK_TOKENS, PrefixMemory};
+use super::queue::{QUEUE_LIMIT, WaitingQueue};
+use super::{EngineGroup, PlacementAsk, RequestId, group_count, group_members};
+use crate::controllers::message::SlotVerdict;
+use crate::controllers::services::smooth;
+use crate::prelude::*;
+use crate::register::EngineRole;
+
+/// Prefills that an engine is given at once; more would wait where no class goes first.
+const PREFILLS_AT_ONCE: u32 = 2;
+
+/// The prefill rate assumed for an engine that has none measured, in tokens a second.
+const DEFAULT_PREFILL_RATE: u64 = 8_000;
+
+/// A cached prefix is left for another engine only for a gain of at least this share, in percent.
+const MOVE_GAIN_PERCENT: u64 = 10;
+
+/// The span over which completions are counted, in milliseconds.
+const RATE_WINDOW_MS: u64 = 2_000;
+
+/// When to come back while no completion rate is known, in milliseconds.
+const DEFAULT_RETRY_MS: u64 = 1_000;
+
+/// The shortest and longest time to come back, in milliseconds.
+const RETRY_RANGE_MS: (u64, u64) = (200, 30_000);
+
+/// A slot that was granted, with the message's receiver.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LedgerGrant {
+    /// The VM that asked; `None` for the owner itself.
+    pub holder: Option<VmAddress>,
+    /// Which request.
+    pub request: RequestId,
+    /// The outcome.
+    pub verdict: SlotVerdict,
+}
+
+#[derive(Debug)]
+struct DecodeReplica {
+    slots: u32,
+    held: u32,
+    pace_us: u64,
+}
+
+#[derive(Debug)]
+struct PrefillReplica {
+    running: u32,
+    pending_tokens: u64,
+    rate: u64,
+    memory: PrefixMemory,
+}
+
+#[derive(Debug)]
+struct SlotLease {
+    holder: Option<VmAddress>,
+    workspace: Arc<str>,
+    decode: Arc<str>,
+    prefill: Option<Arc<str>>,
+    uncached_tokens: u64,
+    is_suspect: bool,
+    granted_at: Moment,
+    deadline: Moment,
+}
+
+/// Counts the completions of the most recent window.
+#[derive(Debug, Default)]
+struct CompletionRate {
+    window_began: Moment,
+    count: u64,
+    per_second_milli: u64,
+}
+
+impl CompletionRate {
+    fn note(&mut self, now: Moment) {
+        self.count += 1;
+        let span_ms = now.0.saturating_sub(self.window_began.0);
+        if span_ms >= RATE_WINDOW_MS {
+            self.per_second_milli = self.count * 1_000_000 / span_ms;
+            self.count = 0;
+            self.window_began = now;
+        }
+    }
+
+    /// The time in which this many requests complete, in milliseconds.
+    fn wait_ms(&self, requests: u64) -> Option<u64> {
+        (self.per_second_milli > 0).then(|| requests * 1_000_000 / self.per_second_milli)
+    }
+}
+
+/// The slots and the queue of one group.
+#[derive(Debug)]
+pub struct GroupLedger {
+    group: EngineGroup,
+    synced_revision: Revision,
+    decode: FastMap<Arc<str>, DecodeReplica>,
+    prefill: FastMap<Arc<str>, PrefillReplica>,
+    leases: FastMap<RequestId, SlotLease>,
+    held_by_workspace: FastMap<Arc<str>, u32>,
+    queue: WaitingQueue,
+    completions: CompletionRate,
+}
+
+impl GroupLedger {
+    /// An empty ledger for one group of a model's engines.
+    pub fn new(group: &EngineGroup) -> Self {
+        Self {
+            group: group.clone(),
+            synced_revision: 0,
+            decode: FastMap::default(),
+            prefill: FastMap::default(),
+            leases: FastMap::default(),
+            held_by_workspace: FastMap::default(),
+            queue: WaitingQueue::default(),
+            completions: CompletionRate::default(),
+        }
+    }
+
+    /// Slots in use.
+    pub fn held(&self) -> u32 {
+        self.decode.values().map(|replica| replica.held).sum()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether the ledger can be forgotten.
+    pub fn is_idle(&self) -> bool {
+        self.leases.is_empty() && self.queue.is_empty()
+    }
+
+    /// Follows the register: engines come, go and change their slots.
+    fn sync(&mut self, board: &Blackboard, group_size: usize) {
+        if self.synced_revision == board.register.revision {
+            return;
+        }
+        self.synced_revision = board.register.revision;
+        let register = &board.register.register;
+        let groups = group_count(register, &self.group.model, group_size);
+        let members = |role| group_members(register, &self.group.model, role, self.group.index, groups);
+        let decodes: FastMap<&str, u32> = members(EngineRole::Decode)
+            .filter_map(|engine| engine.engine().map(|(_, _, slots)| (engine.name.as_str(), slots)))
+            .collect();
+        let prefills: FastSet<&str> = members(EngineRole::Prefill)
+            .map(|engine| engine.name.as_str())
+            .collect();
+        self.decode.retain(|name, _| decodes.contains_key(&**name));
+        self.prefill.retain(|name, _| prefills.contains(&**name));
+        for (name, slots) in decodes {
+            let replica = self.decode.entry(name.into()).or_insert(DecodeReplica {
+                slots,
+                held: 0,
+                pace_us: 0,
+            });
+            replica.slots = slots;
+        }
+        for name in prefills {
+            self.prefill.entry(name.into()).or_insert_with(|| PrefillReplica {
+                running: 0,
+                pending_tokens: 0,
+                rate: DEFAULT_PREFILL_RATE,
+                memory: PrefixMemory::default(),
+            });
+        }
+    }
+
+    /// Answers a request for slots; asking again for the same request gives the same slots.
+    pub fn ask(
+        &mut self,
+        ask: &PlacementAsk,
+        holder: Option<VmAddress>,
+        board: &Blackboard,
+        group_size: usize,
+        now: Moment,
+    ) -> SlotVerdict {
+        self.sync(board, group_size);
+        if let Some(lease) = self.leases.get(&ask.request) {
+            let prefill = lease.prefill.clone().unwrap_or_else(|| lease.decode.clone());
+            return SlotVerdict::Granted {
+                decode: lease.decode.clone(),
+                prefill,
+            };
+        }
+        if self.queue.contains(&ask.request) {
+            return SlotVerdict::Queued;
+        }
+        let ahead = self.queue.ahead_of(ask.may_wait);
+        if let Some(refusal) = self.refuse_early(ask, ahead, now) {
+            return SlotVerdict::Refused(refusal);
+        }
+        if ahead == 0
+            && let Some(granted) = self.place(ask, holder.clone(), board, now)
+        {
+            return granted;
+        }
+        if !self.has_usable(board, now) {
+            let notice = RefusalNotice::new(ResultCode::NoUpstream, self.group.model.to_string());
+            return SlotVerdict::Refused(notice.retry_after_ms(DEFAULT_RETRY_MS));
+        }
+        if self.queue.len() >= QUEUE_LIMIT {
+            let notice = RefusalNotice::new(ResultCode::QueueFull, format!("{ahead} requests wait"));
+            return SlotVerdict::Refused(notice.retry_after_ms(self.retry_ms(ahead)));
+        }
+        self.queue.push(ask.clone(), holder);
+        SlotVerdict::Queued
+    }
+
+    fn has_usable(&self, board: &Blackboard, now: Moment) -> bool {
+        let register = &board.register.register;
+        let is_usable = |name: &Arc<str>| {
+            let engine = register.upstreams.iter().find(|engine| *engine.name == **name);
+            engine.is_some_and(|engine| board.is_usable(engine, now))
+        };
+        self.decode.keys().any(is_usable) && self.prefill.keys().any(is_usable)
+    }
+
+    /// When a caller that is refused now should come back, in milliseconds.
+    fn retry_ms(&self, ahead: usize) -> u64 {
+        let wait_ms = self
+            .completions
+            .wait_ms(ahead as u64 + 1)
+            .unwrap_or(DEFAULT_RETRY_MS);
+        wait_ms.clamp(RETRY_RANGE_MS.0, RETRY_RANGE_MS.1)
+    }
+
+    /// The time that the engines need for a request once it has its slots, in milliseconds.
+    fn service_ms(&self, ask: &PlacementAsk) -> u64 {
+        let fastest = self
+            .prefill
+            .values()
+            .map(|replica| replica.rate)
+            .max()
+            .unwrap_or(DEFAULT_PREFILL_RATE);
+        let cached = self
+            .prefill
+            .values()
+            .map(|replica| replica.memory.cached_tokens(&ask.prefix))
+            .max();
+        let uncached = ask.prompt_tokens.saturating_sub(cached.unwrap_or(0));
+        let prefill_ms = u64::from(uncached) * 1_000 / fastest.max(1);
+        let pace_us = self
+            .decode
+            .values()
+            .map(|replica| replica.pace_us)
+            .filter(|pace| *pace > 0)
+            .min();
+        prefill_ms + pace_us.unwrap_or(0) * u64::from(ask.max_tokens) / 1_000
+    }
+
+    /// A refusal when the request can't be whole by its deadline, before any prefill is spent.
+    fn refuse_early(&self, ask: &PlacementAsk, ahead: usize, now: Moment) -> Option<RefusalNotice> {
+        let wait_ms = match ahead {
+            0 => 0,
+            ahead => self.completions.wait_ms(ahead as u64).unwrap_or(0),
+        };
+        let needed_ms = wait_ms + self.service_ms(ask);
+        let left_ms = now.until_ms(ask.deadline);
+        if needed_ms <= left_ms {
+            return None;
+        }
+        let detail = format!("about {needed_ms} ms are needed and {left_ms} ms are left");
+        let notice = RefusalNotice::new(ResultCode::DeadlineTooNear, detail);
+        Some(notice.retry_after_ms(self.retry_ms(ahead)))
+    }
+
+    /// Grants slots if there are any.
+    fn place(
+        &mut self,
+        ask: &PlacementAsk,
+        holder: Option<VmAddress>,
+        board: &Blackboard,
+        now: Moment,
+    ) -> Option<SlotVerdict> {
+        let is_suspect = board.is_suspect(ask.fingerprint, now);
+        let decode = self.choose_decode(ask, is_suspect, board, now)?;
+        let prefill = self.choose_prefill(ask, is_suspect, board, now)?;
+        let engine = self.prefill.get_mut(&prefill)?;
+        let uncached_tokens = u64::from(
+            ask.prompt_tokens
+                .saturating_sub(engine.memory.cached_tokens(&ask.prefix)),
+        );
+        engine.running += 1;
+        engine.pending_tokens += uncached_tokens;
+        engine.memory.remember(&ask.prefix);
+        self.decode.get_mut(&decode)?.held += 1;
+        *self.held_by_workspace.entry(ask.workspace.clone()).or_default() += 1;
+        let lease = SlotLease {
+            holder,
+            workspace: ask.workspace.clone(),
+            decode: decode.clone(),
+            prefill: Some(prefill.clone()),
+            uncached_tokens,
+            is_suspect,
+            granted_at: now,
+            deadline: ask.deadline,
+        };
+        self.leases.insert(ask.request.clone(), lease);
+        Some(SlotVerdict::Granted { decode, prefill })
+    }
+
+    /// Whether an engine may take this request: usable, not tried before, and no two suspects together.
+    fn may_take(
+        &self,
+        name: &Arc<str>,
+        ask: &PlacementAsk,
+        is_suspect: bool,
+        board: &Blackboard,
+        now: Moment,
+    ) -> bool {
+        let register = &board.register.register;
+        let Some(engine) = register.upstreams.iter().find(|engine| *engine.name == **name) else {
+            return false;
+        };
+        let has_suspect = |lease: &SlotLease| {
+            lease.is_suspect && (lease.decode == *name || lease.prefill.as_ref() == Some(name))
+        };
+        board.is_usable(engine, now)
+            && !ask.avoid.contains(name)
+            && !(is_suspect && self.leases.values().any(has_suspect))
+    }
+
+    fn choose_decode(
+        &self,
+        ask: &PlacementAsk,
+        is_suspect: bool,
+        board: &Blackboard,
+        now: Moment,
+    ) -> Option<Arc<str>> {
+        let known_pace = |replica: &DecodeReplica| replica.pace_us.max(1);
+        self.decode
+            .iter()
+            .filter(|(_, replica)| replica.held < replica.slots)
+            .filter(|(name, _)| self.may_take(name, ask, is_suspect, board, now))
+            .min_by_key(|(name, replica)| {
+                let load = u64::from(replica.held + 1) * 1_000 / u64::from(replica.slots);
+                (load * known_pace(replica), (*name).clone())
+            })
+            .map(|(name, _)| name.clone())
+    }
+
+    fn choose_prefill(
+        &self,
+        ask: &PlacementAsk,
+        is_suspect: bool,
+        board: &Blackboard,
+        now: Moment,
+    ) -> Option<Arc<str>> {
+        let candidates: Vec<(u64, u32, &Arc<str>)> = self
+            .prefill
+            .iter()
+            .filter(|(_, replica)| replica.running < PREFILLS_AT_ONCE)
+            .filter(|(name, _)| self.may_take(name, ask, is_suspect, board, now))
+            .map(|(name, replica)| {
+                let cached = replica.memory.cached_tokens(&ask.prefix);
+                let uncached = u64::from(ask.prompt_tokens.saturating_sub(cached));
+                let cost_us = (replica.pending_tokens + uncached) * 1_000_000 / replica.rate.max(1);
+                (cost_us, cached, name)
+            })
+            .collect();
+        let cheapest = candidates.iter().min()?;
+        let best_cached = candidates
+            .iter()
+            .max_by_key(|(cost_us, cached, _)| (*cached, u64::MAX - cost_us))?;
+        let bound_us = cheapest.0 * (100 + MOVE_GAIN_PERCENT) / 100;
+        let chosen = if best_cached.0 <= bound_us {
+            best_cached
+        } else {
+            cheapest
+        };
+        Some(chosen.2.clone())
+    }
+
+    /// Notes that a request's prefill ended, so that its engine can take the next.
+    pub fn prefill_done(&mut self, request: &RequestId, now: Moment) {
+        let Some(lease) = self.leases.get_mut(request) else {
+            return;
+        };
+        let Some(name) = lease.prefill.take() else {
+            return;
+        };
+        let Some(engine) = self.prefill.get_mut(&name) else {
+            return;
+        };
+        engine.running = engine.running.saturating_sub(1);
+        engine.pending_tokens = engine.pending_tokens.saturating_sub(lease.uncached_tokens);
+        let elapsed_ms = now.0.saturating_sub(lease.granted_at.0);
+        if engine.running == 0 && lease.uncached_tokens >= u64::from(BLOCK_TOKENS) && elapsed_ms > 0 {
+            engine.rate = smooth(engine.rate, lease.uncached_tokens * 1_000 / elapsed_ms).max(1);
+        }
+    }
+
+    /// Takes a request's slots back, or takes it out of the queue.
+    pub fn release(&mut self, request: &RequestId, pace_us: u64, now: Moment) {
+        self.queue.remove(request);
+        self.prefill_done(request, now);
+        let Some(lease) = self.leases.remove(request) else {
+            return;
+        };
+        self.completions.note(now);
+        if let Some(held) = self.held_by_workspace.get_mut(&lease.workspace) {
+            *held = held.saturating_sub(1);
+        }
+        if let Some(replica) = self.decode.get_mut(&lease.decode) {
+            replica.held = replica.held.saturating_sub(1);
+            if pace_us > 0 {
+                replica.pace_us = smooth(replica.pace_us, pace_us);
+            }
+        }
+    }
+
+    /// Takes back the slots of all holders for which `is_gone` holds, and those past their deadline.
+    pub fn expire(&mut self, now: Moment, is_gone: impl Fn(&VmAddress) -> bool) {
+        let over: Vec<RequestId> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| now.reached(lease.deadline) || lease.holder.as_ref().is_some_and(&is_gone))
+            .map(|(request, _)| request.clone())
+            .collect();
+        for request in over {
+            self.release(&request, 0, now);
+        }
+        self.queue
+            .take_where(|waiting| waiting.holder.as_ref().is_some_and(&is_gone));
+    }
+
+    /// Serves the queue as far as slots go, and gives up at once on what can't meet its deadline any more.
+    pub fn serve_queue(&mut self, board: &Blackboard, group_size: usize, now: Moment) -> Vec<LedgerGrant> {
+        self.sync(board, group_size);
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let mut grants = self.give_up_late(now);
+        self.queue.sort(&self.held_by_workspace);
+        let waiting: Vec<_> = self.queue.iter().cloned().collect();
+        for entry in waiting {
+            let Some(verdict) = self.place(&entry.ask, entry.holder.clone(), board, now) else {
+                if self.is_full() {
+                    break;
+                }
+                continue;
+            };
+            self.queue.remove(&entry.ask.request);
+            grants.push(LedgerGrant {
+                holder: entry.holder,
+                request: entry.ask.request,
+                verdict,
+            });
+        }
+        grants
+    }
+
+    fn is_full(&self) -> bool {
+        self.decode.values().all(|replica| replica.held >= replica.slots)
+            || self
+                .prefill
+                .values()
+                .all(|replica| replica.running >= PREFILLS_AT_ONCE)
+    }
+
+    fn give_up_late(&mut self, now: Moment) -> Vec<LedgerGrant> {
+        let mut queue = std::mem::take(&mut self.queue);
+        let late =
+            queue.take_where(|waiting| now.until_ms(waiting.ask.deadline) < self.service_ms(&waiting.ask));
+        self.queue = queue;
+        let retry_ms = self.retry_ms(self.queue.len());
+        late.into_iter()
+            .map(|waiting| LedgerGrant {
+                holder: waiting.holder,
+                request: waiting.ask.request,
+                verdict: SlotVerdict::Refused(
+                    RefusalNotice::new(ResultCode::QueueTimeout, self.group.model.to_string())
+                        .retry_after_ms(retry_ms),
+                ),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/controllers/slots/prefix.rs
@@ -0,0 +1,84 @@
+//! What an owner remembers of the prompt prefixes that each prefill engine has cached.
+
+use std::collections::VecDeque;
+use std::hash::Hasher;
+
+use rustc_hash::FxHasher;
+
+use crate::prelude::*;
+
+/// Tokens in one block of engine memory.
+pub const BLOCK_TOKENS: u32 = 1_000;
+
+/// The most blocks that are hashed for one prompt.
+const BLOCK_LIMIT: usize = 32;
+
+/// The most blocks remembered of one engine.
+const MEMORY_BLOCKS: usize = 512;
+
+/// Hashes of a prompt's leading whole blocks, each covering all words before its end.
+pub fn hash_prefix(prompt: &str) -> Vec<u64> {
+    let mut hasher = FxHasher::default();
+    let mut hashes = Vec::new();
+    let mut words = 0;
+    for word in prompt.split_ascii_whitespace() {
+        hasher.write(word.as_bytes());
+        hasher.write_u8(0);
+        words += 1;
+        if words % BLOCK_TOKENS == 0 {
+            hashes.push(hasher.finish());
+        }
+        if hashes.len() == BLOCK_LIMIT {
+            break;
+        }
+    }
+    hashes
+}
+
+/// The blocks that one engine is believed to hold.
+#[derive(Debug, Default)]
+pub struct PrefixMemory {
+    blocks: FastMap<u64, u32>,
+    order: VecDeque<u64>,
+}
+
+impl PrefixMemory {
+    /// Tokens of a prompt that the engine need not run again.
+    pub fn cached_tokens(&self, prefix: &[u64]) -> u32 {
+        let blocks = prefix
+            .iter()
+            .take_while(|hash| self.blocks.contains_key(hash))
+            .count();
+        blocks as u32 * BLOCK_TOKENS
+    }
+
+    /// Notes that the engine has run a prompt.
+    pub fn remember(&mut self, prefix: &[u64]) {
+        for hash in prefix {
+            *self.blocks.entry(*hash).or_default() += 1;
+            self.order.push_back(*hash);
+        }
+        while self.order.len() > MEMORY_BLOCKS {
+            self.forget_oldest();
+        }
+    }
+
+    /// Notes that the engine lost everything.
+    pub fn clear(&mut self) {
+        self.blocks.clear();
+        self.order.clear();
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some(hash) = self.order.pop_front() else {
+            return;
+        };
+        let Some(uses) = self.blocks.get_mut(&hash) else {
+            return;
+        };
+        *uses -= 1;
+        if *uses == 0 {
+            self.blocks.remove(&hash);
+        }
+    }
+}
--- /dev/null
+++ b/src/controllers/slots/queue.rs
@@ -0,0 +1,89 @@
+//! Requests that wait for slots: urgent classes first, then the workspace that holds least, then the oldest.
+
+use std::sync::Arc;
+
+use super::{PlacementAsk, RequestId};
+use crate::prelude::*;
+
+/// The most requests that wait for one group.
+pub const QUEUE_LIMIT: usize = 512;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub struct WaitingAsk {
+    /// What it needs.
+    pub ask: PlacementAsk,
+    /// The VM that holds the request; `None` for the owner itself.
+    pub holder: Option<VmAddress>,
+    order: u64,
+}
+
+/// The waiting requests of one group.
+#[derive(Debug, Default)]
+pub struct WaitingQueue {
+    waiting: Vec<WaitingAsk>,
+    next_order: u64,
+}
+
+impl WaitingQueue {
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Whether this request waits.
+    pub fn contains(&self, request: &RequestId) -> bool {
+        self.waiting.iter().any(|waiting| waiting.ask.request == *request)
+    }
+
+    /// How many would be served before a new request of this urgency.
+    pub fn ahead_of(&self, may_wait: bool) -> usize {
+        self.waiting
+            .iter()
+            .filter(|waiting| may_wait || !waiting.ask.may_wait)
+            .count()
+    }
+
+    /// Lets a request wait.
+    pub fn push(&mut self, ask: PlacementAsk, holder: Option<VmAddress>) {
+        self.next_order += 1;
+        self.waiting.push(WaitingAsk {
+            ask,
+            holder,
+            order: self.next_order,
+        });
+    }
+
+    /// Takes out one request.
+    pub fn remove(&mut self, request: &RequestId) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiting| waiting.ask.request != *request);
+        before != self.waiting.len()
+    }
+
+    /// Takes out all requests for which `is_over` holds.
+    pub fn take_where(&mut self, mut is_over: impl FnMut(&WaitingAsk) -> bool) -> Vec<WaitingAsk> {
+        self.waiting.extract_if(.., |waiting| is_over(waiting)).collect()
+    }
+
+    /// Puts the requests into the order in which they are to be served.
+    pub fn sort(&mut self, held_by_workspace: &FastMap<Arc<str>, u32>) {
+        self.waiting.sort_by_key(|waiting| {
+            let held = held_by_workspace
+                .get(&waiting.ask.workspace)
+                .copied()
+                .unwrap_or(0);
+            (waiting.ask.may_wait, held, waiting.order)
+        });
+    }
+
+    /// The requests in their present order.
+    pub fn iter(&self) -> impl Iterator<Item = &WaitingAsk> {
+        self.waiting.iter()
+    }
+}
--- /dev/null
+++ b/src/peers/link.rs
@@ -0,0 +1,145 @@
+//! One link: a task that opens it, and two that carry frames until it ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel::Receiver;
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use futures::stream::{SplitSink, SplitStream};
+use futures::{SinkExt, StreamExt};
+
+use super::PeerHub;
+use super::convert::{to_frame, to_message};
+use super::handshake::{FramedLink, HandshakeError, decode, encode, frame_stream, greet, welcome};
+use super::hub::LinkQueue;
+use crate::blackboard::Incarnation;
+use crate::clock;
+use crate::controllers::message::{PeerMessage, VmIntroduction};
+use crate::prelude::*;
+use crate::traffic::prepare_socket;
+
+/// How long connecting to a peer and the handshake may take.
+const DIAL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// How long a link may carry nothing before it is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+
+/// Opens a link and carries messages over it.
+pub async fn dial(hub: Arc<PeerHub>, vm: VmAddress, address: String, queue: LinkQueue) {
+    match timeout(DIAL_LIMIT, open(&hub, &address)).await {
+        Ok(Ok((link, introduction))) if introduction.name == vm => {
+            run_link(&hub, link, introduction, queue).await;
+        }
+        outcome => {
+            let reason = match outcome {
+                Ok(Ok((_, introduction))) => format!("answered_as_{}", introduction.name),
+                Ok(Err(error)) => error.to_string().replace(' ', "_"),
+                Err(_) => "timeout".to_owned(),
+            };
+            spdlog::debug!("event=peer_unreachable vm={vm} address={address} reason={reason}");
+            hub.drop_link(&vm, queue.id);
+            hub.control().tell(Event::PeerUnreachable { vm });
+        }
+    }
+}
+
+async fn open(hub: &PeerHub, address: &str) -> Result<(FramedLink, VmIntroduction), HandshakeError> {
+    let stream = TcpStream::connect(address).await?;
+    prepare_socket(&stream);
+    let mut link = frame_stream(stream);
+    let introduction = greet(&mut link, &hub.introduction(), hub.key()).await?;
+    Ok((link, introduction))
+}
+
+/// Introduces this process to an address whose VM is not known yet.
+pub async fn seed(hub: Arc<PeerHub>, address: SocketAddr) {
+    if let Ok(Ok((link, introduction))) = timeout(DIAL_LIMIT, open(&hub, &address.to_string())).await {
+        let queue = hub.add_link(&introduction.name);
+        run_link(&hub, link, introduction, queue).await;
+    }
+}
+
+/// Takes links from peers.
+pub async fn listen_for_peers(hub: Arc<PeerHub>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let hub = hub.clone();
+                async_std::task::spawn(async move { accept(hub, stream, address).await });
+            }
+            Err(error) => {
+                spdlog::warn!("event=peer_accept_failed reason=\"{error}\"");
+                async_std::task::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn accept(hub: Arc<PeerHub>, stream: TcpStream, address: SocketAddr) {
+    prepare_socket(&stream);
+    let mut link = frame_stream(stream);
+    let own = hub.introduction();
+    match timeout(DIAL_LIMIT, welcome(&mut link, &own, hub.key())).await {
+        Ok(Ok(introduction)) => {
+            let queue = hub.add_link(&introduction.name);
+            run_link(&hub, link, introduction, queue).await;
+        }
+        outcome => {
+            let reason = match outcome {
+                Ok(Err(error)) => error.to_string(),
+                _ => "timeout".to_owned(),
+            };
+            let code = ResultCode::PeerUnauthenticated.number();
+            spdlog::warn!("event=peer_refused code={code} address={address} reason=\"{reason}\"");
+        }
+    }
+}
+
+async fn run_link(hub: &Arc<PeerHub>, link: FramedLink, introduction: VmIntroduction, queue: LinkQueue) {
+    let vm = introduction.name.clone();
+    let incarnation = introduction.incarnation;
+    hub.control().tell(Event::PeerJoined { introduction });
+    let (sink, stream) = link.split();
+    let writing = std::pin::pin!(write_messages(sink, queue.receiver.clone()));
+    let reading = std::pin::pin!(read_messages(hub, &vm, incarnation, stream));
+    futures::future::select(writing, reading).await;
+    queue.sender.close();
+    hub.drop_link(&vm, queue.id);
+}
+
+async fn write_messages(mut sink: SplitSink<FramedLink, bytes::Bytes>, messages: Receiver<PeerMessage>) {
+    while let Ok(Ok(message)) = timeout(IDLE_LIMIT, messages.recv()).await {
+        let frame = encode(&to_frame(&message, clock::now()));
+        if sink.send(frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_messages(
+    hub: &Arc<PeerHub>,
+    vm: &VmAddress,
+    incarnation: Incarnation,
+    mut stream: SplitStream<FramedLink>,
+) {
+    while let Some(Ok(bytes)) = stream.next().await {
+        let message = decode(&bytes)
+            .ok()
+            .and_then(|frame| to_message(frame, clock::now()).ok());
+        let Some(message) = message else {
+            let code = ResultCode::PeerFrameInvalid.number();
+            spdlog::warn!(
+                "event=peer_frame_invalid code={code} vm={vm} bytes={}",
+                bytes.len()
+            );
+            return;
+        };
+        hub.control().tell(Event::PeerMessage {
+            from: vm.clone(),
+            incarnation,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/src/peers/wire.rs
@@ -0,0 +1,387 @@
+//! The frames on peer links, encoded as protocol buffers. Field numbers never change their meaning.
+
+use prost::{Message, Oneof};
+
+/// One frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerFrame {
+    /// Its content.
+    #[prost(
+        oneof = "FrameBody",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
+    pub body: Option<FrameBody>,
+}
+
+/// What a frame can be.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum FrameBody {
+    /// First frame, from the dialing process.
+    #[prost(message, tag = "1")]
+    Hello(HelloFrame),
+    /// Answer of the listening process.
+    #[prost(message, tag = "2")]
+    Challenge(ChallengeFrame),
+    /// The dialing process's proof.
+    #[prost(message, tag = "3")]
+    Proof(ProofFrame),
+    /// The sender is alive.
+    #[prost(message, tag = "4")]
+    Heartbeat(HeartbeatFrame),
+    /// A VM can't be reached.
+    #[prost(message, tag = "5")]
+    VmSuspected(VmSuspectedFrame),
+    /// A register is wanted.
+    #[prost(message, tag = "6")]
+    RegisterWanted(RegisterWantedFrame),
+    /// A register.
+    #[prost(message, tag = "7")]
+    RegisterContent(RegisterContentFrame),
+    /// A request for slots.
+    #[prost(message, tag = "8")]
+    SlotAsk(SlotAskFrame),
+    /// The answer to it.
+    #[prost(message, tag = "9")]
+    SlotAnswer(SlotAnswerFrame),
+    /// A prefill ended.
+    #[prost(message, tag = "10")]
+    SlotPrefillDone(SlotReleaseFrame),
+    /// Slots are given back.
+    #[prost(message, tag = "11")]
+    SlotRelease(SlotReleaseFrame),
+    /// A request was running on an upstream as it died.
+    #[prost(message, tag = "12")]
+    Strike(StrikeFrame),
+    /// A suspect request ran to its end.
+    #[prost(message, tag = "13")]
+    Cleared(ClearedFrame),
+    /// A run-once call for the owner of its key.
+    #[prost(message, tag = "14")]
+    KeyCall(KeyCallFrame),
+    /// The answer to it.
+    #[prost(message, tag = "15")]
+    KeyAnswer(KeyAnswerFrame),
+    /// The outcomes of a leaving process.
+    #[prost(message, tag = "16")]
+    Handoff(HandoffFrame),
+}
+
+/// What a process says of itself.
+#[derive(Clone, PartialEq, Message)]
+pub struct IntroductionFrame {
+    /// The VM's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Where callers connect.
+    #[prost(string, tag = "3")]
+    pub caller_address: String,
+    /// Where peers connect.
+    #[prost(string, tag = "4")]
+    pub peer_address: String,
+    /// The incarnation, 16 bytes, the highest first.
+    #[prost(bytes = "vec", tag = "5")]
+    pub incarnation: Vec<u8>,
+    /// The revision in force.
+    #[prost(uint64, tag = "6")]
+    pub revision: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+}
+
+/// First frame of a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct HelloFrame {
+    /// The protocol's version.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// A random number for the listener's proof.
+    #[prost(bytes = "vec", tag = "2")]
+    pub nonce: Vec<u8>,
+    /// The dialing process.
+    #[prost(message, optional, tag = "3")]
+    pub introduction: Option<IntroductionFrame>,
+}
+
+/// Second frame of a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChallengeFrame {
+    /// A random number for the dialer's proof.
+    #[prost(bytes = "vec", tag = "1")]
+    pub nonce: Vec<u8>,
+    /// The listener's proof.
+    #[prost(bytes = "vec", tag = "2")]
+    pub proof: Vec<u8>,
+    /// The listening process.
+    #[prost(message, optional, tag = "3")]
+    pub introduction: Option<IntroductionFrame>,
+}
+
+/// Third frame of a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct ProofFrame {
+    /// The dialer's proof.
+    #[prost(bytes = "vec", tag = "1")]
+    pub proof: Vec<u8>,
+}
+
+/// The sender is alive.
+#[derive(Clone, PartialEq, Message)]
+pub struct HeartbeatFrame {
+    /// The revision in force.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Whether it wants a heartbeat back.
+    #[prost(bool, tag = "3")]
+    pub wants_echo: bool,
+}
+
+/// A VM can't be reached.
+#[derive(Clone, PartialEq, Message)]
+pub struct VmSuspectedFrame {
+    /// The VM's name.
+    #[prost(string, tag = "1")]
+    pub vm: String,
+    /// Its incarnation.
+    #[prost(bytes = "vec", tag = "2")]
+    pub incarnation: Vec<u8>,
+}
+
+/// A register is wanted.
+#[derive(Clone, PartialEq, Message)]
+pub struct RegisterWantedFrame {
+    /// The lowest revision of use.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+}
+
+/// A register.
+#[derive(Clone, PartialEq, Message)]
+pub struct RegisterContentFrame {
+    /// Its revision.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Its text.
+    #[prost(string, tag = "2")]
+    pub text: String,
+}
+
+/// A group of engines.
+#[derive(Clone, PartialEq, Message)]
+pub struct GroupFrame {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The group's number.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+}
+
+/// A request for slots.
+#[derive(Clone, PartialEq, Message)]
+pub struct SlotAskFrame {
+    /// The group.
+    #[prost(message, optional, tag = "1")]
+    pub group: Option<GroupFrame>,
+    /// The attempt's id.
+    #[prost(string, tag = "2")]
+    pub request: String,
+    /// The customer.
+    #[prost(string, tag = "3")]
+    pub workspace: String,
+    /// Whether others go first.
+    #[prost(bool, tag = "4")]
+    pub may_wait: bool,
+    /// A hash of the content.
+    #[prost(fixed64, tag = "5")]
+    pub fingerprint: u64,
+    /// Tokens of the prompt.
+    #[prost(uint32, tag = "6")]
+    pub prompt_tokens: u32,
+    /// The most tokens to generate.
+    #[prost(uint32, tag = "7")]
+    pub max_tokens: u32,
+    /// Hashes of the prompt's leading blocks.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub prefix: Vec<u64>,
+    /// Milliseconds left until the deadline.
+    #[prost(uint64, tag = "9")]
+    pub remaining_ms: u64,
+    /// Whether it is another try.
+    #[prost(bool, tag = "10")]
+    pub is_retry: bool,
+    /// Engines that failed for it.
+    #[prost(string, repeated, tag = "11")]
+    pub avoid: Vec<String>,
+}
+
+/// A refusal.
+#[derive(Clone, PartialEq, Message)]
+pub struct RefusalFrame {
+    /// The result code.
+    #[prost(uint32, tag = "1")]
+    pub code: u32,
+    /// What in particular was wrong.
+    #[prost(string, tag = "2")]
+    pub detail: String,
+    /// Milliseconds after which to come back.
+    #[prost(uint64, optional, tag = "3")]
+    pub retry_after_ms: Option<u64>,
+}
+
+/// The answer to a request for slots: queued where neither field is set.
+#[derive(Clone, PartialEq, Message)]
+pub struct SlotAnswerFrame {
+    /// The group.
+    #[prost(message, optional, tag = "1")]
+    pub group: Option<GroupFrame>,
+    /// The attempt's id.
+    #[prost(string, tag = "2")]
+    pub request: String,
+    /// The granted decode engine.
+    #[prost(string, tag = "3")]
+    pub decode: String,
+    /// The granted prefill engine.
+    #[prost(string, tag = "4")]
+    pub prefill: String,
+    /// Why it was refused.
+    #[prost(message, optional, tag = "5")]
+    pub refusal: Option<RefusalFrame>,
+}
+
+/// Slots, or a prefill engine, are free again.
+#[derive(Clone, PartialEq, Message)]
+pub struct SlotReleaseFrame {
+    /// The group.
+    #[prost(message, optional, tag = "1")]
+    pub group: Option<GroupFrame>,
+    /// The attempt's id.
+    #[prost(string, tag = "2")]
+    pub request: String,
+    /// Time between tokens, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub pace_us: u64,
+}
+
+/// A request was running on an upstream as it died.
+#[derive(Clone, PartialEq, Message)]
+pub struct StrikeFrame {
+    /// A hash of the content.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// The upstream.
+    #[prost(string, tag = "2")]
+    pub upstream: String,
+    /// Which start of it.
+    #[prost(fixed64, tag = "3")]
+    pub boot: u64,
+}
+
+/// A suspect request ran to its end.
+#[derive(Clone, PartialEq, Message)]
+pub struct ClearedFrame {
+    /// A hash of the content.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+}
+
+/// A run-once call.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyCallFrame {
+    /// The sender's number for the call.
+    #[prost(fixed64, tag = "1")]
+    pub call_id: u64,
+    /// The owner's VM.
+    #[prost(string, tag = "2")]
+    pub owner: String,
+    /// Where the owner listens.
+    #[prost(string, tag = "3")]
+    pub owner_address: String,
+    /// The key.
+    #[prost(string, tag = "4")]
+    pub key: String,
+    /// The incarnation in the key.
+    #[prost(bytes = "vec", tag = "5")]
+    pub incarnation: Vec<u8>,
+    /// The serial in the key.
+    #[prost(uint64, tag = "6")]
+    pub serial: u64,
+    /// The customer.
+    #[prost(string, tag = "7")]
+    pub workspace: String,
+    /// The plain service.
+    #[prost(string, tag = "8")]
+    pub service: String,
+    /// The operation.
+    #[prost(string, tag = "9")]
+    pub operation: String,
+    /// The content; not set to revoke the key.
+    #[prost(string, optional, tag = "10")]
+    pub body: Option<String>,
+    /// Milliseconds for which the sender waits.
+    #[prost(uint64, tag = "11")]
+    pub remaining_ms: u64,
+}
+
+/// The answer to a run-once call.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyAnswerFrame {
+    /// The number of the call.
+    #[prost(fixed64, tag = "1")]
+    pub call_id: u64,
+    /// The service's HTTP status.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// The service's body.
+    #[prost(string, tag = "3")]
+    pub body: String,
+    /// Why there is no answer.
+    #[prost(message, optional, tag = "4")]
+    pub refusal: Option<RefusalFrame>,
+}
+
+/// The outcomes of a leaving process.
+#[derive(Clone, PartialEq, Message)]
+pub struct HandoffFrame {
+    /// The process.
+    #[prost(bytes = "vec", tag = "1")]
+    pub incarnation: Vec<u8>,
+    /// Serials from this on were never issued.
+    #[prost(uint64, tag = "2")]
+    pub next_serial: u64,
+    /// Keys that ran and whose answers are gone.
+    #[prost(uint64, repeated, tag = "3")]
+    pub ran: Vec<u64>,
+    /// Keys that were sent and whose answers were lost.
+    #[prost(uint64, repeated, tag = "4")]
+    pub unknown: Vec<u64>,
+    /// Keys that were revoked.
+    #[prost(uint64, repeated, tag = "5")]
+    pub revoked: Vec<u64>,
+    /// Keys that were still running.
+    #[prost(uint64, repeated, tag = "6")]
+    pub running: Vec<u64>,
+    /// Keys with their answers.
+    #[prost(message, repeated, tag = "7")]
+    pub answered: Vec<HandedAnswerFrame>,
+}
+
+/// A handed-off answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct HandedAnswerFrame {
+    /// The key's number.
+    #[prost(uint64, tag = "1")]
+    pub serial: u64,
+    /// The service's HTTP status.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// The service's body.
+    #[prost(string, tag = "3")]
+    pub body: String,
+}
--- /dev/null
+++ b/src/register/fields.rs
@@ -0,0 +1,181 @@
+//! Reads the fields of one register entry, noting every fault instead of stopping at the first.
+
+use std::ops::Range;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use super::RegisterFault;
+use crate::prelude::*;
+
+/// How alike two names must be for one to be suggested for the other, from 0 to 1.
+const SUGGESTION_LIKENESS: f64 = 0.7;
+
+/// Collects the faults of one register text.
+pub struct FaultCollector<'a> {
+    text: &'a str,
+    /// The faults found so far.
+    pub faults: Vec<RegisterFault>,
+}
+
+impl<'a> FaultCollector<'a> {
+    /// A collector for faults in `text`.
+    pub fn new(text: &'a str) -> Self {
+        Self {
+            text,
+            faults: Vec::new(),
+        }
+    }
+
+    /// Notes one fault at a byte range of the text.
+    pub fn note(&mut self, code: ResultCode, span: Range<usize>, place: &str, reason: String) {
+        let start = span.start.min(self.text.len());
+        let line = 1 + self.text.as_bytes()[..start]
+            .iter()
+            .filter(|byte| **byte == b'\n')
+            .count();
+        self.faults.push(RegisterFault {
+            code,
+            line,
+            place: place.to_owned(),
+            reason,
+        });
+    }
+}
+
+/// The known name nearest to `name`, as words to append to a fault's reason.
+pub fn suggest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> String {
+    known
+        .map(|candidate| (strsim::jaro_winkler(name, candidate), candidate))
+        .filter(|(likeness, _)| *likeness >= SUGGESTION_LIKENESS)
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, candidate)| format!("; did you mean `{candidate}`?"))
+        .unwrap_or_default()
+}
+
+/// One entry of the register, as `[[upstream]]`.
+pub struct EntryReader<'r, 'a, 't> {
+    table: &'r DeTable<'t>,
+    span: Range<usize>,
+    place: String,
+    collector: &'r mut FaultCollector<'a>,
+}
+
+impl<'r, 'a, 't> EntryReader<'r, 'a, 't> {
+    /// A reader that has already noted every field not in `known`.
+    pub fn new(
+        table: &'r DeTable<'t>,
+        span: Range<usize>,
+        place: String,
+        known: &[&str],
+        collector: &'r mut FaultCollector<'a>,
+    ) -> Self {
+        for key in table.keys() {
+            let name = key.get_ref().as_ref();
+            if !known.contains(&name) {
+                let reason = format!("unknown field `{name}`{}", suggest(name, known.iter().copied()));
+                collector.note(ResultCode::RegisterUnknownField, key.span(), &place, reason);
+            }
+        }
+        Self {
+            table,
+            span,
+            place,
+            collector,
+        }
+    }
+
+    /// Where a field's value stands, or the entry itself where the field is missing.
+    pub fn span_of(&self, field: &str) -> Range<usize> {
+        self.table.get(field).map_or(self.span.clone(), Spanned::span)
+    }
+
+    /// Notes a fault of one field.
+    pub fn note(&mut self, code: ResultCode, field: &str, reason: String) {
+        let place = format!("{}.{field}", self.place);
+        let span = self.span_of(field);
+        self.collector.note(code, span, &place, reason);
+    }
+
+    /// A text that must be there and not be empty.
+    pub fn text(&mut self, field: &str) -> Option<String> {
+        match self.table.get(field).map(Spanned::get_ref) {
+            None => {
+                self.note(
+                    ResultCode::RegisterMissingField,
+                    field,
+                    format!("field `{field}` is missing"),
+                );
+                None
+            }
+            Some(DeValue::String(text)) if !text.is_empty() => Some(text.to_string()),
+            Some(_) => {
+                self.note(
+                    ResultCode::RegisterBadValue,
+                    field,
+                    "must be a text that is not empty".to_owned(),
+                );
+                None
+            }
+        }
+    }
+
+    /// A text out of a few allowed ones.
+    pub fn choice<T: Copy>(&mut self, field: &str, choices: &[(&str, T)]) -> Option<T> {
+        let text = self.text(field)?;
+        let found = choices.iter().find(|(name, _)| *name == text);
+        if found.is_none() {
+            let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+            let hint = suggest(&text, names.iter().copied());
+            let reason = format!("`{text}` is not one of {}{hint}", names.join(", "));
+            self.note(ResultCode::RegisterBadValue, field, reason);
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    /// A truth value that is false where it is missing.
+    pub fn flag(&mut self, field: &str) -> bool {
+        match self.table.get(field).map(Spanned::get_ref) {
+            None => false,
+            Some(DeValue::Boolean(flag)) => *flag,
+            Some(_) => {
+                self.note(
+                    ResultCode::RegisterBadValue,
+                    field,
+                    "must be true or false".to_owned(),
+                );
+                false
+            }
+        }
+    }
+
+    /// A whole number within a range, or the default where it is missing.
+    pub fn number(&mut self, field: &str, range: std::ops::RangeInclusive<u32>, default: u32) -> u32 {
+        let Some(value) = self.table.get(field) else {
+            return default;
+        };
+        let number = match value.get_ref() {
+            DeValue::Integer(integer) => integer.as_str().parse::<u32>().ok(),
+            _ => None,
+        };
+        match number.filter(|number| range.contains(number)) {
+            Some(number) => number,
+            None => {
+                let reason = format!("must be a whole number from {} to {}", range.start(), range.end());
+                self.note(ResultCode::RegisterBadValue, field, reason);
+                default
+            }
+        }
+    }
+
+    /// An IP address with a port.
+    pub fn address(&mut self, field: &str) -> Option<String> {
+        let text = self.text(field)?;
+        if text.parse::<std::net::SocketAddr>().is_err() {
+            let reason = format!("`{text}` is not an IP address with a port, such as 10.0.0.7:8000");
+            self.note(ResultCode::RegisterBadValue, field, reason);
+            return None;
+        }
+        Some(text)
+    }
+}
--- /dev/null
+++ b/src/reports/metrics.rs
@@ -0,0 +1,207 @@
+//! Metrics by OpenTelemetry, with histograms for each workspace and class, in the Prometheus text format.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use snafu::Snafu;
+
+use super::tally::{RunTally, add};
+use crate::clock;
+use crate::controllers::idempotency::KeyOutcome;
+use crate::prelude::*;
+use crate::traffic::GenerateWork;
+
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const BOUNDS_MS: [f64; 18] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 33.0, 50.0, 75.0, 100.0, 200.0, 350.0, 520.0, 750.0, 1_000.0, 2_000.0,
+    5_000.0, 20_000.0, 60_000.0,
+];
+
+/// How many times the mean a lookup must take to count as slow.
+const SLOW_LOOKUP_FACTOR: u64 = 4;
+
+/// Why the metrics could not be set up.
+#[derive(Debug, Snafu)]
+#[snafu(display("metrics can't be set up: {reason}"))]
+pub struct MetricError {
+    reason: String,
+}
+
+/// The metrics of a node.
+pub struct MetricSet {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    /// Counts for the short report.
+    pub tally: RunTally,
+    first_token: Histogram<f64>,
+    token_gap: Histogram<f64>,
+    queue_wait: Histogram<f64>,
+    lookup: Histogram<f64>,
+    ends: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    prefill_tokens: Counter<u64>,
+    wasted_tokens: Counter<u64>,
+    run_once: Counter<u64>,
+    mean_lookup_ms: AtomicU64,
+}
+
+impl MetricSet {
+    /// Sets the metrics up.
+    pub fn new() -> Result<Self, MetricError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| MetricError {
+                reason: error.to_string(),
+            })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("dotterelspan");
+        let histogram = |name: &'static str, about: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(about).with_unit("ms");
+            builder.with_boundaries(BOUNDS_MS.to_vec()).build()
+        };
+        let counter =
+            |name: &'static str, about: &'static str| meter.u64_counter(name).with_description(about).build();
+        Ok(Self {
+            first_token: histogram("first_token", "Time from acceptance to the first token."),
+            token_gap: histogram("token_gap", "Time between two tokens of a stream."),
+            queue_wait: histogram("queue_wait", "Time from acceptance until engines were granted."),
+            lookup: histogram("lookup", "Time of an idempotent call to a plain service."),
+            ends: counter("stream_ends", "Streams by how they ended."),
+            refusals: counter("refusals", "Refusals by result code."),
+            retries: counter("attempt_retries", "Further attempts at generations."),
+            prefill_tokens: counter("prefill_tokens", "Prompt tokens run by prefill engines."),
+            wasted_tokens: counter("wasted_prefill_tokens", "Prompt tokens run in vain."),
+            run_once: counter("run_once_calls", "Run-once calls by outcome."),
+            registry,
+            _provider: provider,
+            tally: RunTally::default(),
+            mean_lookup_ms: AtomicU64::default(),
+        })
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+
+    /// Notes how long a request waited for engines.
+    pub fn note_queue_wait(&self, work: &GenerateWork, since: Moment) {
+        self.queue_wait.record(elapsed_ms(since), &labels(work));
+    }
+
+    /// Notes a stream's first token.
+    pub fn note_first_token(&self, work: &GenerateWork, since: Moment) {
+        self.first_token.record(elapsed_ms(since), &labels(work));
+    }
+
+    /// Notes the time since a stream's token before.
+    pub fn note_token_gap(&self, work: &GenerateWork, since: Moment) {
+        self.token_gap.record(elapsed_ms(since), &labels(work));
+    }
+
+    /// Notes prompt tokens that a prefill engine ran.
+    pub fn note_prefill(&self, work: &GenerateWork, tokens: u32) {
+        add(&self.tally.prefill_tokens, u64::from(tokens));
+        self.prefill_tokens.add(u64::from(tokens), &labels(work));
+    }
+
+    /// Notes prompt tokens that were run in vain.
+    pub fn note_wasted_prefill(&self, work: &GenerateWork, tokens: u32) {
+        add(&self.tally.wasted_tokens, u64::from(tokens));
+        self.wasted_tokens.add(u64::from(tokens), &labels(work));
+    }
+
+    /// Notes another attempt.
+    pub fn note_retry(&self, work: &GenerateWork) {
+        add(&self.tally.retries, 1);
+        self.retries.add(1, &labels(work));
+    }
+
+    /// Notes that a stream was taken up again.
+    pub fn note_resume(&self) {
+        add(&self.tally.resumed, 1);
+    }
+
+    /// Notes that a lookup was hedged.
+    pub fn note_hedge(&self) {
+        add(&self.tally.hedges, 1);
+    }
+
+    /// Notes how a stream ended.
+    pub fn note_end(&self, work: &GenerateWork, outcome: &'static str) {
+        let count = match outcome {
+            "complete" => &self.tally.complete,
+            "caller_gone" => &self.tally.caller_gone,
+            _ => &self.tally.cut,
+        };
+        add(count, 1);
+        let [workspace, class] = labels(work);
+        self.ends
+            .add(1, &[workspace, class, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Notes a refusal.
+    pub fn note_refusal(&self, notice: &RefusalNotice) {
+        self.tally.note_refusal(notice.code);
+        self.refusals
+            .add(1, &[KeyValue::new("code", i64::from(notice.code.number()))]);
+    }
+
+    /// Notes an answered lookup.
+    pub fn note_lookup(&self, workspace: &Arc<str>, operation: &Arc<str>, since: Moment) {
+        let elapsed = elapsed_ms(since);
+        add(&self.tally.lookups, 1);
+        let mean = self.mean_lookup_ms.load(Ordering::Relaxed);
+        let mean = crate::controllers::services::smooth(mean, elapsed as u64);
+        self.mean_lookup_ms.store(mean, Ordering::Relaxed);
+        let labels = [
+            KeyValue::new("workspace", workspace.clone()),
+            KeyValue::new("operation", operation.clone()),
+        ];
+        self.lookup.record(elapsed, &labels);
+    }
+
+    /// The time after which a lookup counts as slow, in milliseconds.
+    pub fn slow_lookup_ms(&self) -> u64 {
+        self.mean_lookup_ms.load(Ordering::Relaxed) * SLOW_LOOKUP_FACTOR
+    }
+
+    /// Notes how a run-once call ended.
+    pub fn note_run_once(&self, workspace: &Arc<str>, outcome: &KeyOutcome) {
+        let word = match outcome {
+            KeyOutcome::Answered(_) => "ran",
+            KeyOutcome::Unknown => "unknown",
+            KeyOutcome::Unstarted(_) => "not_run",
+        };
+        match outcome {
+            KeyOutcome::Answered(_) => add(&self.tally.ran_once, 1),
+            KeyOutcome::Unknown => add(&self.tally.run_unknown, 1),
+            KeyOutcome::Unstarted(_) => {}
+        }
+        let labels = [
+            KeyValue::new("workspace", workspace.clone()),
+            KeyValue::new("outcome", word),
+        ];
+        self.run_once.add(1, &labels);
+    }
+}
+
+fn elapsed_ms(since: Moment) -> f64 {
+    clock::now().0.saturating_sub(since.0) as f64
+}
+
+fn labels(work: &GenerateWork) -> [KeyValue; 2] {
+    [
+        KeyValue::new("workspace", work.workspace.clone()),
+        KeyValue::new("class", work.class.clone()),
+    ]
+}
--- /dev/null
+++ b/src/reports/phone.rs
@@ -0,0 +1,114 @@
+//! The status object, and the report that fits a phone's screen.
+
+use crate::clock;
+use crate::prelude::*;
+use crate::register::UpstreamKind;
+use crate::traffic::TrafficContext;
+
+/// The widest line of the short report, in characters.
+const LINE_WIDTH: usize = 40;
+
+/// Faults of a refused register that the short report shows.
+const FAULTS_SHOWN: usize = 3;
+
+/// Everything an operator or a program may want to know of this node.
+pub fn status(context: &TrafficContext) -> serde_json::Value {
+    let snapshot = context.snapshot();
+    let now = clock::now();
+    let refusals: Vec<_> = context
+        .metrics
+        .tally
+        .refusals()
+        .into_iter()
+        .map(|(code, count)| serde_json::json!({ "code": code, "count": count }))
+        .collect();
+    serde_json::json!({
+        "vm": &*context.own.name,
+        "zone": &*context.own.zone,
+        "incarnation": format!("{:032x}", context.own.incarnation),
+        "revision": snapshot.revision,
+        "is_fresh": !now.reached(snapshot.fresh_until),
+        "refused_revision": snapshot.refused.as_ref().map(|(revision, _)| revision),
+        "refused_reasons": snapshot.refused.as_ref().map(|(_, reasons)| reasons),
+        "is_leaving": snapshot.accept_until.is_some(),
+        "live_vms": snapshot.live_vms.len(),
+        "known_vms": snapshot.known_vms,
+        "upstreams": snapshot.register.upstreams.len(),
+        "active_requests": context.control.active_requests(),
+        "quarantined": snapshot.quarantined,
+        "counts": context.metrics.tally.counts(),
+        "refusals": refusals,
+    })
+}
+
+/// The short report: at most forty characters a line.
+pub fn phone_report(context: &TrafficContext) -> String {
+    let snapshot = context.snapshot();
+    let counts = context.metrics.tally.counts();
+    let register = &snapshot.register;
+    let engines = register
+        .upstreams
+        .iter()
+        .filter(|upstream| matches!(upstream.kind, UpstreamKind::Engine { .. }));
+    let leaving = register
+        .upstreams
+        .iter()
+        .filter(|upstream| upstream.leaving)
+        .count();
+    let freshness = if clock::now().reached(snapshot.fresh_until) {
+        "NOT CONFIRMED"
+    } else {
+        "confirmed"
+    };
+    let state = if snapshot.accept_until.is_some() {
+        "leaving"
+    } else {
+        "serving"
+    };
+    let wasted = percent(counts.wasted_tokens, counts.prefill_tokens);
+    let mut lines = vec![
+        format!("{} {} {state}", context.own.name, context.own.zone),
+        format!("register {} {freshness}", snapshot.revision),
+    ];
+    if let Some((revision, reasons)) = &snapshot.refused {
+        lines.push(format!(
+            "REGISTER {revision} REFUSED, {} in force",
+            snapshot.revision
+        ));
+        lines.extend(reasons.lines().take(FAULTS_SHOWN).map(|line| format!("  {line}")));
+    }
+    lines.extend([
+        format!("VMs {} of {} alive", snapshot.live_vms.len(), snapshot.known_vms),
+        format!(
+            "engines {} upstreams {} leaving {leaving}",
+            engines.count(),
+            register.upstreams.len()
+        ),
+        format!("now {} requests", context.control.active_requests()),
+        format!("streams {} whole {} cut", counts.complete, counts.cut),
+        format!("  {} resumed {} retries", counts.resumed, counts.retries),
+        format!("lookups {} hedged {}", counts.lookups, counts.hedges),
+        format!("run once {} ran {} UNKNOWN", counts.ran_once, counts.run_unknown),
+        format!("prefill wasted {wasted}"),
+    ]);
+    if snapshot.quarantined > 0 {
+        lines.push(format!("{} requests held back", snapshot.quarantined));
+    }
+    for (code, count) in context.metrics.tally.refusals() {
+        let name = ResultCode::from_number(code).map_or("", |code| code.entry().name);
+        lines.push(format!("refused {code} {name} {count}"));
+    }
+    let mut report = String::new();
+    for line in lines {
+        report.extend(line.chars().take(LINE_WIDTH));
+        report.push('\n');
+    }
+    report
+}
+
+fn percent(part: u64, whole: u64) -> String {
+    match whole {
+        0 => "none".to_owned(),
+        whole => format!("{:.1}%", part as f64 * 100.0 / whole as f64),
+    }
+}
--- /dev/null
+++ b/src/runtime/control.rs
@@ -0,0 +1,235 @@
+//! The control thread: the only one that touches the board.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use futures::channel::oneshot;
+
+use super::Snapshot;
+use crate::clock;
+use crate::controllers::message::{KeyCall, PeerMessage};
+use crate::controllers::{ControlCore, Reply};
+use crate::prelude::*;
+
+/// Time between two ticks, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// How often the view is renewed even if nothing was reported changed, in milliseconds.
+const PUBLISH_EVERY_MS: u64 = 500;
+
+/// What the control thread asks of the traffic side.
+#[derive(Debug)]
+pub enum ControlOutput {
+    /// Send a message to a peer.
+    Send {
+        /// Its name.
+        to: VmAddress,
+        /// Where it listens.
+        address: Arc<str>,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Close the link to a peer.
+    ResetLink {
+        /// Its name.
+        vm: VmAddress,
+    },
+    /// Run a call that a peer forwarded.
+    RunForwarded {
+        /// The peer.
+        from: VmAddress,
+        /// The call.
+        call: KeyCall,
+    },
+    /// End the process.
+    Exit,
+}
+
+type Waiters = Mutex<FastMap<ReplyTicket, oneshot::Sender<Reply>>>;
+
+/// The traffic side's way to the control thread.
+#[derive(Clone)]
+pub struct ControlHandle {
+    events: Sender<Event>,
+    waiters: Arc<Waiters>,
+    next_ticket: Arc<AtomicU64>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    active_requests: Arc<AtomicU64>,
+}
+
+impl ControlHandle {
+    /// Starts the control thread.
+    pub fn start(
+        core: ControlCore,
+        output: impl Fn(ControlOutput) + Send + 'static,
+    ) -> std::io::Result<ControlHandle> {
+        let (events, inbox) = channel();
+        let snapshot = Snapshot::of(&core.board, clock::now());
+        let handle = Self {
+            events,
+            waiters: Arc::default(),
+            next_ticket: Arc::default(),
+            snapshot: Arc::new(ArcSwap::from_pointee(snapshot)),
+            active_requests: Arc::default(),
+        };
+        let thread = ControlThread {
+            core,
+            inbox,
+            waiters: handle.waiters.clone(),
+            snapshot: handle.snapshot.clone(),
+            active_requests: handle.active_requests.clone(),
+            output: Box::new(output),
+        };
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || thread.run())?;
+        Ok(handle)
+    }
+
+    /// Tells the control thread that something happened.
+    pub fn tell(&self, event: Event) {
+        // The thread ends only with the process, so a failed send needs no answer.
+        let _ = self.events.send(event);
+    }
+
+    /// Asks the control thread; `make` puts the ticket into the event.
+    pub async fn ask(&self, make: impl FnOnce(ReplyTicket) -> Event) -> Option<Reply> {
+        let ticket = ReplyTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
+        let (sender, receiver) = oneshot::channel();
+        let guard = WaiterGuard {
+            ticket,
+            waiters: self.waiters.clone(),
+        };
+        self.lock_waiters().insert(ticket, sender);
+        self.tell(make(ticket));
+        let reply = receiver.await.ok();
+        drop(guard);
+        reply
+    }
+
+    fn lock_waiters(&self) -> std::sync::MutexGuard<'_, FastMap<ReplyTicket, oneshot::Sender<Reply>>> {
+        self.waiters.lock().expect("no holder of this lock panics")
+    }
+
+    /// The present view of the board.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Counts a request as held until the guard is dropped.
+    pub fn hold_request(&self) -> RequestGuard {
+        self.active_requests.fetch_add(1, Ordering::Relaxed);
+        RequestGuard {
+            active_requests: self.active_requests.clone(),
+        }
+    }
+
+    /// Requests that this node holds.
+    pub fn active_requests(&self) -> u64 {
+        self.active_requests.load(Ordering::Relaxed)
+    }
+}
+
+/// Forgets a waiter whose task went away.
+struct WaiterGuard {
+    ticket: ReplyTicket,
+    waiters: Arc<Waiters>,
+}
+
+impl Drop for WaiterGuard {
+    fn drop(&mut self) {
+        if let Ok(mut waiters) = self.waiters.lock() {
+            waiters.remove(&self.ticket);
+        }
+    }
+}
+
+/// A request that this node holds.
+pub struct RequestGuard {
+    active_requests: Arc<AtomicU64>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.active_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+struct ControlThread {
+    core: ControlCore,
+    inbox: Receiver<Event>,
+    waiters: Arc<Waiters>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    active_requests: Arc<AtomicU64>,
+    output: Box<dyn Fn(ControlOutput) + Send>,
+}
+
+impl ControlThread {
+    fn run(mut self) {
+        let mut next_tick = clock::now().after_ms(TICK_MS);
+        let mut next_publish = next_tick;
+        loop {
+            let wait = Duration::from_millis(clock::now().until_ms(next_tick));
+            match self.inbox.recv_timeout(wait) {
+                Ok(event) => self.handle(&event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = clock::now();
+            if now.reached(next_tick) {
+                next_tick = now.after_ms(TICK_MS);
+                let active_requests = self.active_requests.load(Ordering::Relaxed);
+                self.handle(&Event::Tick { active_requests });
+            }
+            if now.reached(next_publish) {
+                next_publish = now.after_ms(PUBLISH_EVERY_MS);
+                self.publish(now);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: &Event) {
+        let now = clock::now();
+        let mut is_changed = false;
+        for action in self.core.handle(event, now) {
+            is_changed |= matches!(action, Action::Publish);
+            self.carry_out(action);
+        }
+        if is_changed {
+            self.publish(now);
+        }
+    }
+
+    fn publish(&self, now: Moment) {
+        self.snapshot.store(Arc::new(Snapshot::of(&self.core.board, now)));
+    }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Reply { ticket, reply } => self.reply(ticket, reply),
+            Action::Send { to, address, message } => {
+                (self.output)(ControlOutput::Send { to, address, message })
+            }
+            Action::ResetLink { vm } => (self.output)(ControlOutput::ResetLink { vm }),
+            Action::RunForwarded { from, call } => (self.output)(ControlOutput::RunForwarded { from, call }),
+            Action::Publish => {}
+            Action::Log(line) => spdlog::info!("{line}"),
+            Action::Exit => (self.output)(ControlOutput::Exit),
+        }
+    }
+
+    fn reply(&self, ticket: ReplyTicket, reply: Reply) {
+        let waiter = self
+            .waiters
+            .lock()
+            .ok()
+            .and_then(|mut waiters| waiters.remove(&ticket));
+        if let Some(waiter) = waiter {
+            // A waiter that went away gives back what it was granted by its own guard.
+            let _ = waiter.send(reply);
+        }
+    }
+}
--- /dev/null
+++ b/src/runtime/snapshot.rs
@@ -0,0 +1,68 @@
+//! What traffic threads read of the board: an immutable copy, replaced when something changes.
+
+use std::sync::Arc;
+
+use super::super::controllers::rendezvous;
+use crate::prelude::*;
+
+/// A view of the board.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The revision in force.
+    pub revision: Revision,
+    /// The register in force.
+    pub register: Arc<Register>,
+    /// The newest refused revision with its faults.
+    pub refused: Option<(Revision, String)>,
+    /// Until when the revision counts as confirmed.
+    pub fresh_until: Moment,
+    /// All VMs that are taken for alive, this one too.
+    pub live_vms: Vec<VmRecord>,
+    /// All VMs that are known, this one too.
+    pub known_vms: usize,
+    /// Until when new work is taken; `None` while the node is not leaving.
+    pub accept_until: Option<Moment>,
+    /// Requests that are held back.
+    pub quarantined: usize,
+}
+
+impl Snapshot {
+    /// Copies what traffic needs.
+    pub fn of(board: &Blackboard, now: Moment) -> Self {
+        let own = VmRecord {
+            name: board.own.name.clone(),
+            zone: board.own.zone.clone(),
+            caller_address: board.own.caller_address.clone(),
+            peer_address: board.own.peer_address.clone(),
+            leaving: board.drain.is_some(),
+            listed: true,
+            incarnation: Some(board.own.incarnation),
+            suspected_until: None,
+            heard_at: Some(now),
+        };
+        let mut live_vms: Vec<VmRecord> = board.live_peers(now).cloned().collect();
+        live_vms.push(own);
+        let refused = board.register.refused.as_ref();
+        Self {
+            revision: board.register.revision,
+            register: board.register.register.clone(),
+            refused: refused.map(|refused| (refused.revision, refused.reasons.clone())),
+            fresh_until: board.register.fresh_until,
+            live_vms,
+            known_vms: board.vms.len() + 1,
+            accept_until: board.drain.map(|drain| drain.accept_until),
+            quarantined: board.quarantine.len(),
+        }
+    }
+
+    /// Whether a VM is taken for alive.
+    pub fn is_live(&self, name: &str) -> bool {
+        self.live_vms.iter().any(|vm| *vm.name == *name)
+    }
+
+    /// Whether a VM ranks first for an upstream among the live ones.
+    pub fn owns(&self, own_name: &str, upstream: &str) -> bool {
+        let staying = self.live_vms.iter().filter(|vm| !vm.leaving).map(|vm| &*vm.name);
+        rendezvous::owner(upstream, staying).is_none_or(|owner| owner == own_name)
+    }
+}
--- /dev/null
+++ b/src/traffic/generate/attempt.rs
@@ -0,0 +1,229 @@
+//! One attempt at a generation: prefill, transfer and decode, with one way to end.
+
+use std::sync::Arc;
+
+use super::diagnosis::{EngineFate, diagnose};
+use super::engine::{self, EngineEvent, EngineStream};
+use super::placement::Placement;
+use super::session::StreamSession;
+use super::token::TokenMaker;
+use crate::controllers::slots::RequestId;
+use crate::traffic::sse::StreamItem;
+use crate::traffic::upstream::UpstreamError;
+
+/// How often a stream is taken up again without a new token before the attempt is given up.
+const ATTACH_TRIES: u32 = 2;
+
+/// Where the tokens come from.
+pub enum StreamSource {
+    /// Engines were granted; nothing runs yet.
+    Placed(Placement),
+    /// An engine already generates.
+    Attached {
+        /// The attempt that the engine runs.
+        request: RequestId,
+        /// Its stream.
+        stream: EngineStream,
+    },
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// All tokens were passed on.
+    Complete,
+    /// The caller does not take any more.
+    CallerGone,
+    /// An engine failed; another attempt may do better.
+    Failed {
+        /// Which.
+        engine: Arc<str>,
+        /// What became of it.
+        fate: EngineFate,
+    },
+}
+
+/// How the relay of one stream ended.
+enum RelayEnd {
+    Complete,
+    CallerGone,
+    Lost,
+}
+
+/// The exported KV cache of a finished prefill.
+struct ExportedKv {
+    address: String,
+    name: String,
+    uncached: u32,
+}
+
+impl StreamSession {
+    /// Runs one attempt.
+    pub(super) async fn run_attempt(&mut self, source: StreamSource) -> AttemptEnd {
+        match source {
+            StreamSource::Attached { request, stream } => self.relay_with_resume(&request, stream).await,
+            StreamSource::Placed(placement) => self.run_placed(&placement).await,
+        }
+    }
+
+    async fn run_placed(&mut self, placement: &Placement) -> AttemptEnd {
+        let prefill = &placement.grant.prefill;
+        self.running = Some((placement.grant.clone(), placement.request.clone()));
+        let exported = match self.run_prefill(placement).await {
+            Ok(exported) => exported,
+            Err(end) => return end,
+        };
+        placement.finish_prefill();
+        let kv = (exported.address.as_str(), exported.name.as_str());
+        let decode = &placement.grant.decode;
+        let skip = self.delivered;
+        let delivered_before = self.delivered;
+        let opened =
+            engine::start_decode(&self.context, decode, &placement.request, &self.work, kv, skip).await;
+        let end = match opened {
+            Ok(stream) => self.relay_with_resume(&placement.request, stream).await,
+            Err(error) => self.fail(decode, &error).await,
+        };
+        if matches!(end, AttemptEnd::Failed { .. }) && self.delivered == delivered_before {
+            self.context
+                .metrics
+                .note_wasted_prefill(&self.work, exported.uncached);
+        }
+        if let AttemptEnd::Failed { engine, .. } = &end
+            && engine == decode
+        {
+            self.cancel_later(prefill, &placement.request);
+        }
+        placement.note_pace(self.pace_us());
+        end
+    }
+
+    async fn run_prefill(&mut self, placement: &Placement) -> Result<ExportedKv, AttemptEnd> {
+        let name = &placement.grant.prefill;
+        let opened = engine::start_prefill(&self.context, name, &placement.request, &self.work).await;
+        let mut stream = match opened {
+            Ok(stream) => stream,
+            Err(error) => return Err(self.fail(name, &error).await),
+        };
+        loop {
+            match stream.events.next().await {
+                StreamItem::Heartbeat => {
+                    if !self.send_heartbeat().await {
+                        return Err(AttemptEnd::CallerGone);
+                    }
+                }
+                StreamItem::Data(data) => {
+                    let event: EngineEvent = serde_json::from_str(&data).unwrap_or_default();
+                    let address = engine::address_of(&self.context, name);
+                    if let (Some(kv), Some(address)) = (event.kv, address)
+                        && event.request == *placement.request
+                    {
+                        self.context.metrics.note_prefill(&self.work, event.uncached);
+                        return Ok(ExportedKv {
+                            address,
+                            name: kv,
+                            uncached: event.uncached,
+                        });
+                    }
+                    return Err(self.lose(name).await);
+                }
+                StreamItem::End | StreamItem::Broken | StreamItem::Silent => {
+                    return Err(self.lose(name).await);
+                }
+            }
+        }
+    }
+
+    /// Passes a stream's tokens on, taking it up again over new connections while its engine lives.
+    async fn relay_with_resume(&mut self, request: &RequestId, mut stream: EngineStream) -> AttemptEnd {
+        let name = stream.engine.clone();
+        let secret = self.context.settings.shared_key.clone();
+        let tokens = TokenMaker::new(&name, request, &self.work, &secret);
+        let mut tries = 0;
+        loop {
+            let delivered_before = self.delivered;
+            match self.relay(request, &mut stream, &tokens).await {
+                RelayEnd::Complete => return AttemptEnd::Complete,
+                RelayEnd::CallerGone => return AttemptEnd::CallerGone,
+                RelayEnd::Lost => {}
+            }
+            tries = if self.delivered > delivered_before {
+                1
+            } else {
+                tries + 1
+            };
+            let fate = diagnose(&self.context, &name).await;
+            if matches!(fate, EngineFate::Died { .. }) || tries > ATTACH_TRIES {
+                self.cancel_later(&name, request);
+                return AttemptEnd::Failed { engine: name, fate };
+            }
+            match engine::attach(&self.context, &name, request, self.delivered).await {
+                Ok(attached) => stream = attached,
+                Err(_) => return AttemptEnd::Failed { engine: name, fate },
+            }
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        request: &RequestId,
+        stream: &mut EngineStream,
+        tokens: &TokenMaker,
+    ) -> RelayEnd {
+        loop {
+            let data = match stream.events.next().await {
+                StreamItem::Data(data) => data,
+                StreamItem::Heartbeat => {
+                    if self.send_heartbeat().await {
+                        continue;
+                    }
+                    return RelayEnd::CallerGone;
+                }
+                StreamItem::End | StreamItem::Broken | StreamItem::Silent => return RelayEnd::Lost,
+            };
+            let event: EngineEvent = serde_json::from_str(&data).unwrap_or_default();
+            // An answer to another request is never passed on; the connection it came over is given up.
+            if event.request != **request || event.error.is_some() {
+                return RelayEnd::Lost;
+            }
+            if event.done {
+                return if event.index == Some(self.delivered) {
+                    RelayEnd::Complete
+                } else {
+                    RelayEnd::Lost
+                };
+            }
+            match event.index {
+                Some(index) if index < self.delivered => {}
+                Some(index) if index == self.delivered => {
+                    if !self.send_token(&event.token, tokens).await {
+                        return RelayEnd::CallerGone;
+                    }
+                }
+                _ => return RelayEnd::Lost,
+            }
+        }
+    }
+
+    /// The end of an attempt whose engine could not be reached or broke off.
+    async fn fail(&self, name: &Arc<str>, error: &UpstreamError) -> AttemptEnd {
+        if error.is_unsent() {
+            // Nothing of this request reached the engine, so its death is not this request's doing.
+            return AttemptEnd::Failed {
+                engine: name.clone(),
+                fate: EngineFate::Unclear,
+            };
+        }
+        self.lose(name).await
+    }
+
+    async fn lose(&self, name: &Arc<str>) -> AttemptEnd {
+        AttemptEnd::Failed {
+            engine: name.clone(),
+            fate: diagnose(&self.context, name).await,
+        }
+    }
+}
+
+/// What an attempt holds on engines, for a cancellation.
+pub type RunningAttempt = (crate::controllers::slots::PlacementGrant, RequestId);
--- /dev/null
+++ b/src/traffic/generate/placement.rs
@@ -0,0 +1,114 @@
+//! The engines of one attempt, given back when the attempt ends in whatever way.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::clock;
+use crate::controllers::Reply;
+use crate::controllers::slots::{PlacementAsk, PlacementGrant, PlacementResult, RequestId, hash_prefix};
+use crate::prelude::*;
+use crate::traffic::TrafficContext;
+use crate::traffic::request::GenerateWork;
+
+/// A request's hold on its engines, or its wait for them.
+pub struct Placement {
+    context: Arc<TrafficContext>,
+    /// The attempt.
+    pub request: RequestId,
+    /// The engines.
+    pub grant: PlacementGrant,
+    pace_us: AtomicU64,
+}
+
+/// Gives up a request's place in the queue, or its slots, unless it is disarmed.
+struct AskGuard<'a> {
+    context: &'a Arc<TrafficContext>,
+    request: RequestId,
+    is_armed: bool,
+}
+
+impl Drop for AskGuard<'_> {
+    fn drop(&mut self) {
+        if self.is_armed {
+            self.context.control.tell(Event::PlacementDone {
+                request: self.request.clone(),
+                result: PlacementResult { pace_us: 0 },
+            });
+        }
+    }
+}
+
+impl Placement {
+    /// Waits for engines.
+    pub async fn acquire(
+        context: &Arc<TrafficContext>,
+        work: &GenerateWork,
+        avoid: &[Arc<str>],
+        is_retry: bool,
+    ) -> Result<Self, RefusalNotice> {
+        let request = context.next_request_id();
+        let ask = PlacementAsk {
+            request: request.clone(),
+            workspace: work.workspace.clone(),
+            model: work.model.clone(),
+            may_wait: work.may_wait,
+            fingerprint: work.fingerprint,
+            prompt_tokens: work.prompt_tokens,
+            max_tokens: work.max_tokens,
+            prefix: hash_prefix(&work.prompt),
+            deadline: work.deadline,
+            is_retry,
+            avoid: avoid.to_vec(),
+        };
+        let mut guard = AskGuard {
+            context,
+            request: request.clone(),
+            is_armed: true,
+        };
+        let asked_at = clock::now();
+        let reply = context
+            .control
+            .ask(|ticket| Event::PlacementWanted { ticket, ask })
+            .await;
+        context.metrics.note_queue_wait(work, asked_at);
+        match reply {
+            Some(Reply::Placed(grant)) => {
+                guard.is_armed = false;
+                Ok(Self {
+                    context: context.clone(),
+                    request,
+                    grant,
+                    pace_us: AtomicU64::default(),
+                })
+            }
+            Some(Reply::Refused(notice)) => Err(notice),
+            _ => Err(RefusalNotice::new(
+                ResultCode::NoUpstream,
+                "the control thread gave no engines",
+            )),
+        }
+    }
+
+    /// Notes the mean time between tokens, in microseconds.
+    pub fn note_pace(&self, pace_us: u64) {
+        self.pace_us.store(pace_us, Ordering::Relaxed);
+    }
+
+    /// Tells the owner that the prefill engine can take its next prompt.
+    pub fn finish_prefill(&self) {
+        self.context.control.tell(Event::PrefillDone {
+            request: self.request.clone(),
+        });
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        self.context.control.tell(Event::PlacementDone {
+            request: self.request.clone(),
+            result: PlacementResult {
+                pace_us: self.pace_us.load(Ordering::Relaxed),
+            },
+        });
+    }
+}
--- /dev/null
+++ b/src/traffic/generate/session.rs
@@ -0,0 +1,216 @@
+//! The life of one stream: attempts until it is whole, refused, or the caller is gone.
+
+use std::sync::Arc;
+
+use async_std::channel::Sender;
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use futures::future::{Either, select};
+
+use super::attempt::{AttemptEnd, RunningAttempt, StreamSource};
+use super::diagnosis::EngineFate;
+use super::engine;
+use super::placement::Placement;
+use super::token::TokenMaker;
+use crate::clock;
+use crate::prelude::*;
+use crate::runtime::RequestGuard;
+use crate::traffic::TrafficContext;
+use crate::traffic::caller_watch::caller_gone;
+use crate::traffic::request::GenerateWork;
+
+/// The most attempts at one request.
+const ATTEMPT_LIMIT: u32 = 6;
+
+/// When to come back after all attempts failed, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// A stream to one caller.
+pub struct StreamSession {
+    pub(super) context: Arc<TrafficContext>,
+    pub(super) work: Arc<GenerateWork>,
+    /// Tokens that the caller has.
+    pub(super) delivered: u32,
+    /// What runs on engines for this stream.
+    pub(super) running: Option<RunningAttempt>,
+    sender: Sender<Vec<u8>>,
+    skipped: u32,
+    accepted_at: Moment,
+    first_token_at: Option<Moment>,
+    last_token_at: Moment,
+    _guard: RequestGuard,
+}
+
+impl StreamSession {
+    /// A stream that begins after the tokens that the caller has.
+    pub fn new(
+        context: &Arc<TrafficContext>,
+        work: &Arc<GenerateWork>,
+        sender: Sender<Vec<u8>>,
+        skip: u32,
+        accepted_at: Moment,
+    ) -> Self {
+        Self {
+            context: context.clone(),
+            work: work.clone(),
+            delivered: skip,
+            running: None,
+            sender,
+            skipped: skip,
+            accepted_at,
+            first_token_at: None,
+            last_token_at: accepted_at,
+            _guard: context.control.hold_request(),
+        }
+    }
+
+    /// Serves the stream to its end.
+    pub async fn run(mut self, source: StreamSource, socket: TcpStream) {
+        let limit = clock::now().remaining(self.work.deadline);
+        let ended = {
+            let serving = std::pin::pin!(timeout(limit, self.serve(source)));
+            let leaving = std::pin::pin!(caller_gone(&socket));
+            match select(serving, leaving).await {
+                Either::Left((outcome, _)) => outcome.unwrap_or_else(|_| {
+                    Some(Err(
+                        RefusalNotice::new(ResultCode::DeadlineDuringRun, "").retry_after_ms(0)
+                    ))
+                }),
+                Either::Right(_) => None,
+            }
+        };
+        match ended {
+            Some(Ok(())) => self.send_complete().await,
+            Some(Err(notice)) => self.send_refusal(&notice).await,
+            None => self.leave(),
+        }
+    }
+
+    /// Tries until the stream is whole; `None` when the caller is gone.
+    async fn serve(&mut self, source: StreamSource) -> Option<Result<(), RefusalNotice>> {
+        let mut avoid = Vec::new();
+        let mut source = source;
+        for _ in 0..ATTEMPT_LIMIT {
+            match self.run_attempt(source).await {
+                AttemptEnd::Complete => return Some(Ok(())),
+                AttemptEnd::CallerGone => return None,
+                AttemptEnd::Failed { engine, fate } => self.note_failure(&engine, fate, &mut avoid),
+            }
+            match Placement::acquire(&self.context, &self.work, &avoid, true).await {
+                Ok(placement) => source = StreamSource::Placed(placement),
+                Err(notice) => return Some(Err(notice)),
+            }
+        }
+        let notice = RefusalNotice::new(
+            ResultCode::UpstreamFailed,
+            format!("{ATTEMPT_LIMIT} attempts failed"),
+        );
+        Some(Err(notice.retry_after_ms(RETRY_AFTER_MS)))
+    }
+
+    fn note_failure(&self, engine: &Arc<str>, fate: EngineFate, avoid: &mut Vec<Arc<str>>) {
+        self.context.metrics.note_retry(&self.work);
+        spdlog::info!(
+            "event=attempt_failed engine={engine} fate={fate:?} delivered={}",
+            self.delivered
+        );
+        if !avoid.contains(engine) {
+            avoid.push(engine.clone());
+        }
+        if let EngineFate::Died { boot } = fate {
+            self.context.control.tell(Event::RequestDied {
+                fingerprint: self.work.fingerprint,
+                upstream: engine.clone(),
+                boot,
+            });
+        }
+    }
+
+    /// The caller is gone: what it could not resume is dropped at once, the rest is left to the resume window.
+    fn leave(&mut self) {
+        self.context.metrics.note_end(&self.work, "caller_gone");
+        if self.delivered > self.skipped {
+            return;
+        }
+        self.cancel_running();
+    }
+
+    fn cancel_running(&mut self) {
+        if let Some((grant, request)) = self.running.take() {
+            self.cancel_later(&grant.decode, &request);
+            self.cancel_later(&grant.prefill, &request);
+        }
+    }
+
+    /// Drops a request on an engine without waiting for it.
+    pub(super) fn cancel_later(&self, engine: &Arc<str>, request: &Arc<str>) {
+        let context = self.context.clone();
+        let engine = engine.clone();
+        let request = request.clone();
+        async_std::task::spawn(async move { engine::cancel(&context, &engine, &request).await });
+    }
+
+    /// The mean time between the tokens of this stream, in microseconds; zero where there were too few.
+    pub(super) fn pace_us(&self) -> u64 {
+        let Some(first) = self.first_token_at else {
+            return 0;
+        };
+        let gaps = u64::from(self.delivered.saturating_sub(self.skipped)).saturating_sub(1);
+        match gaps {
+            0 => 0,
+            gaps => self.last_token_at.0.saturating_sub(first.0) * 1_000 / gaps,
+        }
+    }
+
+    /// Shows the caller that the stream is alive; whether the caller still takes it.
+    pub(super) async fn send_heartbeat(&self) -> bool {
+        self.sender.send(b": alive\n\n".to_vec()).await.is_ok()
+    }
+
+    /// Passes one token on; whether the caller still takes it.
+    pub(super) async fn send_token(&mut self, token: &str, tokens: &TokenMaker) -> bool {
+        let now = clock::now();
+        if self.first_token_at.is_none() {
+            self.first_token_at = Some(now);
+            self.context
+                .metrics
+                .note_first_token(&self.work, self.accepted_at);
+        } else {
+            self.context
+                .metrics
+                .note_token_gap(&self.work, self.last_token_at);
+        }
+        self.last_token_at = now;
+        let id = tokens.make(self.delivered + 1);
+        let text = serde_json::Value::from(token);
+        let event = format!(
+            "id: {id}\ndata: {{\"index\":{},\"token\":{text}}}\n\n",
+            self.delivered
+        );
+        if self.sender.send(event.into_bytes()).await.is_err() {
+            return false;
+        }
+        self.delivered += 1;
+        true
+    }
+
+    async fn send_complete(&mut self) {
+        let event = format!("event: complete\ndata: {{\"tokens\":{}}}\n\n", self.delivered);
+        // A caller that is gone comes back with its last token and gets this event from the engine's copy.
+        let _ = self.sender.send(event.into_bytes()).await;
+        self.context.metrics.note_end(&self.work, "complete");
+        self.context.control.tell(Event::RequestCompleted {
+            fingerprint: self.work.fingerprint,
+        });
+    }
+
+    async fn send_refusal(&mut self, notice: &RefusalNotice) {
+        self.cancel_running();
+        self.context
+            .metrics
+            .note_end(&self.work, notice.code.entry().name);
+        let event = format!("event: refused\ndata: {}\n\n", notice.to_json());
+        // A caller that is gone has nobody to be told.
+        let _ = self.sender.send(event.into_bytes()).await;
+    }
+}
--- /dev/null
+++ b/src/traffic/mod.rs
@@ -0,0 +1,22 @@
+//! Callers in, upstreams out, and the streams between them.
+
+mod answer;
+mod call;
+mod caller_watch;
+mod context;
+mod generate;
+mod key;
+mod listener;
+mod reaper;
+mod request;
+mod routes;
+mod socket;
+mod sse;
+pub mod upstream;
+
+pub use call::run_forwarded;
+pub use context::TrafficContext;
+pub use listener::listen_for_callers;
+pub use reaper::reap_orphans;
+pub use request::GenerateWork;
+pub use socket::prepare_socket;
--- /dev/null
+++ b/src/traffic/routes.rs
@@ -0,0 +1,121 @@
+//! Which path does what.
+
+use std::net::Shutdown;
+use std::sync::Arc;
+
+use async_std::net::TcpStream;
+use http_types::{Method, Request, Response};
+use serde::Deserialize;
+
+use super::answer::{json_answer, refusal_answer, text_answer};
+use super::{TrafficContext, call, generate, key};
+use crate::clock;
+use crate::controllers::resolve::rank_entries;
+use crate::prelude::*;
+use crate::reports;
+
+/// Addresses in a log line or an answer are of the caller's making, so they are cut to this length.
+const DETAIL_LIMIT: usize = 200;
+
+/// What a caller says of itself when it asks for entries.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct ResolveQuery {
+    zone: Option<String>,
+    caller: String,
+}
+
+/// Answers one request.
+pub async fn answer_request(context: &Arc<TrafficContext>, socket: &TcpStream, request: Request) -> Response {
+    let path = request.url().path().to_owned();
+    let method = request.method();
+    let result = match (method, path.as_str()) {
+        (Method::Get, "/v1/resolve") => resolve(context, &request),
+        (Method::Get, "/v1/status") => Ok(json_answer(200, &reports::status(context))),
+        (Method::Get, "/v1/report") => Ok(text_answer(reports::phone_report(context))),
+        (Method::Get, "/metrics") => Ok(text_answer(context.metrics.render())),
+        (Method::Post, "/v1/cancel") => generate::cancel(context, request).await,
+        (Method::Post, "/v1/keys/revoke") => key::revoke_key(context, request).await,
+        (Method::Post, "/v1/generate" | "/v1/call" | "/v1/keys") => {
+            serve_work(context, socket, request, &path).await
+        }
+        _ => {
+            let detail: String = format!("{method} {path}").chars().take(DETAIL_LIMIT).collect();
+            Err(RefusalNotice::new(ResultCode::UnknownPath, detail))
+        }
+    };
+    result.unwrap_or_else(|notice| {
+        context.metrics.note_refusal(&notice);
+        spdlog::info!(
+            "event=refused code={} name={} path={}",
+            notice.code.number(),
+            notice.code.entry().name,
+            path.chars().take(DETAIL_LIMIT).collect::<String>()
+        );
+        if leaves_body_unread(notice.code) {
+            // The rest of the body is not waited for, however long it may be.
+            let _ = socket.shutdown(Shutdown::Read);
+        }
+        refusal_answer(&notice)
+    })
+}
+
+fn leaves_body_unread(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::BodyTooLarge | ResultCode::BodyTooSlow | ResultCode::Leaving | ResultCode::Overloaded
+    )
+}
+
+/// Serves new work, unless this node is leaving or full.
+async fn serve_work(
+    context: &Arc<TrafficContext>,
+    socket: &TcpStream,
+    request: Request,
+    path: &str,
+) -> Result<Response, RefusalNotice> {
+    let snapshot = context.snapshot();
+    if snapshot
+        .accept_until
+        .is_some_and(|until| clock::now().reached(until))
+    {
+        let mut notice = RefusalNotice::new(ResultCode::Leaving, &*context.own.name).retry_after_ms(0);
+        notice.use_instead = context.other_entries("");
+        return Err(notice);
+    }
+    if context.control.active_requests() >= context.settings.request_limit as u64 {
+        let mut notice = RefusalNotice::new(ResultCode::Overloaded, "").retry_after_ms(1_000);
+        notice.use_instead = context.other_entries("");
+        return Err(notice);
+    }
+    let guard = context.control.hold_request();
+    let result = match path {
+        "/v1/generate" => generate::generate(context, socket, request).await,
+        "/v1/call" => call::call(context, request).await,
+        _ => key::issue_key(context, request).await,
+    };
+    drop(guard);
+    result
+}
+
+/// Names entries for a caller, and until when it may keep them.
+fn resolve(context: &Arc<TrafficContext>, request: &Request) -> Result<Response, RefusalNotice> {
+    let query: ResolveQuery = request
+        .query()
+        .map_err(|error| RefusalNotice::new(ResultCode::BadRequestLine, error.to_string()))?;
+    let snapshot = context.snapshot();
+    let addresses = rank_entries(&snapshot.live_vms, query.zone.as_deref(), &query.caller);
+    if addresses.is_empty() {
+        return Err(RefusalNotice::new(ResultCode::Leaving, "no entry is staying").retry_after_ms(1_000));
+    }
+    let now_ms = clock::epoch_ms();
+    let addresses: Vec<&str> = addresses.iter().map(|address| &**address).collect();
+    Ok(json_answer(
+        200,
+        &serde_json::json!({
+            "addresses": addresses,
+            "now_ms": now_ms,
+            "keep_until_ms": now_ms + context.settings.resolve_keep_ms,
+        }),
+    ))
+}
--- /dev/null
+++ b/stand_ins/src/demo.rs
@@ -0,0 +1,123 @@
+//! The demonstration: a small whole system, real work through it, and the report an operator reads.
+
+use std::process::Command;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::caller::{call_body, generate, generate_body, get_key};
+use crate::fleet::{Fleet, FleetPlan};
+use crate::http;
+
+/// How long one request of the demonstration may take, in milliseconds.
+const REQUEST_LIMIT_MS: u64 = 30_000;
+
+/// How long a stream may be silent before the caller asks another entry.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// Tokens of an answer.
+const ANSWER_TOKENS: u32 = 40;
+
+/// Runs the demonstration.
+pub async fn run(requests: usize) -> std::io::Result<()> {
+    build_entry()?;
+    println!("starting: platform, 3 entries, 2 prefill and 2 decode engines, 2 booking desks");
+    let fleet = Fleet::start(FleetPlan::small()).await;
+    let entry = &fleet.entries[0].routed;
+    let resolved = http::get(entry, "/v1/resolve?caller=demo&zone=furano").await;
+    println!(
+        "resolve says: {}",
+        resolved.map_or(Value::Null, |answer| answer.body["addresses"].clone())
+    );
+    send_streams(&fleet, requests).await;
+    send_calls(&fleet, requests).await;
+    for entry in &fleet.entries {
+        println!("\n--- report of {} ---", entry.name);
+        if let Some(Value::String(report)) = http::get(&entry.address, "/v1/report")
+            .await
+            .map(|answer| answer.body)
+        {
+            print!("{report}");
+        }
+    }
+    println!("\nleaving: each entry finishes what it has and exits");
+    Ok(())
+}
+
+/// Builds the daemon, which this program needs beside itself.
+fn build_entry() -> std::io::Result<()> {
+    let mut command = Command::new(env!("CARGO"));
+    command.args([
+        "build",
+        "--quiet",
+        "--package",
+        "dotterelspan",
+        "--bin",
+        "dotterelspan",
+    ]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.status()?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(std::io::Error::other("the daemon can't be built"))
+}
+
+async fn send_streams(fleet: &Fleet, requests: usize) {
+    let entries = fleet.entry_addresses();
+    let streams = (0..requests).map(|index| {
+        let mut entries = entries.clone();
+        entries.rotate_left(index % 3);
+        async move {
+            let prompt = format!("{} pickup {index}", "kiln ash ledger ".repeat(400));
+            let body = generate_body(
+                "kitamura",
+                "ash-reader",
+                "ledger",
+                &prompt,
+                ANSWER_TOKENS,
+                REQUEST_LIMIT_MS,
+            );
+            let limit = Duration::from_millis(REQUEST_LIMIT_MS);
+            generate(&entries, &body, SILENCE, limit).await
+        }
+    });
+    let gathered = futures::future::join_all(streams).await;
+    let whole = gathered.iter().filter(|stream| stream.is_whole).count();
+    let sample: String = gathered
+        .first()
+        .map(|stream| stream.tokens.iter().take(6).cloned().collect())
+        .unwrap_or_default();
+    println!("streams: {whole} of {requests} whole, such as: {sample}...");
+}
+
+async fn send_calls(fleet: &Fleet, requests: usize) {
+    let mut booked = 0;
+    let mut found = 0;
+    for index in 0..requests {
+        let entry = &fleet.entries[index % 3].routed;
+        let other = &fleet.entries[(index + 1) % 3].routed;
+        let id = format!("pickup-{index}");
+        let lookup = call_body("kitamura", "desk", "lookup", &id, None, REQUEST_LIMIT_MS);
+        found += usize::from(
+            http::post(entry, "/v1/call", &lookup)
+                .await
+                .is_some_and(|answer| answer.status == 200),
+        );
+        let Some(key) = get_key(entry, "kitamura", "desk", "book", REQUEST_LIMIT_MS).await else {
+            continue;
+        };
+        let book = call_body("kitamura", "desk", "book", &id, Some(&key), REQUEST_LIMIT_MS);
+        // Sent twice, to two entries: it runs once, and both get the same answer.
+        let first = http::post(entry, "/v1/call", &book).await;
+        let second = http::post(other, "/v1/call", &book).await;
+        let is_same = first
+            .zip(second)
+            .is_some_and(|(first, second)| first.body["answer"] == second.body["answer"]);
+        booked += usize::from(is_same && fleet.runs_of(&id) == 1);
+    }
+    println!("lookups: {found} of {requests} answered");
+    println!("bookings: {booked} of {requests} sent twice and run once");
+}
--- /dev/null
+++ b/stand_ins/src/engine/batch.rs
@@ -0,0 +1,304 @@
+//! Decode: one step after the other for the whole batch, slower the larger it is.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_std::channel::{Receiver, Sender, bounded};
+use futures::AsyncReadExt;
+use http_types::Response;
+use serde_json::{Value, json};
+
+use super::Engine;
+use super::stream::{HEARTBEAT_EVERY, channel_answer, event_bytes, heartbeat_bytes};
+use crate::http;
+use crate::journal::now_ms;
+
+/// How long an engine with nothing to do waits before it looks again.
+const IDLE_PAUSE: Duration = Duration::from_millis(2);
+
+/// How long a transfer may bring nothing.
+const TRANSFER_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// A request that an engine decodes.
+pub struct Generation {
+    /// The request.
+    pub request: String,
+    max_tokens: u32,
+    urgent: bool,
+    state: Mutex<GenerationState>,
+}
+
+#[derive(Debug)]
+struct GenerationState {
+    digest: Option<u64>,
+    produced: u32,
+    is_over: bool,
+    error: Option<String>,
+    /// Wakes the present reader; replaced when another reader attaches.
+    reader: Option<Sender<()>>,
+    /// Counts readers, so that one knows whether it is the present one.
+    reader_number: u64,
+    detached_at_ms: Option<u64>,
+}
+
+impl Generation {
+    fn lock(&self) -> std::sync::MutexGuard<'_, GenerationState> {
+        self.state.lock().expect("no holder of this lock panics")
+    }
+
+    /// How long no one has read this stream; `None` while someone does.
+    pub fn detached_ms(&self) -> Option<u64> {
+        self.lock()
+            .detached_at_ms
+            .map(|at_ms| now_ms().saturating_sub(at_ms))
+    }
+
+    /// Ends the request.
+    pub fn cancel(&self) {
+        let mut state = self.lock();
+        state.is_over = true;
+        state.reader = None;
+    }
+
+    fn wake(&self) {
+        if let Some(reader) = &self.lock().reader {
+            // A reader that has a wake-up waiting needs no second one.
+            let _ = reader.try_send(());
+        }
+    }
+
+    fn fail(&self, reason: &str) {
+        self.lock().error = Some(reason.to_owned());
+        self.wake();
+    }
+}
+
+/// The token of a prompt at an index; the same on every engine.
+pub fn token_at(digest: u64, index: u32) -> String {
+    let mixed =
+        (digest ^ u64::from(index).wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    format!("w{:06x} ", mixed >> 40)
+}
+
+/// Starts a decode: fetches the KV cache and streams tokens.
+pub fn start(engine: &Arc<Engine>, body: &Value) -> Response {
+    let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
+    let generation = Arc::new(Generation {
+        request: text("request"),
+        max_tokens: body["max_tokens"].as_u64().unwrap_or(1) as u32,
+        urgent: body["urgent"].as_bool().unwrap_or(false),
+        state: Mutex::new(GenerationState {
+            digest: None,
+            produced: body["skip"].as_u64().unwrap_or(0) as u32,
+            is_over: false,
+            error: None,
+            reader: None,
+            reader_number: 0,
+            detached_at_ms: None,
+        }),
+    });
+    let from = generation.lock().produced;
+    engine
+        .generations
+        .lock()
+        .expect("no holder of this lock panics")
+        .insert(generation.request.clone(), generation.clone());
+    engine.journal.note(
+        "decode_began",
+        &generation.request,
+        json!({ "engine": engine.profile.name, "skip": from }),
+    );
+    async_std::task::spawn(import(
+        engine.clone(),
+        generation.clone(),
+        text("source"),
+        text("kv"),
+    ));
+    read_from(engine, &generation, from)
+}
+
+/// Fetches the KV cache; a transfer that stalls ends the request.
+async fn import(engine: Arc<Engine>, generation: Arc<Generation>, source: String, kv: String) {
+    match fetch(&source, &kv).await {
+        Some(head) if head["is_deadly"] == true => {
+            engine.journal.note(
+                "died",
+                &generation.request,
+                json!({ "engine": engine.profile.name }),
+            );
+            std::process::exit(9);
+        }
+        Some(head) => generation.lock().digest = head["digest"].as_u64(),
+        None => {
+            engine
+                .journal
+                .note("import_failed", &generation.request, Value::Null);
+            forget(&engine, &generation);
+            generation.fail("the KV cache could not be fetched");
+        }
+    }
+}
+
+async fn fetch(source: &str, kv: &str) -> Option<Value> {
+    let request = http::get_request(source, &format!("/kv/{kv}"));
+    let response = async_std::future::timeout(TRANSFER_LIMIT, http::open(source, request))
+        .await
+        .ok()?;
+    let mut response = response.filter(|response| response.status().is_success())?;
+    let mut bytes = Vec::new();
+    let body = response.take_body();
+    let mut body = body.into_reader();
+    async_std::future::timeout(TRANSFER_LIMIT, body.read_to_end(&mut bytes))
+        .await
+        .ok()?
+        .ok()?;
+    let end = bytes.iter().position(|byte| *byte == b'\n')?;
+    serde_json::from_slice(&bytes[..end]).ok()
+}
+
+/// Takes a running stream up from an index.
+pub fn attach(engine: &Arc<Engine>, body: &Value) -> Response {
+    let request = body["request"].as_str().unwrap_or_default();
+    let from = body["from"].as_u64().unwrap_or(0) as u32;
+    let found = engine
+        .generations
+        .lock()
+        .expect("no holder of this lock panics")
+        .get(request)
+        .cloned();
+    let Some(generation) = found else {
+        return http::json(404, &Value::Null);
+    };
+    engine.journal.note("attached", request, json!({ "from": from }));
+    read_from(engine, &generation, from)
+}
+
+fn forget(engine: &Engine, generation: &Generation) {
+    engine
+        .generations
+        .lock()
+        .expect("no holder of this lock panics")
+        .remove(&generation.request);
+}
+
+/// Streams a request's tokens from an index to one reader; an earlier reader's stream ends.
+fn read_from(engine: &Arc<Engine>, generation: &Arc<Generation>, from: u32) -> Response {
+    let (waker, wakes) = bounded(1);
+    let reader_number = {
+        let mut state = generation.lock();
+        state.reader = Some(waker);
+        state.reader_number += 1;
+        state.detached_at_ms = None;
+        state.reader_number
+    };
+    let (events, stream) = bounded(64);
+    let engine = engine.clone();
+    let generation = generation.clone();
+    async_std::task::spawn(async move {
+        let is_whole = feed(&engine, &generation, from, &wakes, &events).await;
+        let mut state = generation.lock();
+        if state.reader_number == reader_number {
+            state.reader = None;
+            state.detached_at_ms = Some(now_ms());
+        }
+        drop(state);
+        if is_whole {
+            forget(&engine, &generation);
+            engine.journal.note(
+                "answered",
+                &generation.request,
+                json!({ "engine": engine.profile.name }),
+            );
+        }
+    });
+    channel_answer(stream)
+}
+
+/// Sends what there is, then waits for more; whether the reader took the end.
+async fn feed(
+    engine: &Engine,
+    generation: &Generation,
+    from: u32,
+    wakes: &Receiver<()>,
+    events: &Sender<Vec<u8>>,
+) -> bool {
+    let mut next = from;
+    loop {
+        let (digest, produced, is_over, error) = {
+            let state = generation.lock();
+            (state.digest, state.produced, state.is_over, state.error.clone())
+        };
+        let id = if engine.fault().crosses {
+            "another~request"
+        } else {
+            &generation.request
+        };
+        if let Some(error) = error {
+            let event = json!({ "request": id, "error": error });
+            let _ = events.send(event_bytes(&event)).await;
+            return false;
+        }
+        if let Some(digest) = digest {
+            while next < produced {
+                let event = json!({ "request": id, "index": next, "token": token_at(digest, next) });
+                if events.send(event_bytes(&event)).await.is_err() {
+                    return false;
+                }
+                next += 1;
+            }
+            if next >= generation.max_tokens {
+                let event = json!({ "request": id, "index": next, "done": true });
+                return events.send(event_bytes(&event)).await.is_ok();
+            }
+        }
+        if is_over {
+            return false;
+        }
+        match async_std::future::timeout(HEARTBEAT_EVERY, wakes.recv()).await {
+            Ok(Ok(())) => {}
+            // Another reader has attached, or the request was cancelled.
+            Ok(Err(_)) => return false,
+            Err(_) => {
+                if events.send(heartbeat_bytes()).await.is_err() {
+                    return false;
+                }
+            }
+        }
+    }
+}
+
+/// Runs steps for as long as the process lives.
+pub async fn run_steps(engine: Arc<Engine>) {
+    loop {
+        let batch = choose_batch(&engine);
+        if batch.is_empty() {
+            async_std::task::sleep(IDLE_PAUSE).await;
+            continue;
+        }
+        let profile = &engine.profile;
+        let step_us = profile.step_us + profile.step_per_request_us * batch.len() as u64;
+        async_std::task::sleep(engine.slowed(Duration::from_micros(step_us))).await;
+        for generation in batch {
+            generation.lock().produced += 1;
+            generation.wake();
+        }
+    }
+}
+
+/// The requests of the next step: those that have tokens left, urgent ones first, as many as there are slots.
+fn choose_batch(engine: &Engine) -> Vec<Arc<Generation>> {
+    let generations = engine.generations.lock().expect("no holder of this lock panics");
+    let is_ready = |generation: &Generation| {
+        let state = generation.lock();
+        state.digest.is_some() && !state.is_over && state.produced < generation.max_tokens
+    };
+    let mut ready: Vec<Arc<Generation>> = generations
+        .values()
+        .filter(|entry| is_ready(entry))
+        .cloned()
+        .collect();
+    ready.sort_by_key(|generation| (!generation.urgent, generation.request.clone()));
+    ready.truncate(engine.profile.slots);
+    ready
+}
