Say "outcome unknown" where a repeated booking is refused before its owner was asked

Cause: the fault matrix found it (booking, kill of the key's owner, answered): the restarted owner had no register yet and refused the repeat with 2006, effect "not run", though the booking had run. Any gate before the owner of the key (no register, deadline passed, full, leaving, unreadable body) made the same false claim. A second hole by reading: a call given up unstarted went back to "issued", so a repeat still on its way could run it after "not run" was said.

Ruled out: the ledger itself; it ran once in every case.

Change: a refusal carries its own effect, which is the code's unless an earlier try may have run; calls with keys pass a leaving node's gate, since their owner may be another. A call given up unstarted ends its key for good.

--- a/src/controllers/idempotency/ledger.rs
+++ b/src/controllers/idempotency/ledger.rs
@@ -24,7 +24,7 @@
     RanAnswerGone,
     /// It was sent and its answer was lost.
     Unknown,
-    /// It was revoked before it ran.
+    /// It was revoked or given up before it ran.
     Revoked,
 }
 
@@ -130,7 +130,7 @@
         self.records.get(&serial).map(|record| record.deadline)
     }
 
-    /// Claims the right to run a key; given at most once, unless the run ends unstarted.
+    /// Claims the right to run a key; given at most once.
     pub fn claim(&mut self, serial: u64, body_hash: u64, now: Moment) -> ClaimVerdict {
         if serial >= self.next_serial {
             return refuse(ResultCode::BadKey, "it was never issued");
@@ -171,7 +171,8 @@
             return;
         }
         record.state = match outcome {
-            KeyOutcome::Unstarted(_) => KeyState::Issued,
+            // A refusal said "not run", which must stay true whatever repeats are still on their way.
+            KeyOutcome::Unstarted(_) => KeyState::Ended(StoredOutcome::Revoked),
             KeyOutcome::Unknown => KeyState::Ended(StoredOutcome::Unknown),
             KeyOutcome::Answered(answer) => {
                 self.answer_bytes += answer.body.len();
--- a/src/controllers/idempotency/mod.rs
+++ b/src/controllers/idempotency/mod.rs
@@ -53,6 +53,6 @@
     Answered(StoredAnswer),
     /// The call was sent and no whole answer came.
     Unknown,
-    /// No byte of the call left; it may be claimed again.
+    /// No byte of the call left, and none ever will.
     Unstarted(RefusalNotice),
 }
--- a/src/peers/convert.rs
+++ b/src/peers/convert.rs
@@ -72,18 +72,16 @@
         code: u32::from(notice.code.number()),
         detail: notice.detail.clone(),
         retry_after_ms: notice.retry_after_ms,
+        in_doubt: notice.effect != notice.code.entry().effect,
     }
 }
 
 fn to_refusal(frame: RefusalFrame) -> Result<RefusalNotice, InvalidFrame> {
     let number = u16::try_from(frame.code).map_err(|_| InvalidFrame)?;
     let code = ResultCode::from_number(number).ok_or(InvalidFrame)?;
-    Ok(RefusalNotice {
-        code,
-        detail: frame.detail,
-        retry_after_ms: frame.retry_after_ms,
-        use_instead: Vec::new(),
-    })
+    let mut notice = RefusalNotice::new(code, frame.detail);
+    notice.retry_after_ms = frame.retry_after_ms;
+    Ok(if frame.in_doubt { notice.in_doubt() } else { notice })
 }
 
 fn to_answer_frame(call_id: u64, answer: &Result<StoredAnswer, RefusalNotice>) -> KeyAnswerFrame {
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -233,6 +233,9 @@
     /// Milliseconds after which to come back.
     #[prost(uint64, optional, tag = "3")]
     pub retry_after_ms: Option<u64>,
+    /// Whether the code's "not run" is in doubt.
+    #[prost(bool, tag = "4")]
+    pub in_doubt: bool,
 }
 
 /// The answer to a request for slots: queued where neither field is set.
--- a/src/result_code/mod.rs
+++ b/src/result_code/mod.rs
@@ -90,7 +90,7 @@
     KeyRequired = 3001, "key_required", 428, NotRun, "This operation may run only once and came without an idempotency key.", "Ask for a key at /v1/keys and send it with the call.";
     BadKey = 3002, "bad_key", 400, NotRun, "The idempotency key is not one that its owner gave for this workspace and service.", "Send back the key exactly as received, for the same workspace and service.";
     KeyBodyDiffers = 3003, "key_body_differs", 409, NotRun, "The key has been used with a different request; this one did not run.", "Ask for another key if this is another operation.";
-    KeyRevoked = 3004, "key_revoked", 409, NotRun, "The key was revoked before it ran, so it never will.", "Ask for a new key if the operation is wanted after all.";
+    KeyRevoked = 3004, "key_revoked", 409, NotRun, "The key was revoked or given up before it ran, so it never will.", "Ask for a new key if the operation is wanted after all.";
     KeyOwnerUnreachable = 3005, "key_owner_unreachable", 504, Unknown, "The VM that alone may run this key can't be reached.", "Ask again with the same key after Retry-After seconds.";
     KeyOwnerGone = 3006, "key_owner_gone", 410, Unknown, "The process that alone could run this key is gone and left no record of it; nobody will run it now.", "Look the operation up at the service before asking for a new key.";
     OutcomeUnknown = 3007, "outcome_unknown", 502, Unknown, "The call was sent and its answer was lost; it will not be sent again.", "Look the operation up at the service before asking for a new key.";
@@ -145,6 +145,8 @@
 pub struct RefusalNotice {
     /// Why.
     pub code: ResultCode,
+    /// What it says of the work; the code's own effect, or doubt where the code can't know.
+    pub effect: RunEffect,
     /// What in particular was wrong.
     pub detail: String,
     /// When to come back, in milliseconds from now; `None` when coming back is no use.
@@ -158,6 +160,7 @@
     pub fn new(code: ResultCode, detail: impl Into<String>) -> Self {
         Self {
             code,
+            effect: code.entry().effect,
             detail: detail.into(),
             retry_after_ms: None,
             use_instead: Vec::new(),
@@ -170,13 +173,21 @@
         self
     }
 
+    /// The same refusal of a try that an earlier one may have preceded: it can't say that the work did not run.
+    pub fn in_doubt(mut self) -> Self {
+        if self.effect == RunEffect::NotRun {
+            self.effect = RunEffect::Unknown;
+        }
+        self
+    }
+
     /// The JSON object that callers receive.
     pub fn to_json(&self) -> serde_json::Value {
         let entry = self.code.entry();
         serde_json::json!({
             "code": self.code.number(),
             "name": entry.name,
-            "effect": entry.effect.as_str(),
+            "effect": self.effect.as_str(),
             "meaning": entry.meaning,
             "remedy": entry.remedy,
             "detail": self.detail,
@@ -190,7 +201,9 @@
 pub fn render_markdown() -> String {
     let mut page = String::from(
         "# Result codes\n\nMade from the table in `src/result_code/mod.rs`; a test compares the two.\n\
-         \"Effect\" says what a refusal means for the work asked for. Status `-` never reaches a caller.\n\n\
+         \"Effect\" says what a refusal means for the work asked for. Status `-` never reaches a caller.\n\
+         A call that carries an idempotency key and is refused before the key's owner was asked says \"outcome unknown\"\n\
+         in place of \"not run\", since an earlier try with the same key may have run.\n\n\
          | code | name | status | effect | meaning | what to do |\n|---|---|---|---|---|---|\n",
     );
     for entry in TABLE {
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -10,6 +10,7 @@
 use super::TrafficContext;
 use super::answer::json_answer;
 use super::request::{CallBody, check_deadline, check_workspace, hash_parts, read_json};
+use super::routes::refuse_when_leaving;
 use super::upstream::{UpstreamError, connect, post_json, read_body, send};
 use crate::clock;
 use crate::controllers::Reply;
@@ -50,8 +51,38 @@
 
 /// Serves a call to a plain service.
 pub async fn call(context: &Arc<TrafficContext>, mut request: Request) -> Result<Response, RefusalNotice> {
-    let body: CallBody = read_json(context, &mut request).await?;
+    // Until the body is read it may carry a key, and until the key's owner is asked its call may have run.
+    let body: CallBody = read_json(context, &mut request)
+        .await
+        .map_err(RefusalNotice::in_doubt)?;
+    let key = body.key.clone();
+    let checked = check_call(context, body);
+    let (call, repeat) = match key {
+        Some(_) => checked.map_err(RefusalNotice::in_doubt)?,
+        None => checked?,
+    };
+    let answer = match (repeat, key) {
+        (RepeatRule::Safe, _) => look_up(context, &call).await?,
+        (RepeatRule::Never | RepeatRule::ByKey, None) => {
+            return Err(RefusalNotice::new(ResultCode::KeyRequired, ""));
+        }
+        (RepeatRule::Never | RepeatRule::ByKey, Some(key)) => call_once(context, &call, &key).await?,
+    };
+    let payload: serde_json::Value = serde_json::from_str(&answer.body)
+        .unwrap_or_else(|_| serde_json::Value::String(answer.body.to_string()));
+    Ok(json_answer(
+        200,
+        &serde_json::json!({ "effect": "ran", "service_status": answer.status, "answer": payload }),
+    ))
+}
+
+/// Checks a call against the register.
+fn check_call(context: &TrafficContext, body: CallBody) -> Result<(CheckedCall, RepeatRule), RefusalNotice> {
     let snapshot = context.snapshot();
+    // A leaving node still passes calls with keys on, since their owner may be another one.
+    if body.key.is_none() {
+        refuse_when_leaving(context)?;
+    }
     check_workspace(&snapshot, &body.workspace)?;
     let repeat = find_operation(&snapshot.register, &body.service, &body.operation)?.repeat;
     let (_, deadline) = check_deadline(body.deadline_ms)?;
@@ -64,18 +95,7 @@
         payload: body.payload.to_string().into(),
         deadline,
     };
-    let result = match (repeat, body.key) {
-        (RepeatRule::Safe, _) => look_up(context, &call).await,
-        (RepeatRule::Never | RepeatRule::ByKey, None) => Err(RefusalNotice::new(ResultCode::KeyRequired, "")),
-        (RepeatRule::Never | RepeatRule::ByKey, Some(key)) => call_once(context, &call, &key).await,
-    };
-    let answer = result?;
-    let payload: serde_json::Value = serde_json::from_str(&answer.body)
-        .unwrap_or_else(|_| serde_json::Value::String(answer.body.to_string()));
-    Ok(json_answer(
-        200,
-        &serde_json::json!({ "effect": "ran", "service_status": answer.status, "answer": payload }),
-    ))
+    Ok((call, repeat))
 }
 
 /// How a call to one replica ended.
@@ -440,7 +460,7 @@
 
 /// The refusal of a call of which no byte has left, whatever the reason.
 fn as_not_run(notice: RefusalNotice) -> RefusalNotice {
-    if notice.code.entry().effect == RunEffect::NotRun {
+    if notice.effect == RunEffect::NotRun {
         return notice;
     }
     let refused = RefusalNotice::new(ResultCode::UpstreamUnchangedRefusal, notice.detail);
--- a/src/traffic/routes.rs
+++ b/src/traffic/routes.rs
@@ -17,6 +17,9 @@
 /// Addresses in a log line or an answer are of the caller's making, so they are cut to this length.
 const DETAIL_LIMIT: usize = 200;
 
+/// When to come back to a node that holds as many requests as it may, in milliseconds.
+const FULL_RETRY_MS: u64 = 1_000;
+
 /// What a caller says of itself when it asks for entries.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
@@ -67,6 +70,26 @@
     )
 }
 
+/// Refuses new work on a node whose answers to `resolve` have all run out.
+pub fn refuse_when_leaving(context: &TrafficContext) -> Result<(), RefusalNotice> {
+    let accept_until = context.snapshot().accept_until;
+    if accept_until.is_none_or(|until| !clock::now().reached(until)) {
+        return Ok(());
+    }
+    let mut notice = RefusalNotice::new(ResultCode::Leaving, &*context.own.name).retry_after_ms(0);
+    notice.use_instead = context.other_entries("");
+    Err(notice)
+}
+
+fn refuse_when_full(context: &TrafficContext) -> Result<(), RefusalNotice> {
+    if context.control.active_requests() < context.settings.request_limit as u64 {
+        return Ok(());
+    }
+    let mut notice = RefusalNotice::new(ResultCode::Overloaded, "").retry_after_ms(FULL_RETRY_MS);
+    notice.use_instead = context.other_entries("");
+    Err(notice)
+}
+
 /// Serves new work, unless this node is leaving or full.
 async fn serve_work(
     context: &Arc<TrafficContext>,
@@ -74,28 +97,18 @@
     request: Request,
     path: &str,
 ) -> Result<Response, RefusalNotice> {
-    let snapshot = context.snapshot();
-    if snapshot
-        .accept_until
-        .is_some_and(|until| clock::now().reached(until))
-    {
-        let mut notice = RefusalNotice::new(ResultCode::Leaving, &*context.own.name).retry_after_ms(0);
-        notice.use_instead = context.other_entries("");
-        return Err(notice);
-    }
-    if context.control.active_requests() >= context.settings.request_limit as u64 {
-        let mut notice = RefusalNotice::new(ResultCode::Overloaded, "").retry_after_ms(1_000);
-        notice.use_instead = context.other_entries("");
-        return Err(notice);
+    if path == "/v1/call" {
+        refuse_when_full(context).map_err(RefusalNotice::in_doubt)?;
+    } else {
+        refuse_when_full(context)?;
+        refuse_when_leaving(context)?;
     }
-    let guard = context.control.hold_request();
-    let result = match path {
+    let _guard = context.control.hold_request();
+    match path {
         "/v1/generate" => generate::generate(context, socket, request).await,
         "/v1/call" => call::call(context, request).await,
         _ => key::issue_key(context, request).await,
-    };
-    drop(guard);
-    result
+    }
 }
 
 /// Names entries for a caller, and until when it may keep them.
--- a/stand_ins/src/caller.rs
+++ b/stand_ins/src/caller.rs
@@ -1,5 +1,7 @@
 //! A caller: resolves, generates, resumes and calls as the callers' page says.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -144,13 +146,11 @@
         }
     }
 
-    /// Reads a stream to its end, or until `stop_after` tokens are there.
-    pub async fn read(&mut self, stream: &mut CallerStream, silence: Duration, stop_after: usize) {
-        while self.tokens.len() < stop_after {
-            let Some(event) = stream.next(silence).await else {
-                return;
-            };
+    /// Reads a stream to its end, and shows its progress.
+    pub async fn read(&mut self, stream: &mut CallerStream, silence: Duration, progress: &AtomicUsize) {
+        while let Some(event) = stream.next(silence).await {
             self.take(event);
+            progress.store(self.tokens.len(), Ordering::Relaxed);
             if self.is_whole || self.refused.is_some() {
                 return;
             }
@@ -158,36 +158,70 @@
     }
 }
 
-/// Asks any of the given entries until the answer is whole, refused for good, or the time is over.
-pub async fn generate(entries: &[String], body: &Value, silence: Duration, within: Duration) -> Gathered {
-    let until_ms = now_ms() + within.as_millis() as u64;
-    let mut gathered = Gathered::default();
-    for turn in 0.. {
-        if now_ms() >= until_ms {
-            return gathered;
+/// A caller that goes from entry to entry until its answer is whole.
+#[derive(Clone, Debug)]
+pub struct StreamCaller {
+    /// The entries that it may use, the first one first.
+    pub entries: Vec<String>,
+    /// The request.
+    pub body: Value,
+    /// How long a stream may be silent before the next entry is asked.
+    pub silence: Duration,
+    /// Tokens received so far, for others to see.
+    pub progress: Arc<AtomicUsize>,
+}
+
+impl StreamCaller {
+    /// A caller with the usual patience.
+    pub fn new(entries: Vec<String>, body: Value) -> Self {
+        Self {
+            entries,
+            body,
+            silence: Duration::from_secs(3),
+            progress: Arc::default(),
+        }
+    }
+
+    /// Asks until the answer is whole, refused for good, or the time is over.
+    pub async fn run(&self, within: Duration) -> Gathered {
+        let until_ms = now_ms() + within.as_millis() as u64;
+        let mut gathered = Gathered::default();
+        for turn in 0.. {
+            if now_ms() >= until_ms {
+                break;
+            }
+            let entry = &self.entries[turn % self.entries.len()];
+            if self.ask(entry, &mut gathered).await {
+                break;
+            }
         }
-        let entry = &entries[turn % entries.len()];
+        gathered
+    }
+
+    /// Asks one entry; whether there is nothing more to ask for.
+    async fn ask(&self, entry: &str, gathered: &mut Gathered) -> bool {
         let last_id = (!gathered.last_id.is_empty()).then(|| gathered.last_id.clone());
         gathered.resumes += u32::from(last_id.is_some());
-        match open_stream(entry, body, last_id.as_deref()).await {
+        match open_stream(entry, &self.body, last_id.as_deref()).await {
             Opened::Stream(mut stream) => {
                 gathered.refused = None;
-                gathered.read(&mut stream, silence, usize::MAX).await;
-                if gathered.is_whole || gathered.refused.is_some() {
-                    return gathered;
-                }
+                gathered.read(&mut stream, self.silence, &self.progress).await;
+                gathered.is_whole || gathered.refused.is_some()
             }
             Opened::Refused(answer) => {
                 gathered.refused = answer.body["code"].as_u64();
-                if answer.retry_after.is_none() || answer.status != 503 {
-                    return gathered;
+                let is_final = answer.retry_after.is_none() || answer.status != 503;
+                if !is_final {
+                    async_std::task::sleep(Duration::from_millis(100)).await;
                 }
-                async_std::task::sleep(Duration::from_millis(100)).await;
+                is_final
+            }
+            Opened::Nothing => {
+                async_std::task::sleep(Duration::from_millis(50)).await;
+                false
             }
-            Opened::Nothing => async_std::task::sleep(Duration::from_millis(50)).await,
         }
     }
-    gathered
 }
 
 /// Asks for an idempotency key.
--- a/stand_ins/src/demo.rs
+++ b/stand_ins/src/demo.rs
@@ -5,16 +5,13 @@
 
 use serde_json::Value;
 
-use crate::caller::{call_body, generate, generate_body, get_key};
+use crate::caller::{StreamCaller, call_body, generate_body, get_key};
 use crate::fleet::{Fleet, FleetPlan};
 use crate::http;
 
 /// How long one request of the demonstration may take, in milliseconds.
 const REQUEST_LIMIT_MS: u64 = 30_000;
 
-/// How long a stream may be silent before the caller asks another entry.
-const SILENCE: Duration = Duration::from_secs(5);
-
 /// Tokens of an answer.
 const ANSWER_TOKENS: u32 = 40;
 
@@ -81,7 +78,7 @@
                 REQUEST_LIMIT_MS,
             );
             let limit = Duration::from_millis(REQUEST_LIMIT_MS);
-            generate(&entries, &body, SILENCE, limit).await
+            StreamCaller::new(entries, body).run(limit).await
         }
     });
     let gathered = futures::future::join_all(streams).await;
--- a/stand_ins/src/engine/mod.rs
+++ b/stand_ins/src/engine/mod.rs
@@ -25,6 +25,12 @@
 /// A prompt with this word ends any decode engine that runs it.
 pub const DECODE_DEATH_WORD: &str = "query-of-death-decode";
 
+/// The tokens that every engine generates for a prompt.
+pub fn expected_tokens(prompt: &str, seed: u64, count: u32) -> Vec<String> {
+    let digest = prefill::digest(prompt, seed);
+    (0..count).map(|index| batch::token_at(digest, index)).collect()
+}
+
 /// How an engine behaves.
 #[derive(Clone, Debug)]
 pub struct EngineProfile {
--- /dev/null
+++ b/tests/fault_matrix/run_once.rs
@@ -0,0 +1,267 @@
+//! Bookings under faults: run at most once, and every word about the outcome true.
+
+use std::time::Duration;
+
+use async_std::task::{JoinHandle, block_on};
+use serde_json::{Value, json};
+use stand_ins::caller::{call_body, get_key};
+use stand_ins::fleet::{Fleet, FleetPlan, wait_for};
+use stand_ins::http::{self, Answer};
+
+use crate::table::note_proven;
+
+/// How long the caller's call may take, in milliseconds.
+const WITHIN_MS: u64 = 8_000;
+
+/// How long the service works on a booking, in milliseconds.
+const SERVICE_MS: u64 = 800;
+
+/// The booking.
+const BOOKING: &str = "pickup-of-asahikawa";
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    KillOwner,
+    KillOther,
+    PauseOwner,
+    KillService,
+    PauseService,
+    PartitionEntries,
+    SilenceServices,
+    SilencePeers,
+    CutServices,
+    DrainOwner,
+    RuleChanges,
+    CrossedAnswer,
+}
+
+/// When it goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallStep {
+    /// The key is issued, the call not sent.
+    KeyIssued,
+    /// The service has the call and works on it.
+    Running,
+    /// The service has run it and its answer is on the way or stored.
+    Answered,
+}
+
+impl CallStep {
+    pub const ALL: [Self; 3] = [Self::KeyIssued, Self::Running, Self::Answered];
+}
+
+/// Runs one fault at every step.
+pub fn run_fault(fault: CallFault, steps: &[CallStep]) {
+    for step in steps {
+        let (fault_name, step_name) = (format!("{fault:?}"), format!("{step:?}"));
+        eprintln!("case booking {fault_name} at {step_name}");
+        block_on(run_case(fault, *step));
+        note_proven(
+            "booking",
+            &fault_name,
+            &step_name,
+            "at most once, true refusals, own answer",
+        );
+    }
+}
+
+/// A booking under test. Its key belongs to entry 0; it is sent to entry 0 and, as a repeat, to entry 1.
+struct Booking {
+    fleet: Fleet,
+    key: String,
+    sent: Vec<JoinHandle<Option<Answer>>>,
+}
+
+impl Booking {
+    async fn start() -> Self {
+        let plan = FleetPlan::small().with_entry_arguments(&["--resolve-keep-ms", "500"]);
+        let fleet = Fleet::start(plan).await;
+        for service in &fleet.services {
+            http::post(&service.address, "/fault", &json!({ "before_ms": SERVICE_MS })).await;
+        }
+        let key = get_key(&fleet.entries[0].routed, "kitamura", "desk", "book", 60_000).await;
+        Self {
+            fleet,
+            key: key.expect("an entry issues a key"),
+            sent: Vec::new(),
+        }
+    }
+
+    /// Sends the booking to an entry.
+    fn send(&mut self, entry: usize) {
+        let address = self.fleet.entries[entry].routed.clone();
+        let body = call_body("kitamura", "desk", "book", BOOKING, Some(&self.key), WITHIN_MS);
+        self.sent.push(async_std::task::spawn(async move {
+            http::post(&address, "/v1/call", &body).await
+        }));
+    }
+
+    async fn reach(&mut self, step: CallStep) {
+        if step == CallStep::KeyIssued {
+            return;
+        }
+        self.send(0);
+        let event = if step == CallStep::Running {
+            "received"
+        } else {
+            "ran"
+        };
+        let fleet = &self.fleet;
+        wait_for("the service has the booking", || async {
+            fleet
+                .journals()
+                .iter()
+                .any(|line| line.event == event && line.subject == BOOKING)
+        })
+        .await;
+    }
+
+    /// The service replica that has the booking, or the first one.
+    fn service(&self) -> usize {
+        let has_it = |name: &str| {
+            self.fleet
+                .journal(name)
+                .iter()
+                .any(|line| line.subject == BOOKING)
+        };
+        let found = self
+            .fleet
+            .services
+            .iter()
+            .position(|service| has_it(&service.name));
+        found.unwrap_or(0)
+    }
+
+    async fn strike(&mut self, fault: CallFault) {
+        match fault {
+            CallFault::KillOwner => self.fleet.entries[0].process.kill(),
+            CallFault::KillOther => self.fleet.entries[2].process.kill(),
+            CallFault::PauseOwner => self.fleet.entries[0].process.pause(),
+            CallFault::KillService => {
+                let index = self.service();
+                self.fleet.services[index].process.kill();
+            }
+            CallFault::PauseService => self.fleet.services[self.service()].process.pause(),
+            CallFault::PartitionEntries => self.route_peers("partition").await,
+            CallFault::SilenceServices => self.route_services("silence").await,
+            CallFault::SilencePeers => self.route_peers("silence").await,
+            CallFault::CutServices => {
+                self.route_services("cut").await;
+                async_std::task::sleep(Duration::from_millis(100)).await;
+                self.route_services("pass").await;
+            }
+            CallFault::DrainOwner => self.fleet.entries[0].process.terminate(),
+            CallFault::RuleChanges => {
+                let text = self
+                    .fleet
+                    .register
+                    .replace("repeat = \"never\"", "repeat = \"by_key\"");
+                let revision = self.fleet.publish_text(&text).await;
+                self.fleet.wait_revision(0, revision).await;
+            }
+            CallFault::CrossedAnswer => {
+                for service in &self.fleet.services {
+                    let fault = json!({ "before_ms": SERVICE_MS, "crosses": true });
+                    http::post(&service.address, "/fault", &fault).await;
+                }
+            }
+        }
+    }
+
+    async fn route_peers(&self, mode: &str) {
+        for entry in &self.fleet.entries {
+            self.fleet.route(&entry.peer_routed, mode).await;
+        }
+    }
+
+    async fn route_services(&self, mode: &str) {
+        for service in &self.fleet.services {
+            self.fleet.route(&service.routed, mode).await;
+        }
+    }
+
+    /// Undoes what can be undone, and sends the booking again to every entry.
+    async fn settle(&mut self, fault: CallFault) -> Vec<Option<Answer>> {
+        let mut answers = Vec::new();
+        self.send(1);
+        async_std::task::sleep(Duration::from_millis(1_500)).await;
+        match fault {
+            CallFault::PauseOwner => self.fleet.entries[0].process.wake(),
+            CallFault::PauseService => self
+                .fleet
+                .services
+                .iter()
+                .for_each(|service| service.process.wake()),
+            CallFault::PartitionEntries => self.route_peers("pass").await,
+            CallFault::KillOwner => self.fleet.start_entry(0),
+            CallFault::KillService => {
+                for index in 0..self.fleet.services.len() {
+                    let name = self.fleet.services[index].name.clone();
+                    if self.fleet.services[index].process.is_started() {
+                        continue;
+                    }
+                    self.fleet.restart_upstream(&name).await;
+                }
+            }
+            _ => {}
+        }
+        for sent in std::mem::take(&mut self.sent) {
+            answers.push(sent.await);
+        }
+        for _ in 0..2 {
+            for entry in 0..self.fleet.entries.len() {
+                self.send(entry);
+            }
+            for sent in std::mem::take(&mut self.sent) {
+                answers.push(sent.await);
+            }
+        }
+        answers
+    }
+}
+
+async fn run_case(fault: CallFault, step: CallStep) {
+    let mut booking = Booking::start().await;
+    booking.reach(step).await;
+    booking.strike(fault).await;
+    let answers = booking.settle(fault).await;
+    // A paused service may still run what it has; nothing else is under way by now.
+    async_std::task::sleep(Duration::from_millis(SERVICE_MS + 500)).await;
+    let runs = booking.fleet.runs_of(BOOKING);
+    assert!(runs <= 1, "ran {runs} times: {answers:?}");
+    for answer in answers.iter().flatten() {
+        judge(answer, runs, &answers);
+    }
+    let last = answers.iter().flatten().next_back();
+    let last = last.expect("an entry that lives says something");
+    assert!(
+        is_final(last),
+        "the last word is final or says when to come back: {last:?}"
+    );
+}
+
+/// Whether an answer tells the caller all that it needs.
+fn is_final(answer: &Answer) -> bool {
+    answer.body["effect"].is_string() && (answer.status == 200 || answer.body["code"].is_u64())
+}
+
+fn judge(answer: &Answer, runs: usize, all: &[Option<Answer>]) {
+    match answer.body["effect"].as_str() {
+        Some("not run") => {
+            // A refusal about another body or an expired claim says nothing of this booking; a plain one must be true.
+            assert_eq!(runs, 0, "said not run: {answer:?} among {all:?}");
+        }
+        Some("ran") if answer.status == 200 => {
+            assert_eq!(runs, 1, "said ran: {answer:?}");
+            assert_eq!(
+                answer.body["answer"]["id"],
+                Value::from(BOOKING),
+                "its own answer: {answer:?}"
+            );
+        }
+        Some("ran") => assert_eq!(runs, 1, "said ran: {answer:?}"),
+        Some("outcome unknown") => {}
+        other => panic!("an answer says what became of the booking, not {other:?}: {answer:?}"),
+    }
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,18 +1,17 @@
 //! The whole path: resolve, a streamed generation, a lookup and a run-once call, all through separate processes.
 
-use std::time::Duration;
-
 use async_std::task::block_on;
-use stand_ins::caller::{Gathered, call_body, generate, generate_body, get_key};
+use stand_ins::caller::{Gathered, StreamCaller, call_body, generate_body, get_key};
 use stand_ins::fleet::{Fleet, FleetPlan, PATIENCE, wait_for};
 use stand_ins::http;
 
-const SILENCE: Duration = Duration::from_secs(5);
 const WITHIN_MS: u64 = 30_000;
 
 async fn run_stream(fleet: &Fleet, prompt: &str, max_tokens: u32) -> Gathered {
     let body = generate_body("kitamura", "ash-reader", "ledger", prompt, max_tokens, WITHIN_MS);
-    generate(&fleet.entry_addresses(), &body, SILENCE, PATIENCE).await
+    StreamCaller::new(fleet.entry_addresses(), body)
+        .run(PATIENCE)
+        .await
 }
 
 #[test]
