Spread a revision by announcement, and ask the next peer when content does not come

News travelled with the probes only, 500 ms a hop, and a lost answer to a request for content cost another 500 ms, always from whichever peer spoke next.

Change: a node that accepts a revision tells four peers at once, others for each revision; it remembers up to four peers that have a wanted revision and asks the next after 200 ms.

--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -1,9 +1,11 @@
 //! Which configuration is in force: the highest accepted revision seen, never an earlier one.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use super::RegisterSource;
 use super::message::PeerMessage;
+use super::rendezvous::weight;
 use crate::blackboard::RefusedRevision;
 use crate::prelude::*;
 use crate::register::parse_register;
@@ -12,7 +14,13 @@
 pub const CONFIRMATION_MS: u64 = 10_000;
 
 /// How long to wait for a peer's content before asking again.
-const CONTENT_WAIT_MS: u64 = 500;
+const CONTENT_WAIT_MS: u64 = 200;
+
+/// Peers that are remembered as having a wanted revision.
+const SOURCE_LIMIT: usize = 4;
+
+/// How many peers are told of a revision as soon as it is in force.
+const ANNOUNCE_FANOUT: usize = 4;
 
 /// How long a fresh process keeps the service's first offer back for a peer to name a higher one, in milliseconds.
 const FIRST_OFFER_WAIT_MS: u64 = 500;
@@ -32,6 +40,10 @@
     held: Option<HeldOffer>,
     /// The highest revision already judged, accepted or not.
     judged: Revision,
+    /// The highest revision that a peer has named.
+    wanted: Revision,
+    /// Peers that have it, the next one to ask first.
+    sources: VecDeque<VmAddress>,
     /// Until when content is on its way from a peer.
     wanted_until: Option<Moment>,
 }
@@ -74,7 +86,10 @@
             return;
         }
         self.judged = revision;
-        self.wanted_until = None;
+        if revision >= self.wanted {
+            self.sources.clear();
+            self.wanted_until = None;
+        }
         match parse_register(text) {
             Ok(register) => {
                 let facts = &mut turn.board.register;
@@ -86,6 +101,7 @@
                 turn.actions.push(Action::Log(format!(
                     "event=register_accepted revision={revision} source={source:?}"
                 )));
+                self.announce(turn);
             }
             Err(report) => {
                 let reasons = report.to_string();
@@ -99,18 +115,60 @@
         turn.publish();
     }
 
+    /// Tells a few peers at once, other ones for each revision, so that news does not wait for the next probes.
+    fn announce(&self, turn: &mut Turn<'_>) {
+        let revision = turn.board.register.revision;
+        let salt = format!("{}/{revision}", turn.board.own.name);
+        let mut targets: Vec<(u64, VmAddress)> = turn
+            .board
+            .live_peers(turn.now)
+            .map(|vm| (weight(&salt, &vm.name), vm.name.clone()))
+            .collect();
+        targets.sort_unstable();
+        targets.truncate(ANNOUNCE_FANOUT);
+        for (_, peer) in targets {
+            let message = PeerMessage::Heartbeat {
+                revision,
+                leaving: turn.board.drain.is_some(),
+                wants_echo: false,
+            };
+            turn.send_to(&peer, message);
+        }
+    }
+
     fn hear_of(&mut self, peer: &VmAddress, revision: Revision, turn: &mut Turn<'_>) {
         if revision == turn.board.register.revision && revision > 0 {
             turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
         }
-        let is_waiting = self
-            .wanted_until
-            .is_some_and(|deadline| !turn.now.reached(deadline));
-        if revision <= self.judged || is_waiting {
+        if revision <= self.judged || revision < self.wanted {
             return;
         }
+        if revision > self.wanted {
+            self.wanted = revision;
+            self.sources.clear();
+            self.wanted_until = None;
+        }
+        if !self.sources.contains(peer) && self.sources.len() < SOURCE_LIMIT {
+            self.sources.push_back(peer.clone());
+        }
+        self.ask_source(turn);
+    }
+
+    /// Asks a peer for the wanted content, and the next one when it does not come.
+    fn ask_source(&mut self, turn: &mut Turn<'_>) {
+        let is_waiting = self.wanted_until.is_some_and(|until| !turn.now.reached(until));
+        if is_waiting || self.wanted <= self.judged {
+            return;
+        }
+        let Some(peer) = self.sources.pop_front() else {
+            return;
+        };
         self.wanted_until = Some(turn.now.after_ms(CONTENT_WAIT_MS));
-        turn.send_to(peer, PeerMessage::RegisterWanted { revision });
+        let message = PeerMessage::RegisterWanted {
+            revision: self.wanted,
+        };
+        turn.send_to(&peer, message);
+        self.sources.push_back(peer);
     }
 
     fn pass_on(&self, peer: &VmAddress, wanted: Revision, turn: &mut Turn<'_>) {
@@ -137,7 +195,10 @@
                 RegisterSource::Service => self.offer_of_service(*revision, text, turn),
                 RegisterSource::Peer(_) => self.offer(*revision, text, source, turn),
             },
-            Event::Tick { .. } => self.release_held(None, turn),
+            Event::Tick { .. } => {
+                self.release_held(None, turn);
+                self.ask_source(turn);
+            }
             Event::RegisterConfirmed { revision } if *revision == turn.board.register.revision => {
                 turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
             }
--- /dev/null
+++ b/tests/properties/slots.rs
@@ -0,0 +1,156 @@
+//! An owner never grants more slots than there are, loses none, and serves everyone who waits.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use dotterelspan::blackboard::OwnIdentity;
+use dotterelspan::controllers::message::SlotVerdict;
+use dotterelspan::controllers::slots::{EngineGroup, GroupLedger, PlacementAsk};
+use dotterelspan::prelude::*;
+use dotterelspan::register::parse_register;
+use proptest::prelude::*;
+
+const SLOTS: u32 = 2;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(u8),
+    PrefillDone(u8),
+    Release(u8),
+    Serve,
+    Leave(bool),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (0..24u8).prop_map(Step::Ask),
+        4 => (0..24u8).prop_map(Step::PrefillDone),
+        4 => (0..24u8).prop_map(Step::Release),
+        3 => Just(Step::Serve),
+        1 => any::<bool>().prop_map(Step::Leave),
+    ];
+    proptest::collection::vec(step, 1..150)
+}
+
+fn board(leaving: bool) -> Blackboard {
+    let engine = |role: &str, index: usize, leaving: bool| {
+        format!(
+            "[[upstream]]\nname = \"{role}-{index}\"\nzone = \"z\"\naddress = \"10.0.0.{}:1\"\nkind = \"engine\"\n\
+             role = \"{role}\"\nmodel = \"m\"\nslots = {SLOTS}\nleaving = {leaving}\n",
+            index + if role == "decode" { 10 } else { 20 }
+        )
+    };
+    let text = format!(
+        "[[zone]]\nname = \"z\"\n{}{}{}{}",
+        engine("decode", 0, leaving),
+        engine("decode", 1, false),
+        engine("prefill", 0, false),
+        engine("prefill", 1, false)
+    );
+    let own = OwnIdentity {
+        name: "entry-0".into(),
+        zone: "z".into(),
+        caller_address: "c".into(),
+        peer_address: "p".into(),
+        incarnation: 1,
+    };
+    let mut board = Blackboard::new(own);
+    board.register.revision = 1 + u64::from(leaving);
+    board.register.register = Arc::new(parse_register(&text).expect("the register is good"));
+    board
+}
+
+fn ask(number: u8) -> PlacementAsk {
+    PlacementAsk {
+        request: format!("r-{number}").into(),
+        workspace: if number.is_multiple_of(3) {
+            "sadaf".into()
+        } else {
+            "kitamura".into()
+        },
+        model: "m".into(),
+        may_wait: !number.is_multiple_of(4),
+        fingerprint: u64::from(number),
+        prompt_tokens: 100,
+        max_tokens: 10,
+        prefix: Vec::new(),
+        deadline: Moment(1_000_000_000),
+        is_retry: false,
+        avoid: Vec::new(),
+    }
+}
+
+#[derive(Default)]
+struct Holders {
+    granted: HashMap<u8, String>,
+    waiting: Vec<u8>,
+}
+
+impl Holders {
+    fn take(&mut self, number: u8, verdict: SlotVerdict) {
+        match verdict {
+            SlotVerdict::Granted { decode, .. } => {
+                self.waiting.retain(|waiting| *waiting != number);
+                self.granted.insert(number, decode.to_string());
+            }
+            SlotVerdict::Queued if !self.waiting.contains(&number) => self.waiting.push(number),
+            SlotVerdict::Queued => {}
+            SlotVerdict::Refused(notice) => panic!("there is time and room: {notice:?}"),
+        }
+    }
+
+    fn check(&self, ledger: &GroupLedger) {
+        for engine in ["decode-0", "decode-1"] {
+            let held = self.granted.values().filter(|name| *name == engine).count();
+            assert!(held <= SLOTS as usize, "{engine} holds {held}");
+        }
+        assert_eq!(ledger.held() as usize, self.granted.len());
+        assert_eq!(ledger.waiting(), self.waiting.len());
+    }
+}
+
+fn serve(ledger: &mut GroupLedger, holders: &mut Holders, board: &Blackboard, now: Moment) {
+    for grant in ledger.serve_queue(board, 24, now) {
+        let number = grant.request[2..].parse().expect("requests are numbers here");
+        holders.take(number, grant.verdict);
+    }
+}
+
+proptest! {
+    #![proptest_config(crate::config(300))]
+
+    #[test]
+    fn slots_are_counted_exactly(steps in steps()) {
+        let mut ledger = GroupLedger::new(&EngineGroup::new(&"m".into(), 0));
+        let mut board = board(false);
+        let mut holders = Holders::default();
+        let mut now = Moment(1);
+        for step in steps {
+            now = now.after_ms(10);
+            match step {
+                Step::Ask(number) => {
+                    let verdict = ledger.ask(&ask(number), Some("entry-1".into()), &board, 24, now);
+                    holders.take(number, verdict);
+                }
+                Step::PrefillDone(number) => ledger.prefill_done(&ask(number).request, now),
+                Step::Release(number) => {
+                    ledger.release(&ask(number).request, 0, now);
+                    holders.granted.remove(&number);
+                    holders.waiting.retain(|waiting| *waiting != number);
+                }
+                Step::Serve => serve(&mut ledger, &mut holders, &board, now),
+                Step::Leave(leaving) => board = self::board(leaving),
+            }
+            holders.check(&ledger);
+        }
+        for _ in 0..200 {
+            now = now.after_ms(10);
+            let done: Vec<u8> = holders.granted.drain().map(|(number, _)| number).collect();
+            for number in done {
+                ledger.release(&ask(number).request, 0, now);
+            }
+            serve(&mut ledger, &mut holders, &board, now);
+        }
+        prop_assert!(ledger.is_idle(), "{} still wait", ledger.waiting());
+    }
+}
