Weigh every prefill engine, let a prompt wait for the one that has its prefix, and learn rates from busy spans

Cause: a prefill engine with two prompts was left out of the choice, so the next prompt of its family went to another engine, ran the whole prefix there and pushed other families out of that cache. The rate of an engine was learned from the time since the grant, which counts the prompt before it too.

Rates come from spans in which the engine was never idle. Upstreams are found by name in an index. Also new: the measuring rig and a measurement of what an entry adds.

--- a/src/controllers/slots/ledger.rs
+++ b/src/controllers/slots/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::prefix::{BLOCK_TOKENS, PrefixMemory};
+use super::prefix::PrefixMemory;
 use super::queue::{QUEUE_LIMIT, WaitingQueue};
 use super::{EngineGroup, PlacementAsk, RequestId, group_count, group_members};
 use crate::controllers::message::SlotVerdict;
@@ -16,6 +16,9 @@
 /// The prefill rate assumed for an engine that has none measured, in tokens a second.
 const DEFAULT_PREFILL_RATE: u64 = 8_000;
 
+/// The fewest prompt tokens from which a prefill rate is worked out.
+const RATE_SAMPLE_TOKENS: u64 = 2_000;
+
 /// A cached prefix is left for another engine only for a gain of at least this share, in percent.
 const MOVE_GAIN_PERCENT: u64 = 10;
 
@@ -52,6 +55,48 @@
     pending_tokens: u64,
     rate: u64,
     memory: PrefixMemory,
+    busy_since: Moment,
+    busy_tokens: u64,
+}
+
+impl PrefillReplica {
+    fn new() -> Self {
+        Self {
+            running: 0,
+            pending_tokens: 0,
+            rate: DEFAULT_PREFILL_RATE,
+            memory: PrefixMemory::default(),
+            busy_since: Moment::default(),
+            busy_tokens: 0,
+        }
+    }
+
+    fn begin(&mut self, tokens: u64, now: Moment) {
+        if self.running == 0 {
+            self.busy_since = now;
+            self.busy_tokens = 0;
+        }
+        self.running += 1;
+        self.pending_tokens += tokens;
+    }
+
+    /// Books a prefill's end; the rate is that of the latest span in which the engine was never idle.
+    fn end(&mut self, tokens: u64, now: Moment) {
+        self.running = self.running.saturating_sub(1);
+        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
+        self.busy_tokens += tokens;
+        let busy_ms = now.0.saturating_sub(self.busy_since.0);
+        if self.busy_tokens >= RATE_SAMPLE_TOKENS && busy_ms > 0 {
+            self.rate = smooth(self.rate, self.busy_tokens * 1_000 / busy_ms).max(1);
+            self.busy_since = now;
+            self.busy_tokens = 0;
+        }
+    }
+
+    /// The time until a prompt of so many uncached tokens would be done, in microseconds.
+    fn cost_us(&self, uncached_tokens: u64) -> u64 {
+        (self.pending_tokens + uncached_tokens) * 1_000_000 / self.rate.max(1)
+    }
 }
 
 #[derive(Debug)]
@@ -59,10 +104,10 @@
     holder: Option<VmAddress>,
     workspace: Arc<str>,
     decode: Arc<str>,
-    prefill: Option<Arc<str>>,
+    prefill: Arc<str>,
+    is_prefilling: bool,
     uncached_tokens: u64,
     is_suspect: bool,
-    granted_at: Moment,
     deadline: Moment,
 }
 
@@ -160,12 +205,9 @@
             replica.slots = slots;
         }
         for name in prefills {
-            self.prefill.entry(name.into()).or_insert_with(|| PrefillReplica {
-                running: 0,
-                pending_tokens: 0,
-                rate: DEFAULT_PREFILL_RATE,
-                memory: PrefixMemory::default(),
-            });
+            self.prefill
+                .entry(name.into())
+                .or_insert_with(PrefillReplica::new);
         }
     }
 
@@ -180,10 +222,9 @@
     ) -> SlotVerdict {
         self.sync(board, group_size);
         if let Some(lease) = self.leases.get(&ask.request) {
-            let prefill = lease.prefill.clone().unwrap_or_else(|| lease.decode.clone());
             return SlotVerdict::Granted {
                 decode: lease.decode.clone(),
-                prefill,
+                prefill: lease.prefill.clone(),
             };
         }
         if self.queue.contains(&ask.request) {
@@ -213,8 +254,9 @@
     fn has_usable(&self, board: &Blackboard, now: Moment) -> bool {
         let register = &board.register.register;
         let is_usable = |name: &Arc<str>| {
-            let engine = register.upstreams.iter().find(|engine| *engine.name == **name);
-            engine.is_some_and(|engine| board.is_usable(engine, now))
+            register
+                .upstream(name)
+                .is_some_and(|engine| board.is_usable(engine, now))
         };
         self.decode.keys().any(is_usable) && self.prefill.keys().any(is_usable)
     }
@@ -284,8 +326,7 @@
             ask.prompt_tokens
                 .saturating_sub(engine.memory.cached_tokens(&ask.prefix)),
         );
-        engine.running += 1;
-        engine.pending_tokens += uncached_tokens;
+        engine.begin(uncached_tokens, now);
         engine.memory.remember(&ask.prefix);
         self.decode.get_mut(&decode)?.held += 1;
         *self.held_by_workspace.entry(ask.workspace.clone()).or_default() += 1;
@@ -293,10 +334,10 @@
             holder,
             workspace: ask.workspace.clone(),
             decode: decode.clone(),
-            prefill: Some(prefill.clone()),
+            prefill: prefill.clone(),
+            is_prefilling: true,
             uncached_tokens,
             is_suspect,
-            granted_at: now,
             deadline: ask.deadline,
         };
         self.leases.insert(ask.request.clone(), lease);
@@ -313,11 +354,11 @@
         now: Moment,
     ) -> bool {
         let register = &board.register.register;
-        let Some(engine) = register.upstreams.iter().find(|engine| *engine.name == **name) else {
+        let Some(engine) = register.upstream(name) else {
             return false;
         };
         let has_suspect = |lease: &SlotLease| {
-            lease.is_suspect && (lease.decode == *name || lease.prefill.as_ref() == Some(name))
+            lease.is_suspect && (lease.decode == *name || (lease.is_prefilling && lease.prefill == *name))
         };
         board.is_usable(engine, now)
             && !ask.avoid.contains(name)
@@ -343,6 +384,9 @@
             .map(|(name, _)| name.clone())
     }
 
+    /// The engine that would be done first; one that has the prefix cached unless another gains enough by moving.
+    ///
+    /// `None` also where that engine has enough to do: the request waits for it.
     fn choose_prefill(
         &self,
         ask: &PlacementAsk,
@@ -353,13 +397,11 @@
         let candidates: Vec<(u64, u32, &Arc<str>)> = self
             .prefill
             .iter()
-            .filter(|(_, replica)| replica.running < PREFILLS_AT_ONCE)
             .filter(|(name, _)| self.may_take(name, ask, is_suspect, board, now))
             .map(|(name, replica)| {
                 let cached = replica.memory.cached_tokens(&ask.prefix);
                 let uncached = u64::from(ask.prompt_tokens.saturating_sub(cached));
-                let cost_us = (replica.pending_tokens + uncached) * 1_000_000 / replica.rate.max(1);
-                (cost_us, cached, name)
+                (replica.cost_us(uncached), cached, name)
             })
             .collect();
         let cheapest = candidates.iter().min()?;
@@ -368,11 +410,15 @@
             .max_by_key(|(cost_us, cached, _)| (*cached, u64::MAX - cost_us))?;
         let bound_us = cheapest.0 * (100 + MOVE_GAIN_PERCENT) / 100;
         let chosen = if best_cached.0 <= bound_us {
-            best_cached
+            best_cached.2
         } else {
-            cheapest
+            cheapest.2
         };
-        Some(chosen.2.clone())
+        let has_room = self
+            .prefill
+            .get(chosen)
+            .is_some_and(|replica| replica.running < PREFILLS_AT_ONCE);
+        has_room.then(|| chosen.clone())
     }
 
     /// Notes that a request's prefill ended, so that its engine can take the next.
@@ -380,17 +426,12 @@
         let Some(lease) = self.leases.get_mut(request) else {
             return;
         };
-        let Some(name) = lease.prefill.take() else {
-            return;
-        };
-        let Some(engine) = self.prefill.get_mut(&name) else {
+        if !std::mem::take(&mut lease.is_prefilling) {
             return;
-        };
-        engine.running = engine.running.saturating_sub(1);
-        engine.pending_tokens = engine.pending_tokens.saturating_sub(lease.uncached_tokens);
-        let elapsed_ms = now.0.saturating_sub(lease.granted_at.0);
-        if engine.running == 0 && lease.uncached_tokens >= u64::from(BLOCK_TOKENS) && elapsed_ms > 0 {
-            engine.rate = smooth(engine.rate, lease.uncached_tokens * 1_000 / elapsed_ms).max(1);
+        }
+        let uncached_tokens = lease.uncached_tokens;
+        if let Some(engine) = self.prefill.get_mut(&lease.prefill) {
+            engine.end(uncached_tokens, now);
         }
     }
 
--- a/src/register/check.rs
+++ b/src/register/check.rs
@@ -143,7 +143,7 @@
     });
     for_each_entry(root, "upstream", &UPSTREAM_FIELDS, collector, |entry| {
         if let Some(upstream) = read_upstream(entry, &mut names) {
-            register.upstreams.push(upstream);
+            register.add_upstream(upstream);
         }
     });
     register
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -118,6 +118,8 @@
     pub upstreams: Vec<Upstream>,
     /// The operations of plain services.
     pub operations: Vec<OperationRule>,
+    /// Where each upstream stands in the list, by name.
+    index: FastMap<String, usize>,
 }
 
 impl Register {
@@ -131,6 +133,17 @@
         self.classes.iter().find(|class| class.name == name)
     }
 
+    /// Adds a back end.
+    fn add_upstream(&mut self, upstream: Upstream) {
+        self.index.insert(upstream.name.clone(), self.upstreams.len());
+        self.upstreams.push(upstream);
+    }
+
+    /// The back end with this name.
+    pub fn upstream(&self, name: &str) -> Option<&Upstream> {
+        self.index.get(name).map(|index| &self.upstreams[*index])
+    }
+
     /// The operation with this name.
     pub fn operation(&self, service: &str, name: &str) -> Option<&OperationRule> {
         self.operations
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -145,11 +145,7 @@
     answer_by: Moment,
 ) -> Result<StoredAnswer, UpstreamError> {
     let snapshot = context.snapshot();
-    let upstream = snapshot
-        .register
-        .upstreams
-        .iter()
-        .find(|upstream| upstream.name == replica);
+    let upstream = snapshot.register.upstream(replica);
     let address = upstream
         .map(|upstream| upstream.address.clone())
         .unwrap_or_default();
--- a/src/traffic/generate/engine.rs
+++ b/src/traffic/generate/engine.rs
@@ -81,11 +81,7 @@
 /// The address of an engine in the register in force.
 pub fn address_of(context: &TrafficContext, engine: &str) -> Option<String> {
     let snapshot = context.snapshot();
-    let upstream = snapshot
-        .register
-        .upstreams
-        .iter()
-        .find(|upstream| upstream.name == engine)?;
+    let upstream = snapshot.register.upstream(engine)?;
     Some(upstream.address.clone())
 }
 
--- a/stand_ins/src/caller.rs
+++ b/stand_ins/src/caller.rs
@@ -67,8 +67,7 @@
         return Opened::Nothing;
     };
     if response.status().is_success() {
-        let body = response.take_body();
-        return Opened::Stream(CallerStream { body });
+        return Opened::Stream(CallerStream::new(response));
     }
     let retry_after = response
         .header("retry-after")
@@ -82,6 +81,13 @@
 }
 
 impl CallerStream {
+    /// The stream in an answer.
+    pub fn new(mut response: http_types::Response) -> Self {
+        Self {
+            body: response.take_body(),
+        }
+    }
+
     /// The next event; `None` when the stream ended, broke, or was silent for longer than the limit.
     pub async fn next(&mut self, limit: Duration) -> Option<CallerEvent> {
         let mut event = CallerEvent {
--- a/stand_ins/src/command_line.rs
+++ b/stand_ins/src/command_line.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 
 use crate::engine::EngineProfile;
+use crate::rig::{self, RigOrder, overhead};
 use crate::{demo, engine, platform, proxy, service};
 
 /// Stand-ins for what dotterelspan meets.
@@ -22,6 +23,8 @@
     Service(ServiceArguments),
     Proxy(ProxyArguments),
     Demo(DemoArguments),
+    Rig(RigArguments),
+    Overhead(OverheadArguments),
 }
 
 /// Run the platform's stand-in.
@@ -73,6 +76,9 @@
     /// how late reported load is, in ms
     #[argh(option, default = "1000")]
     report_lag_ms: u64,
+    /// time that a request is on the network, in microseconds
+    #[argh(option, default = "0")]
+    network_us: u64,
 }
 
 /// Run a plain service's stand-in.
@@ -117,6 +123,54 @@
     requests: usize,
 }
 
+/// Measure a policy: a user's whole fleet as processes, open-loop load, and the four measures of the brief.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rig")]
+struct RigArguments {
+    /// the user: kitamura or sadaf
+    #[argh(option, default = "String::from(\"kitamura\")")]
+    user: String,
+    /// policies of the entry, with commas between them
+    #[argh(
+        option,
+        default = "String::from(\"owner,random,round-robin,two-choices-reported,least-own\")"
+    )]
+    policies: String,
+    /// seeds, with commas between them
+    #[argh(option, default = "String::from(\"1,2,3\")")]
+    seeds: String,
+    /// mean load, in percent of what the decode engines can generate
+    #[argh(option, default = "90")]
+    load: u64,
+    /// how long load is offered, in seconds
+    #[argh(option, default = "15")]
+    seconds: u64,
+    /// use the daemon beside this program as it is, without building it
+    #[argh(switch)]
+    built: bool,
+    /// let one replica in ten be a straggler for moments
+    #[argh(switch)]
+    stragglers: bool,
+    /// let the load swing by three within seconds
+    #[argh(switch)]
+    swings: bool,
+}
+
+/// Measure what an entry adds: latency, processor time a token, memory a stream.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "overhead")]
+struct OverheadArguments {
+    /// streams to hold open for the memory figure
+    #[argh(option, default = "5000")]
+    streams: usize,
+}
+
+fn split<T: std::str::FromStr>(text: &str) -> Vec<T> {
+    text.split(',')
+        .filter_map(|part| part.trim().parse().ok())
+        .collect()
+}
+
 /// Reads the command line and runs the subcommand.
 pub fn run() -> ExitCode {
     let line: CommandLine = argh::from_env();
@@ -136,6 +190,20 @@
             }
             Subcommand::Proxy(arguments) => proxy::run(&arguments.control, &arguments.route).await,
             Subcommand::Demo(arguments) => demo::run(arguments.requests).await,
+            Subcommand::Overhead(arguments) => overhead::run(arguments.streams).await,
+            Subcommand::Rig(arguments) => {
+                let order = RigOrder {
+                    user: arguments.user,
+                    policies: split(&arguments.policies),
+                    seeds: split(&arguments.seeds),
+                    load_percent: arguments.load,
+                    seconds: arguments.seconds,
+                    is_built: arguments.built,
+                    has_stragglers: arguments.stragglers,
+                    has_swings: arguments.swings,
+                };
+                rig::run(&order).await
+            }
         }
     });
     match outcome {
@@ -159,6 +227,7 @@
         bytes_per_token: arguments.bytes_per_token,
         link_rate: arguments.link_rate,
         report_lag_ms: arguments.report_lag_ms,
+        network_us: arguments.network_us,
     };
     engine::run(&arguments.listen, profile, &arguments.journal).await
 }
--- a/stand_ins/src/demo.rs
+++ b/stand_ins/src/demo.rs
@@ -42,7 +42,7 @@
 }
 
 /// Builds the daemon, which this program needs beside itself.
-fn build_entry() -> std::io::Result<()> {
+pub fn build_entry() -> std::io::Result<()> {
     let mut command = Command::new(env!("CARGO"));
     command.args([
         "build",
--- a/stand_ins/src/engine/mod.rs
+++ b/stand_ins/src/engine/mod.rs
@@ -54,6 +54,8 @@
     pub link_rate: u64,
     /// How late reported load is, in milliseconds.
     pub report_lag_ms: u64,
+    /// Time that a request is on the network, in microseconds.
+    pub network_us: u64,
 }
 
 /// How an engine misbehaves.
@@ -148,6 +150,9 @@
 
 async fn answer(engine: Arc<Engine>, mut request: Request) -> Response {
     let path = request.url().path().to_owned();
+    if engine.profile.network_us > 0 {
+        async_std::task::sleep(Duration::from_micros(engine.profile.network_us)).await;
+    }
     let mut response = match (request.method(), path.as_str()) {
         (Method::Post, "/prefill") => prefill::answer(&engine, &read_json(&mut request).await),
         (Method::Post, "/decode") => batch::start(&engine, &read_json(&mut request).await),
--- a/stand_ins/src/engine/prefill.rs
+++ b/stand_ins/src/engine/prefill.rs
@@ -44,7 +44,7 @@
     pub until_ms: u64,
 }
 
-/// Blocks of prompts that need not be run again, oldest out first.
+/// Blocks of prompts that need not be run again, least recently used out first.
 #[derive(Debug, Default)]
 pub struct PrefixCache {
     limit: usize,
@@ -82,7 +82,7 @@
 
     fn add(&mut self, block: u64) {
         if !self.known.insert(block) {
-            return;
+            self.order.retain(|known| *known != block);
         }
         self.order.push_back(block);
         while self.order.len() > self.limit {
--- a/stand_ins/src/fleet/mod.rs
+++ b/stand_ins/src/fleet/mod.rs
@@ -106,7 +106,11 @@
     async fn start_upstreams(plan: FleetPlan) -> Self {
         let folder = process::make_folder();
         let platform = free_address();
-        let platform_routed = free_address();
+        let platform_routed = if plan.is_direct {
+            platform.clone()
+        } else {
+            free_address()
+        };
         let proxy = free_address();
         let mut fleet = Self {
             platform_routed,
@@ -177,6 +181,7 @@
         if self.plan.services_check_keys {
             arguments.push("--checks-keys");
         }
+        arguments.extend(self.plan.service_arguments.iter().map(String::as_str));
         Process::stand_in(&self.folder, name, &arguments)
     }
 
@@ -189,13 +194,22 @@
     fn make_upstream(&self, name: &str, address: String, process: Process) -> FleetUpstream {
         FleetUpstream {
             name: name.to_owned(),
+            routed: self.routed_before(&address),
             address,
-            routed: free_address(),
             journal: self.journal_path(name),
             process,
         }
     }
 
+    /// The address by which others reach one: the proxy's, or itself.
+    fn routed_before(&self, address: &str) -> String {
+        if self.plan.is_direct {
+            address.to_owned()
+        } else {
+            free_address()
+        }
+    }
+
     fn journal_path(&self, name: &str) -> String {
         self.folder.join(format!("{name}.journal")).display().to_string()
     }
@@ -212,6 +226,9 @@
             routes.push(format!("{}={}", entry.peer_routed, entry.peer_address));
             self.entries.push(entry);
         }
+        if self.plan.is_direct {
+            return;
+        }
         let mut arguments = vec!["proxy", "--control", &self.proxy];
         for route in &routes {
             arguments.extend(["--route", route]);
@@ -221,13 +238,14 @@
     }
 
     fn plan_entry(&self, index: usize) -> FleetEntry {
+        let (address, peer_address) = (free_address(), free_address());
         FleetEntry {
             name: format!("entry-{index}"),
             zone: self.plan.zones[index % self.plan.zones.len()].clone(),
-            address: free_address(),
-            routed: free_address(),
-            peer_address: free_address(),
-            peer_routed: free_address(),
+            routed: self.routed_before(&address),
+            address,
+            peer_routed: self.routed_before(&peer_address),
+            peer_address,
             process: Process::none(),
         }
     }
--- a/stand_ins/src/fleet/plan.rs
+++ b/stand_ins/src/fleet/plan.rs
@@ -31,6 +31,10 @@
     pub engine_arguments: Vec<String>,
     /// Slots of a decode engine.
     pub slots: u32,
+    /// Whether everything connects without the proxy between.
+    pub is_direct: bool,
+    /// More arguments for services.
+    pub service_arguments: Vec<String>,
 }
 
 impl FleetPlan {
@@ -49,6 +53,8 @@
             entry_arguments: Vec::new(),
             engine_arguments: Vec::new(),
             slots: 20,
+            is_direct: false,
+            service_arguments: Vec::new(),
         }
     }
 
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod journal;
 pub mod platform;
 pub mod proxy;
+pub mod rig;
 pub mod service;
--- /dev/null
+++ b/stand_ins/src/rig/workload.rs
@@ -0,0 +1,241 @@
+//! The users' fleets and mixes of work, drawn from a seed.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::RigOrder;
+
+/// A length of the swing's calm and crest, in milliseconds.
+const CALM_MS: u64 = 4_000;
+const CREST_MS: u64 = 2_000;
+
+/// How many times the calm load a crest is.
+const CREST_FACTOR: f64 = 3.0;
+
+/// A class of streams.
+#[derive(Clone, Debug)]
+pub struct StreamMix {
+    /// The class's name in the register.
+    pub class: &'static str,
+    /// Its share of all streams.
+    pub share: f64,
+    /// Prompts that share a prefix.
+    pub families: u64,
+    /// Tokens of the shared prefix.
+    pub prefix_tokens: u64,
+    /// Tokens of the prompt's own part, least and most.
+    pub own_tokens: (u64, u64),
+    /// Tokens of the answer, least and most.
+    pub answer_tokens: (u64, u64),
+}
+
+/// A user of the brief.
+#[derive(Clone, Debug)]
+pub struct UserProfile {
+    /// The workspace.
+    pub workspace: &'static str,
+    /// Entry VMs.
+    pub entries: usize,
+    /// Prefill engines.
+    pub prefills: usize,
+    /// Decode engines.
+    pub decodes: usize,
+    /// Replicas of the booking desk.
+    pub services: usize,
+    /// One way to a caller, in milliseconds.
+    pub caller_ms: u64,
+    /// Lookups a second.
+    pub lookups: f64,
+    /// Bookings a second.
+    pub bookings: f64,
+    /// Streams.
+    pub streams: Vec<StreamMix>,
+}
+
+impl UserProfile {
+    /// The profile with this name.
+    pub fn of(name: &str) -> std::io::Result<Self> {
+        match name {
+            "kitamura" => Ok(Self::kitamura()),
+            "sadaf" => Ok(Self::sadaf()),
+            _ => Err(std::io::Error::other("the users are kitamura and sadaf")),
+        }
+    }
+
+    /// Twelve ash-reader replicas and three desks; long ledgers against standing rules.
+    fn kitamura() -> Self {
+        Self {
+            workspace: "kitamura",
+            entries: 18,
+            prefills: 4,
+            decodes: 8,
+            services: 3,
+            caller_ms: 3,
+            lookups: 8.0,
+            bookings: 2.0,
+            streams: vec![
+                StreamMix {
+                    class: "ledger",
+                    share: 0.7,
+                    families: 6,
+                    prefix_tokens: 4_000,
+                    own_tokens: (500, 4_000),
+                    answer_tokens: (80, 240),
+                },
+                StreamMix {
+                    class: "ledger",
+                    share: 0.3,
+                    families: 40,
+                    prefix_tokens: 2_000,
+                    own_tokens: (2_000, 8_000),
+                    answer_tokens: (30, 60),
+                },
+            ],
+        }
+    }
+
+    /// Nine caption-writer replicas and three desks; short prompts and long answers.
+    fn sadaf() -> Self {
+        Self {
+            workspace: "sadaf",
+            entries: 18,
+            prefills: 3,
+            decodes: 6,
+            services: 3,
+            caller_ms: 1,
+            lookups: 20.0,
+            bookings: 4.0,
+            streams: vec![StreamMix {
+                class: "ledger",
+                share: 1.0,
+                families: 12,
+                prefix_tokens: 1_000,
+                own_tokens: (200, 2_000),
+                answer_tokens: (120, 320),
+            }],
+        }
+    }
+
+    /// The mean tokens of an answer.
+    fn mean_answer(&self) -> f64 {
+        let mean = |mix: &StreamMix| (mix.answer_tokens.0 + mix.answer_tokens.1) as f64 / 2.0;
+        self.streams.iter().map(|mix| mix.share * mean(mix)).sum()
+    }
+}
+
+/// What arrives.
+#[derive(Clone, Debug)]
+pub enum ArrivalKind {
+    /// A generation.
+    Stream {
+        /// Its class.
+        class: &'static str,
+        /// Its prompt's family.
+        family: u64,
+        /// Tokens of the shared prefix.
+        prefix_tokens: u64,
+        /// Tokens of the prompt's own part.
+        own_tokens: u64,
+        /// Tokens of the answer.
+        answer_tokens: u64,
+    },
+    /// An idempotent call.
+    Lookup,
+    /// A run-once call.
+    Booking,
+}
+
+/// A request of the trace.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// Whether it arrives at the crest of a swing.
+    pub is_crest: bool,
+    /// Which entry the caller uses.
+    pub entry: usize,
+    /// What it is.
+    pub kind: ArrivalKind,
+}
+
+/// Draws a trace whose streams need so many tokens a second on average.
+pub fn draw_arrivals(
+    profile: &UserProfile,
+    order: &RigOrder,
+    tokens_per_second: u64,
+    seed: u64,
+) -> Vec<Arrival> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let streams = tokens_per_second as f64 / profile.mean_answer();
+    let mut arrivals = Vec::new();
+    draw_kind(&mut random, order, streams, profile, &mut arrivals, draw_stream);
+    draw_kind(
+        &mut random,
+        order,
+        profile.lookups,
+        profile,
+        &mut arrivals,
+        |_, _| ArrivalKind::Lookup,
+    );
+    draw_kind(
+        &mut random,
+        order,
+        profile.bookings,
+        profile,
+        &mut arrivals,
+        |_, _| ArrivalKind::Booking,
+    );
+    arrivals.sort_by_key(|arrival| arrival.at_ms);
+    arrivals
+}
+
+/// Whether an instant lies in a crest, and the rate then, by the mean rate.
+fn rate_at(order: &RigOrder, at_ms: f64, mean: f64) -> (bool, f64) {
+    if !order.has_swings {
+        return (false, mean);
+    }
+    let period = (CALM_MS + CREST_MS) as f64;
+    let calm = mean * period / (CALM_MS as f64 + CREST_FACTOR * CREST_MS as f64);
+    let is_crest = at_ms % period >= CALM_MS as f64;
+    (is_crest, if is_crest { calm * CREST_FACTOR } else { calm })
+}
+
+fn draw_kind(
+    random: &mut SmallRng,
+    order: &RigOrder,
+    mean: f64,
+    profile: &UserProfile,
+    arrivals: &mut Vec<Arrival>,
+    draw: impl Fn(&mut SmallRng, &UserProfile) -> ArrivalKind,
+) {
+    let mut at_ms = 0.0;
+    loop {
+        let (_, rate) = rate_at(order, at_ms, mean);
+        at_ms += -f64::ln(1.0 - random.random::<f64>()) * 1_000.0 / rate;
+        if at_ms >= order.seconds as f64 * 1_000.0 {
+            return;
+        }
+        arrivals.push(Arrival {
+            at_ms: at_ms as u64,
+            is_crest: rate_at(order, at_ms, mean).0,
+            entry: random.random_range(0..profile.entries),
+            kind: draw(random, profile),
+        });
+    }
+}
+
+fn draw_stream(random: &mut SmallRng, profile: &UserProfile) -> ArrivalKind {
+    let mut left = random.random::<f64>();
+    let found = profile.streams.iter().find(|mix| {
+        left -= mix.share;
+        left <= 0.0
+    });
+    let mix = found.unwrap_or(&profile.streams[0]);
+    ArrivalKind::Stream {
+        class: mix.class,
+        family: random.random_range(0..mix.families) + 1_000 * mix.families,
+        prefix_tokens: mix.prefix_tokens,
+        own_tokens: random.random_range(mix.own_tokens.0..=mix.own_tokens.1),
+        answer_tokens: random.random_range(mix.answer_tokens.0..=mix.answer_tokens.1),
+    }
+}
--- a/tests/properties/keys.rs
+++ b/tests/properties/keys.rs
@@ -252,7 +252,7 @@
             network.event(*at, &Event::PeerUnreachable { vm });
         }
         Step::RunEnds { pick, how } => history.end_run(network, *pick, *how),
-        Step::Pass(span_ms) => network.pass(*span_ms, &[false; NODES]),
+        Step::Pass(span_ms) => network.pass(*span_ms),
         Step::Restart(node) => {
             network.restart(*node);
             history.tickets.retain(|(at, _), _| at != node);
--- a/tests/properties/network.rs
+++ b/tests/properties/network.rs
@@ -142,13 +142,11 @@
         self.event(flight.to, &event);
     }
 
-    /// Lets time pass on all nodes but the paused ones.
-    pub fn pass(&mut self, span_ms: u64, paused: &[bool]) {
+    /// Lets time pass on all nodes.
+    pub fn pass(&mut self, span_ms: u64) {
         self.now = self.now.after_ms(span_ms);
         for index in 0..self.cores.len() {
-            if !paused[index] {
-                self.event(index, &Event::Tick { active_requests: 0 });
-            }
+            self.event(index, &Event::Tick { active_requests: 0 });
         }
     }
 }
--- a/tests/properties/revisions.rs
+++ b/tests/properties/revisions.rs
@@ -42,7 +42,7 @@
         let mut highest = [0; 4];
         for (node, revision, pick, is_lost) in offers {
             offer(&mut network, node, revision);
-            network.pass(300, &[false; 4]);
+            network.pass(300);
             if !network.flights.is_empty() {
                 let index = pick % network.flights.len();
                 let flight = network.flights.remove(index).expect("the index is in range");
@@ -69,12 +69,12 @@
 fn spread(first: usize, seed: u64) -> Vec<u64> {
     let mut network = Network::new(NODES);
     offer(&mut network, first, 1);
-    network.pass(600, &[false; NODES]);
+    network.pass(600);
     offer(&mut network, first, 2);
     let began = network.now;
     let mut random = SmallRng::seed_from_u64(seed);
     while network.now.0 < began.0 + IN_FORCE_MS {
-        network.pass(HOP_MS, &[false; NODES]);
+        network.pass(HOP_MS);
         let flights: Vec<_> = network.flights.drain(..).collect();
         for flight in flights {
             // One message in eight is lost.
