Serve first what can still meet the first token's target, the newest of it under overload

Change: oldest first while none is late, newest first once some are; the release of a slot carries the time from prefill to first token.

--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::idempotency::{HandoffRecord, StoredAnswer};
-use super::slots::{EngineGroup, PlacementAsk, RequestId};
+use super::slots::{EngineGroup, PlacementAsk, PlacementResult, RequestId};
 use crate::blackboard::{Fingerprint, Incarnation};
 use crate::prelude::*;
 
@@ -129,8 +129,8 @@
         group: EngineGroup,
         /// Which request.
         request: RequestId,
-        /// The time between tokens that it saw, in microseconds; zero where it saw none.
-        pace_us: u64,
+        /// How it went.
+        result: PlacementResult,
     },
     /// A request was running on an upstream as it died.
     Strike {
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -1,8 +1,8 @@
 //! Both sides of a slot exchange on one node: asks the owner for its own requests, and answers as an owner.
 
 use super::{
-    EngineGroup, GroupLedger, LocalChooser, PlacementAsk, PlacementGrant, PlacementPolicy, RequestId,
-    group_count,
+    EngineGroup, GroupLedger, LocalChooser, PlacementAsk, PlacementGrant, PlacementPolicy, PlacementResult,
+    RequestId, group_count,
 };
 use crate::controllers::Reply;
 use crate::controllers::membership::SUSPICION_MS;
@@ -275,9 +275,9 @@
             PeerMessage::SlotRelease {
                 group,
                 request,
-                pace_us,
+                result,
             } => {
-                self.ledgers.get_mut(group)?.release(request, *pace_us, now);
+                self.ledgers.get_mut(group)?.release(request, *result, now);
                 Some(group.clone())
             }
             _ => None,
@@ -297,7 +297,7 @@
         }
     }
 
-    fn finish(&mut self, request: &RequestId, pace_us: u64, turn: &mut Turn<'_>) {
+    fn finish(&mut self, request: &RequestId, result: PlacementResult, turn: &mut Turn<'_>) {
         let owner = if let Some(lease) = self.active.remove(request) {
             for name in [&lease.grant.decode, &lease.grant.prefill] {
                 let facts = turn.board.upstream_mut(name);
@@ -311,7 +311,7 @@
             None
         };
         if let Some((key, owner)) = owner {
-            let message = release_of(&key, request, pace_us);
+            let message = release_of(&key, request, result);
             self.tell_owner(&key, &owner, message, turn);
         }
     }
@@ -375,7 +375,7 @@
         let holds_it = self.active.get(request).and_then(|lease| lease.owner.as_ref());
         let is_held = holds_it.is_some_and(|(_, owner)| owner == from);
         if matches!(verdict, SlotVerdict::Granted { .. }) && !is_held {
-            turn.send_to(from, release_of(key, request, 0));
+            turn.send_to(from, release_of(key, request, PlacementResult::default()));
         }
     }
 
@@ -400,7 +400,7 @@
         };
         if turn.now.reached(pending.ask.deadline) {
             let ticket = pending.ticket;
-            self.finish(request, 0, turn);
+            self.finish(request, PlacementResult::default(), turn);
             let notice = RefusalNotice::new(ResultCode::QueueTimeout, "the deadline came while it waited");
             turn.actions.push(Action::Reply {
                 ticket,
@@ -415,7 +415,10 @@
             };
             let group = pending.groups.first().copied().unwrap_or(0);
             let key = EngineGroup::new(&pending.ask.model, group);
-            turn.send_to(&pending.owner, release_of(&key, request, 0));
+            turn.send_to(
+                &pending.owner,
+                release_of(&key, request, PlacementResult::default()),
+            );
             self.give_up_owner(&pending.owner, turn);
             self.choose_alone(pending.ticket, &pending.ask, PlacementPolicy::Owner, turn);
             return;
@@ -426,7 +429,7 @@
         let old_owner = pending.owner.clone();
         let owner = self.owner_of(&key, turn);
         if owner != old_owner {
-            let message = release_of(&key, request, 0);
+            let message = release_of(&key, request, PlacementResult::default());
             self.tell_owner(&key, &old_owner, message, turn);
             if let Some(pending) = self.pending.get_mut(request) {
                 pending.owner = owner.clone();
@@ -465,11 +468,11 @@
     }
 }
 
-fn release_of(key: &EngineGroup, request: &RequestId, pace_us: u64) -> PeerMessage {
+fn release_of(key: &EngineGroup, request: &RequestId, result: PlacementResult) -> PeerMessage {
     PeerMessage::SlotRelease {
         group: key.clone(),
         request: request.clone(),
-        pace_us,
+        result,
     }
 }
 
@@ -483,7 +486,7 @@
             Event::PlacementWanted { ticket, ask } => self.place(*ticket, ask, turn),
             Event::PrefillDone { request } => self.finish_prefill(request, turn),
             Event::PlacementDone { request, result } => {
-                self.finish(request, result.pace_us, turn);
+                self.finish(request, *result, turn);
             }
             Event::LoadReported { upstream, load } => turn.board.upstream_mut(upstream).reported_load = *load,
             Event::PeerMessage { from, message, .. } => match message {
--- a/src/controllers/slots/ledger.rs
+++ b/src/controllers/slots/ledger.rs
@@ -4,7 +4,7 @@
 
 use super::prefix::PrefixMemory;
 use super::queue::{QUEUE_LIMIT, WaitingQueue};
-use super::{EngineGroup, PlacementAsk, RequestId, group_count, group_members};
+use super::{EngineGroup, PlacementAsk, PlacementResult, RequestId, group_count, group_members};
 use crate::controllers::message::SlotVerdict;
 use crate::controllers::services::smooth;
 use crate::prelude::*;
@@ -22,6 +22,9 @@
 /// A cached prefix is left for another engine only for a gain of at least this share, in percent.
 const MOVE_GAIN_PERCENT: u64 = 10;
 
+/// The users' target for the first token, in milliseconds.
+const FIRST_TOKEN_TARGET_MS: u64 = 520;
+
 /// The span over which completions are counted, in milliseconds.
 const RATE_WINDOW_MS: u64 = 2_000;
 
@@ -147,6 +150,8 @@
     held_by_workspace: FastMap<Arc<str>, u32>,
     queue: WaitingQueue,
     completions: CompletionRate,
+    /// The time from a prefill's end to the first token, in milliseconds.
+    handover_ms: u64,
 }
 
 impl GroupLedger {
@@ -161,6 +166,7 @@
             held_by_workspace: FastMap::default(),
             queue: WaitingQueue::default(),
             completions: CompletionRate::default(),
+            handover_ms: 0,
         }
     }
 
@@ -247,7 +253,7 @@
             let notice = RefusalNotice::new(ResultCode::QueueFull, format!("{ahead} requests wait"));
             return SlotVerdict::Refused(notice.retry_after_ms(self.retry_ms(ahead)));
         }
-        self.queue.push(ask.clone(), holder);
+        self.queue.push(ask.clone(), holder, now);
         SlotVerdict::Queued
     }
 
@@ -270,8 +276,8 @@
         wait_ms.clamp(RETRY_RANGE_MS.0, RETRY_RANGE_MS.1)
     }
 
-    /// The time that the engines need for a request once it has its slots, in milliseconds.
-    fn service_ms(&self, ask: &PlacementAsk) -> u64 {
+    /// The time that the fastest engine needs for a prompt, in milliseconds.
+    fn prefill_ms(&self, ask: &PlacementAsk) -> u64 {
         let fastest = self
             .prefill
             .values()
@@ -284,14 +290,18 @@
             .map(|replica| replica.memory.cached_tokens(&ask.prefix))
             .max();
         let uncached = ask.prompt_tokens.saturating_sub(cached.unwrap_or(0));
-        let prefill_ms = u64::from(uncached) * 1_000 / fastest.max(1);
+        u64::from(uncached) * 1_000 / fastest.max(1)
+    }
+
+    /// The time that the engines need for a request once it has its slots, in milliseconds.
+    fn service_ms(&self, ask: &PlacementAsk) -> u64 {
         let pace_us = self
             .decode
             .values()
             .map(|replica| replica.pace_us)
             .filter(|pace| *pace > 0)
             .min();
-        prefill_ms + pace_us.unwrap_or(0) * u64::from(ask.max_tokens) / 1_000
+        self.prefill_ms(ask) + pace_us.unwrap_or(0) * u64::from(ask.max_tokens) / 1_000
     }
 
     /// A refusal when the request can't be whole by its deadline, before any prefill is spent.
@@ -436,20 +446,23 @@
     }
 
     /// Takes a request's slots back, or takes it out of the queue.
-    pub fn release(&mut self, request: &RequestId, pace_us: u64, now: Moment) {
+    pub fn release(&mut self, request: &RequestId, result: PlacementResult, now: Moment) {
         self.queue.remove(request);
         self.prefill_done(request, now);
         let Some(lease) = self.leases.remove(request) else {
             return;
         };
         self.completions.note(now);
+        if result.handover_ms > 0 {
+            self.handover_ms = smooth(self.handover_ms, result.handover_ms);
+        }
         if let Some(held) = self.held_by_workspace.get_mut(&lease.workspace) {
             *held = held.saturating_sub(1);
         }
         if let Some(replica) = self.decode.get_mut(&lease.decode) {
             replica.held = replica.held.saturating_sub(1);
-            if pace_us > 0 {
-                replica.pace_us = smooth(replica.pace_us, pace_us);
+            if result.pace_us > 0 {
+                replica.pace_us = smooth(replica.pace_us, result.pace_us);
             }
         }
     }
@@ -463,7 +476,7 @@
             .map(|(request, _)| request.clone())
             .collect();
         for request in over {
-            self.release(&request, 0, now);
+            self.release(&request, PlacementResult::default(), now);
         }
         self.queue
             .take_where(|waiting| waiting.holder.as_ref().is_some_and(&is_gone));
@@ -476,7 +489,12 @@
             return Vec::new();
         }
         let mut grants = self.give_up_late(now);
-        self.queue.sort(&self.held_by_workspace);
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.sort(&self.held_by_workspace, |waiting| {
+            let first_token_ms = self.prefill_ms(&waiting.ask) + self.handover_ms;
+            now.0 + first_token_ms > waiting.asked_at.0 + FIRST_TOKEN_TARGET_MS
+        });
+        self.queue = queue;
         let waiting: Vec<_> = self.queue.iter().cloned().collect();
         for entry in waiting {
             let Some(verdict) = self.place(&entry.ask, entry.holder.clone(), board, now) else {
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -61,8 +61,10 @@
 }
 
 /// How a placed attempt went.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementResult {
     /// The mean time between its tokens, in microseconds; zero where there were too few.
     pub pace_us: u64,
+    /// The time from the prefill's end to the first token, in milliseconds; zero where there was none.
+    pub handover_ms: u64,
 }
--- a/src/controllers/slots/queue.rs
+++ b/src/controllers/slots/queue.rs
@@ -1,4 +1,5 @@
-//! Requests that wait for slots: urgent classes first, then the workspace that holds least, then the oldest.
+//! Requests that wait for slots: urgent classes first, then those that can still meet the first token's target, then
+//! the workspace that holds least, then the oldest.
 
 use std::sync::Arc;
 
@@ -15,6 +16,10 @@
     pub ask: PlacementAsk,
     /// The VM that holds the request; `None` for the owner itself.
     pub holder: Option<VmAddress>,
+    /// When it was asked for.
+    pub asked_at: Moment,
+    /// Whether its first token can't come in time any more.
+    is_late: bool,
     order: u64,
 }
 
@@ -45,16 +50,18 @@
     pub fn ahead_of(&self, may_wait: bool) -> usize {
         self.waiting
             .iter()
-            .filter(|waiting| may_wait || !waiting.ask.may_wait)
+            .filter(|waiting| !waiting.ask.may_wait || (may_wait && !waiting.is_late))
             .count()
     }
 
     /// Lets a request wait.
-    pub fn push(&mut self, ask: PlacementAsk, holder: Option<VmAddress>) {
+    pub fn push(&mut self, ask: PlacementAsk, holder: Option<VmAddress>, now: Moment) {
         self.next_order += 1;
         self.waiting.push(WaitingAsk {
             ask,
             holder,
+            asked_at: now,
+            is_late: false,
             order: self.next_order,
         });
     }
@@ -72,13 +79,30 @@
     }
 
     /// Puts the requests into the order in which they are to be served.
-    pub fn sort(&mut self, held_by_workspace: &FastMap<Arc<str>, u32>) {
+    ///
+    /// While none is late the oldest comes first. Once some are, there is more work than slots: the newest of the
+    /// others comes first, since the oldest would only just miss its target after waiting for it.
+    pub fn sort(
+        &mut self,
+        held_by_workspace: &FastMap<Arc<str>, u32>,
+        is_late: impl Fn(&WaitingAsk) -> bool,
+    ) {
+        for waiting in &mut self.waiting {
+            waiting.is_late = is_late(waiting);
+        }
+        let is_overloaded = self.waiting.iter().any(|waiting| waiting.is_late);
         self.waiting.sort_by_key(|waiting| {
             let held = held_by_workspace
                 .get(&waiting.ask.workspace)
                 .copied()
                 .unwrap_or(0);
-            (waiting.ask.may_wait, held, waiting.order)
+            let takes_newest = is_overloaded && !waiting.is_late;
+            let order = if takes_newest {
+                u64::MAX - waiting.order
+            } else {
+                waiting.order
+            };
+            (waiting.ask.may_wait, waiting.is_late, held, order)
         });
     }
 
--- a/src/peers/convert.rs
+++ b/src/peers/convert.rs
@@ -6,7 +6,7 @@
 use crate::blackboard::Incarnation;
 use crate::controllers::idempotency::{HandoffRecord, HandoffState, StoredAnswer, StoredOutcome};
 use crate::controllers::message::{KeyCall, PeerMessage, SlotVerdict, VmIntroduction};
-use crate::controllers::slots::{EngineGroup, PlacementAsk};
+use crate::controllers::slots::{EngineGroup, PlacementAsk, PlacementResult};
 use crate::prelude::*;
 
 /// A frame that can't be read as a message.
@@ -271,11 +271,12 @@
     })
 }
 
-fn to_release_frame(group: &EngineGroup, request: &str, pace_us: u64) -> SlotReleaseFrame {
+fn to_release_frame(group: &EngineGroup, request: &str, result: PlacementResult) -> SlotReleaseFrame {
     SlotReleaseFrame {
         group: to_group_frame(group),
         request: request.to_owned(),
-        pace_us,
+        pace_us: result.pace_us,
+        handover_ms: result.handover_ms,
     }
 }
 
@@ -309,13 +310,13 @@
             verdict,
         } => FrameBody::SlotAnswer(to_slot_answer_frame(group, request, verdict)),
         PeerMessage::SlotPrefillDone { group, request } => {
-            FrameBody::SlotPrefillDone(to_release_frame(group, request, 0))
+            FrameBody::SlotPrefillDone(to_release_frame(group, request, PlacementResult::default()))
         }
         PeerMessage::SlotRelease {
             group,
             request,
-            pace_us,
-        } => FrameBody::SlotRelease(to_release_frame(group, request, *pace_us)),
+            result,
+        } => FrameBody::SlotRelease(to_release_frame(group, request, *result)),
         PeerMessage::Strike {
             fingerprint,
             upstream,
@@ -368,7 +369,10 @@
         FrameBody::SlotRelease(frame) => Ok(PeerMessage::SlotRelease {
             group: to_group(frame.group)?,
             request: frame.request.into(),
-            pace_us: frame.pace_us,
+            result: PlacementResult {
+                pace_us: frame.pace_us,
+                handover_ms: frame.handover_ms,
+            },
         }),
         FrameBody::Strike(frame) => Ok(PeerMessage::Strike {
             fingerprint: frame.fingerprint,
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -270,6 +270,9 @@
     /// Time between tokens, in microseconds.
     #[prost(uint64, tag = "3")]
     pub pace_us: u64,
+    /// Time from the prefill's end to the first token, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub handover_ms: u64,
 }
 
 /// A request was running on an upstream as it died.
--- a/src/traffic/generate/attempt.rs
+++ b/src/traffic/generate/attempt.rs
@@ -7,6 +7,7 @@
 use super::placement::Placement;
 use super::session::StreamSession;
 use super::token::TokenMaker;
+use crate::clock;
 use crate::controllers::slots::RequestId;
 use crate::traffic::sse::StreamItem;
 use crate::traffic::upstream::UpstreamError;
@@ -74,6 +75,7 @@
             Err(end) => return end,
         };
         placement.finish_prefill();
+        self.prefilled_at = Some(clock::now());
         let kv = (exported.address.as_str(), exported.name.as_str());
         let decode = &placement.grant.decode;
         let skip = self.delivered;
@@ -94,7 +96,7 @@
         {
             self.cancel_later(prefill, &placement.request);
         }
-        placement.note_pace(self.pace_us());
+        placement.note_result(self.result());
         end
     }
 
--- a/src/traffic/generate/placement.rs
+++ b/src/traffic/generate/placement.rs
@@ -1,7 +1,6 @@
 //! The engines of one attempt, given back when the attempt ends in whatever way.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
 use crate::clock;
 use crate::controllers::Reply;
@@ -17,7 +16,7 @@
     pub request: RequestId,
     /// The engines.
     pub grant: PlacementGrant,
-    pace_us: AtomicU64,
+    result: Mutex<PlacementResult>,
 }
 
 /// Gives up a request's place in the queue, or its slots, unless it is disarmed.
@@ -32,7 +31,7 @@
         if self.is_armed {
             self.context.control.tell(Event::PlacementDone {
                 request: self.request.clone(),
-                result: PlacementResult { pace_us: 0 },
+                result: PlacementResult::default(),
             });
         }
     }
@@ -78,7 +77,7 @@
                     context: context.clone(),
                     request,
                     grant,
-                    pace_us: AtomicU64::default(),
+                    result: Mutex::default(),
                 })
             }
             Some(Reply::Refused(notice)) => Err(notice),
@@ -89,9 +88,11 @@
         }
     }
 
-    /// Notes the mean time between tokens, in microseconds.
-    pub fn note_pace(&self, pace_us: u64) {
-        self.pace_us.store(pace_us, Ordering::Relaxed);
+    /// Notes how the attempt went.
+    pub fn note_result(&self, result: PlacementResult) {
+        if let Ok(mut noted) = self.result.lock() {
+            *noted = result;
+        }
     }
 
     /// Tells the owner that the prefill engine can take its next prompt.
@@ -106,9 +107,10 @@
     fn drop(&mut self) {
         self.context.control.tell(Event::PlacementDone {
             request: self.request.clone(),
-            result: PlacementResult {
-                pace_us: self.pace_us.load(Ordering::Relaxed),
-            },
+            result: self
+                .result
+                .lock()
+                .map_or_else(|_| PlacementResult::default(), |result| *result),
         });
     }
 }
--- a/src/traffic/generate/session.rs
+++ b/src/traffic/generate/session.rs
@@ -13,6 +13,7 @@
 use super::placement::Placement;
 use super::token::TokenMaker;
 use crate::clock;
+use crate::controllers::slots::PlacementResult;
 use crate::prelude::*;
 use crate::runtime::RequestGuard;
 use crate::traffic::TrafficContext;
@@ -33,6 +34,8 @@
     pub(super) delivered: u32,
     /// What runs on engines for this stream.
     pub(super) running: Option<RunningAttempt>,
+    /// When the present attempt's prefill ended.
+    pub(super) prefilled_at: Option<Moment>,
     sender: Sender<Vec<u8>>,
     skipped: u32,
     accepted_at: Moment,
@@ -55,6 +58,7 @@
             work: work.clone(),
             delivered: skip,
             running: None,
+            prefilled_at: None,
             sender,
             skipped: skip,
             accepted_at,
@@ -150,8 +154,17 @@
         async_std::task::spawn(async move { engine::cancel(&context, &engine, &request).await });
     }
 
+    /// How the stream has gone so far, for the owner of its engines.
+    pub(super) fn result(&self) -> PlacementResult {
+        let handover = self.prefilled_at.zip(self.first_token_at);
+        PlacementResult {
+            pace_us: self.pace_us(),
+            handover_ms: handover.map_or(0, |(prefilled, first)| prefilled.until_ms(first)),
+        }
+    }
+
     /// The mean time between the tokens of this stream, in microseconds; zero where there were too few.
-    pub(super) fn pace_us(&self) -> u64 {
+    fn pace_us(&self) -> u64 {
         let Some(first) = self.first_token_at else {
             return 0;
         };
--- a/tests/properties/slots.rs
+++ b/tests/properties/slots.rs
@@ -5,7 +5,7 @@
 
 use dotterelspan::blackboard::OwnIdentity;
 use dotterelspan::controllers::message::SlotVerdict;
-use dotterelspan::controllers::slots::{EngineGroup, GroupLedger, PlacementAsk};
+use dotterelspan::controllers::slots::{EngineGroup, GroupLedger, PlacementAsk, PlacementResult};
 use dotterelspan::prelude::*;
 use dotterelspan::register::parse_register;
 use proptest::prelude::*;
@@ -134,7 +134,7 @@
                 }
                 Step::PrefillDone(number) => ledger.prefill_done(&ask(number).request, now),
                 Step::Release(number) => {
-                    ledger.release(&ask(number).request, 0, now);
+                    ledger.release(&ask(number).request, PlacementResult::default(), now);
                     holders.granted.remove(&number);
                     holders.waiting.retain(|waiting| *waiting != number);
                 }
@@ -147,7 +147,7 @@
             now = now.after_ms(10);
             let done: Vec<u8> = holders.granted.drain().map(|(number, _)| number).collect();
             for number in done {
-                ledger.release(&ask(number).request, 0, now);
+                ledger.release(&ask(number).request, PlacementResult::default(), now);
             }
             serve(&mut ledger, &mut holders, &board, now);
         }
