--- a/src/controllers/slots/ledger.rs
+++ b/src/controllers/slots/ledger.rs
@@ -16,9 +16,6 @@
 /// The prefill rate assumed for an engine that has none measured, in tokens a second.
 const DEFAULT_PREFILL_RATE: u64 = 8_000;
 
-/// Requests that a replica may be given beyond its slots, when a slot is expected to be free as the prefill ends.
-const BOOKED_AHEAD: u32 = 2;
-
 /// The fewest prompt tokens from which a prefill rate is worked out.
 const RATE_SAMPLE_TOKENS: u64 = 2_000;
 
@@ -114,8 +111,6 @@
     is_prefilling: bool,
     uncached_tokens: u64,
     is_suspect: bool,
-    /// When its last token is expected.
-    busy_until: Moment,
     deadline: Moment,
 }
 
@@ -334,10 +329,8 @@
         now: Moment,
     ) -> Option<SlotVerdict> {
         let is_suspect = board.is_suspect(ask.fingerprint, now);
+        let decode = self.choose_decode(ask, is_suspect, board, now)?;
         let prefill = self.choose_prefill(ask, is_suspect, board, now)?;
-        let prefill_ms = self.prefill_end_ms(ask, &prefill);
-        let free_by = now.after_ms(prefill_ms);
-        let decode = self.choose_decode(ask, is_suspect, free_by, board, now)?;
         let engine = self.prefill.get_mut(&prefill)?;
         let uncached_tokens = u64::from(
             ask.prompt_tokens
@@ -345,9 +338,7 @@
         );
         engine.begin(uncached_tokens, now);
         engine.memory.remember(&ask.prefix);
-        let replica = self.decode.get_mut(&decode)?;
-        replica.held += 1;
-        let decode_ms = replica.pace_us * u64::from(ask.max_tokens) / 1_000;
+        self.decode.get_mut(&decode)?.held += 1;
         *self.held_by_workspace.entry(ask.workspace.clone()).or_default() += 1;
         let lease = SlotLease {
             holder,
@@ -357,7 +348,6 @@
             is_prefilling: true,
             uncached_tokens,
             is_suspect,
-            busy_until: free_by.after_ms(decode_ms),
             deadline: ask.deadline,
         };
         self.leases.insert(ask.request.clone(), lease);
@@ -385,45 +375,17 @@
             && !(is_suspect && self.leases.values().any(has_suspect))
     }
 
-    /// The time until a prompt's prefill would be done at an engine, in milliseconds.
-    fn prefill_end_ms(&self, ask: &PlacementAsk, prefill: &Arc<str>) -> u64 {
-        let Some(engine) = self.prefill.get(prefill) else {
-            return 0;
-        };
-        let uncached = ask
-            .prompt_tokens
-            .saturating_sub(engine.memory.cached_tokens(&ask.prefix));
-        engine.cost_us(u64::from(uncached)) / 1_000
-    }
-
-    /// Requests of a replica that are expected to have ended by an instant.
-    fn ended_by(&self, name: &Arc<str>, instant: Moment) -> u32 {
-        let is_ended = |lease: &&SlotLease| lease.decode == *name && instant.reached(lease.busy_until);
-        self.leases.values().filter(is_ended).count() as u32
-    }
-
-    /// Whether a replica has a slot now, or is expected to have one when the prefill ends.
-    fn has_slot(&self, name: &Arc<str>, replica: &DecodeReplica, free_by: Moment) -> bool {
-        if replica.held < replica.slots {
-            return true;
-        }
-        replica.held < replica.slots + BOOKED_AHEAD
-            && replica.held - self.ended_by(name, free_by).min(replica.held) < replica.slots
-    }
-
-    /// The least loaded replica, weighed by its pace, that has a slot when the prefill ends.
     fn choose_decode(
         &self,
         ask: &PlacementAsk,
         is_suspect: bool,
-        free_by: Moment,
         board: &Blackboard,
         now: Moment,
     ) -> Option<Arc<str>> {
         let known_pace = |replica: &DecodeReplica| replica.pace_us.max(1);
         self.decode
             .iter()
-            .filter(|(name, replica)| self.has_slot(name, replica, free_by))
+            .filter(|(_, replica)| replica.held < replica.slots)
             .filter(|(name, _)| self.may_take(name, ask, is_suspect, board, now))
             .min_by_key(|(name, replica)| {
                 let load = u64::from(replica.held + 1) * 1_000 / u64::from(replica.slots);
