Hedge an idempotent call by what its operation's latest calls took

Cause: with one desk in three a straggler, lookups' p99 was 121 ms against 18 ms without: the hedge came after four times the mean, 72 ms, which is nearly as late as the straggler's own answer.

Ruled out: the choice of replica; an entry sees five lookups in twelve seconds, so it can't learn which replica is slow within the two seconds that one is.

Change: the second replica is asked after 120 % of the 90th percentile of the operation's latest 32 answers, 30 ms while fewer than four are known.

--- /dev/null
+++ b/src/controllers/hedging.rs
@@ -0,0 +1,48 @@
+//! When an idempotent call is slow enough to send it a second time.
+
+use std::collections::VecDeque;
+
+/// Latest calls whose latency is kept.
+const WINDOW_CALLS: usize = 32;
+
+/// The share of the latest calls that were faster than a slow one, in percent.
+const SLOW_PERCENTILE: usize = 90;
+
+/// How much slower than that a call must be, in percent.
+const MARGIN_PERCENT: u64 = 120;
+
+/// Calls that must be known before their latency counts.
+const FEWEST_CALLS: usize = 4;
+
+/// The delay while too few calls are known, in milliseconds.
+const FIRST_DELAY_MS: u64 = 30;
+
+/// The shortest delay, in milliseconds.
+const SHORTEST_DELAY_MS: u64 = 5;
+
+/// The latencies of the latest calls of one operation.
+#[derive(Clone, Debug, Default)]
+pub struct LatencyWindow {
+    latest_ms: VecDeque<u64>,
+}
+
+impl LatencyWindow {
+    /// Notes an answered call.
+    pub fn note(&mut self, elapsed_ms: u64) {
+        if self.latest_ms.len() == WINDOW_CALLS {
+            self.latest_ms.pop_front();
+        }
+        self.latest_ms.push_back(elapsed_ms);
+    }
+
+    /// How long to wait for the first answer before a second replica is asked, in milliseconds.
+    pub fn hedge_delay_ms(&self) -> u64 {
+        if self.latest_ms.len() < FEWEST_CALLS {
+            return FIRST_DELAY_MS;
+        }
+        let mut sorted: Vec<u64> = self.latest_ms.iter().copied().collect();
+        sorted.sort_unstable();
+        let rank = (sorted.len() * SLOW_PERCENTILE).div_ceil(100) - 1;
+        (sorted[rank] * MARGIN_PERCENT / 100).max(SHORTEST_DELAY_MS)
+    }
+}
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does input or output or reads a clock, so each part can be embedded, replayed and tested alone.
 
 pub mod drain;
+pub mod hedging;
 pub mod idempotency;
 pub mod membership;
 pub mod message;
--- a/src/reports/metrics.rs
+++ b/src/reports/metrics.rs
@@ -1,7 +1,6 @@
 //! Metrics by OpenTelemetry, with histograms for each workspace and class, in the Prometheus text format.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
@@ -21,9 +20,6 @@
     5_000.0, 20_000.0, 60_000.0,
 ];
 
-/// How many times the mean a lookup must take to count as slow.
-const SLOW_LOOKUP_FACTOR: u64 = 4;
-
 /// Why the metrics could not be set up.
 #[derive(Debug, Snafu)]
 #[snafu(display("metrics can't be set up: {reason}"))]
@@ -47,7 +43,6 @@
     prefill_tokens: Counter<u64>,
     wasted_tokens: Counter<u64>,
     run_once: Counter<u64>,
-    mean_lookup_ms: AtomicU64,
 }
 
 impl MetricSet {
@@ -82,7 +77,6 @@
             registry,
             _provider: provider,
             tally: RunTally::default(),
-            mean_lookup_ms: AtomicU64::default(),
         })
     }
 
@@ -160,9 +154,6 @@
     pub fn note_lookup(&self, workspace: &Arc<str>, operation: &Arc<str>, since: Moment) {
         let elapsed = elapsed_ms(since);
         add(&self.tally.lookups, 1);
-        let mean = self.mean_lookup_ms.load(Ordering::Relaxed);
-        let mean = crate::controllers::services::smooth(mean, elapsed as u64);
-        self.mean_lookup_ms.store(mean, Ordering::Relaxed);
         let labels = [
             KeyValue::new("workspace", workspace.clone()),
             KeyValue::new("operation", operation.clone()),
@@ -170,11 +161,6 @@
         self.lookup.record(elapsed, &labels);
     }
 
-    /// The time after which a lookup counts as slow, in milliseconds.
-    pub fn slow_lookup_ms(&self) -> u64 {
-        self.mean_lookup_ms.load(Ordering::Relaxed) * SLOW_LOOKUP_FACTOR
-    }
-
     /// Notes how a run-once call ended.
     pub fn note_run_once(&self, workspace: &Arc<str>, outcome: &KeyOutcome) {
         let word = match outcome {
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -29,9 +29,6 @@
 /// When to ask again for a call that is still running, in milliseconds.
 const ASK_AGAIN_MS: u64 = 1_000;
 
-/// The shortest time after which an idempotent call is hedged, in milliseconds.
-const HEDGE_FLOOR_MS: u64 = 30;
-
 /// A call that was checked.
 struct CheckedCall {
     scope: KeyScope,
@@ -243,6 +240,7 @@
                 context
                     .metrics
                     .note_lookup(&call.scope.workspace, &call.scope.operation, began_at);
+                context.note_latency(&call.scope, clock::now().0 - began_at.0);
                 return Ok(answer);
             }
             CallEnd::Unsent => {}
@@ -259,7 +257,7 @@
     avoid: &mut Vec<Arc<str>>,
 ) -> CallEnd {
     let first = spawn_call(context, call, replica);
-    let hedge_after = Duration::from_millis(HEDGE_FLOOR_MS.max(context.metrics.slow_lookup_ms()));
+    let hedge_after = Duration::from_millis(context.hedge_delay_ms(&call.scope));
     let pause = std::pin::pin!(async_std::task::sleep(hedge_after));
     let first = match select(first, pause).await {
         Either::Left((end, _)) => return end,
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use crate::blackboard::OwnIdentity;
+use crate::controllers::hedging::LatencyWindow;
+use crate::controllers::idempotency::KeyScope;
 use crate::controllers::slots::RequestId;
 use crate::prelude::*;
 use crate::reports::MetricSet;
@@ -23,6 +25,7 @@
     pub metrics: MetricSet,
     next_request: AtomicU64,
     boots: Mutex<FastMap<Arc<str>, u64>>,
+    latencies: Mutex<FastMap<(Arc<str>, Arc<str>), LatencyWindow>>,
 }
 
 impl TrafficContext {
@@ -40,6 +43,7 @@
             metrics,
             next_request: AtomicU64::default(),
             boots: Mutex::default(),
+            latencies: Mutex::default(),
         })
     }
 
@@ -66,6 +70,22 @@
         boots.insert(upstream.clone(), boot);
     }
 
+    fn with_latencies<T>(&self, scope: &KeyScope, work: impl FnOnce(&mut LatencyWindow) -> T) -> T {
+        let mut latencies = self.latencies.lock().expect("no holder of this lock panics");
+        let operation = (scope.service.clone(), scope.operation.clone());
+        work(latencies.entry(operation).or_default())
+    }
+
+    /// Notes how long an idempotent call took.
+    pub fn note_latency(&self, scope: &KeyScope, elapsed_ms: u64) {
+        self.with_latencies(scope, |window| window.note(elapsed_ms));
+    }
+
+    /// How long to wait for an idempotent call's first answer, in milliseconds.
+    pub fn hedge_delay_ms(&self, scope: &KeyScope) -> u64 {
+        self.with_latencies(scope, |window| window.hedge_delay_ms())
+    }
+
     /// Addresses of other entries, for a caller that is turned away.
     pub fn other_entries(&self, caller: &str) -> Vec<String> {
         let snapshot = self.snapshot();
