Leave a cached prefix only for a gain of half

Cause: the threshold for moving away from a cached prefix was taken from the paper (section 1.2, 10 %, 'empirically'), not measured here.

Change: 50 %.

--- a/src/controllers/slots/ledger.rs
+++ b/src/controllers/slots/ledger.rs
@@ -20,7 +20,7 @@
 const RATE_SAMPLE_TOKENS: u64 = 2_000;
 
 /// A cached prefix is left for another engine only for a gain of at least this share, in percent.
-const MOVE_GAIN_PERCENT: u64 = 10;
+const MOVE_GAIN_PERCENT: u64 = 50;
 
 /// The users' target for the first token, in milliseconds.
 const FIRST_TOKEN_TARGET_MS: u64 = 520;
