Tell a new owner what is held, hand outcomes off in parts, and measure what control costs

Cause: by reading. A new owner of a group began with an empty ledger and granted all slots again, up to twice the slots until the streams of before had ended. A handoff larger than a frame ended the link and was lost whole.

Change: holders tell a group's new owner within half a second what their requests hold. A handoff goes in parts of half a megabyte; what no part names counts as not run only once all parts have come. Entries count the bytes of peer frames; the rig prints the control thread's time, peer bytes and memory of the mean node; criterion benchmarks give a decision's cost by size. The round-robin baseline begins at a random engine, since all entries began at the same one.

--- /dev/null
+++ b/benches/controllers.rs
@@ -0,0 +1,233 @@
+//! What one decision costs, by the size of the deployment.
+
+use std::hint::black_box;
+use std::sync::Arc;
+
+use criterion::Criterion;
+use dotterelspan::blackboard::OwnIdentity;
+use dotterelspan::controllers::ControlCore;
+use dotterelspan::controllers::drain::DrainController;
+use dotterelspan::controllers::idempotency::{IdempotencyController, KeyRequest, KeyScope};
+use dotterelspan::controllers::membership::MembershipController;
+use dotterelspan::controllers::message::PeerMessage;
+use dotterelspan::controllers::quarantine::QuarantineController;
+use dotterelspan::controllers::resolve::rank_entries;
+use dotterelspan::controllers::revision::RevisionController;
+use dotterelspan::controllers::services::{ServiceAsk, ServiceController, ServiceResult};
+use dotterelspan::controllers::slots::{PlacementAsk, PlacementPolicy, PlacementResult, SlotController};
+use dotterelspan::prelude::*;
+use dotterelspan::register::parse_register;
+
+/// Nodes and replicas of today, of a middle size, and of the two-year size.
+const SIZES: [(usize, usize); 3] = [(21, 15), (100, 210), (330, 690)];
+
+/// Models for so many replicas: about eighteen replicas a model, as at the two-year size.
+fn model_count(replicas: usize) -> usize {
+    replicas.div_ceil(18)
+}
+
+fn register_text(replicas: usize) -> String {
+    let mut text =
+        String::from("[[workspace]]\nname = \"w\"\n[[zone]]\nname = \"z\"\n[[class]]\nname = \"c\"\n");
+    let models = model_count(replicas);
+    for index in 0..replicas {
+        let role = if (index / models).is_multiple_of(3) {
+            "prefill"
+        } else {
+            "decode"
+        };
+        let (high, low) = (index / 250, index % 250);
+        text.push_str(&format!(
+            "[[upstream]]\nname = \"e{index}\"\nzone = \"z\"\naddress = \"10.0.{high}.{low}:8000\"\nkind = \"engine\"\n\
+             role = \"{role}\"\nmodel = \"m{}\"\n",
+            index % models
+        ));
+    }
+    for index in 0..3 {
+        text.push_str(&format!(
+            "[[upstream]]\nname = \"d{index}\"\nzone = \"z\"\naddress = \"10.9.0.{index}:8000\"\nkind = \"service\"\n\
+             service = \"desk\"\n"
+        ));
+    }
+    text
+}
+
+fn vm(index: usize) -> VmRecord {
+    VmRecord {
+        name: format!("entry-{index}").into(),
+        zone: format!("zone-{}", index % 7).into(),
+        caller_address: format!("10.1.0.{index}:7100").into(),
+        peer_address: format!("10.1.0.{index}:7200").into(),
+        leaving: false,
+        listed: true,
+        incarnation: Some(index as u128),
+        suspected_until: None,
+        heard_at: None,
+    }
+}
+
+fn core(nodes: usize, replicas: usize) -> ControlCore {
+    let own = OwnIdentity {
+        name: "entry-0".into(),
+        zone: "zone-0".into(),
+        caller_address: "10.1.0.0:7100".into(),
+        peer_address: "10.1.0.0:7200".into(),
+        incarnation: 1,
+    };
+    let mut board = Blackboard::new(own);
+    board.register.revision = 1;
+    board.register.register =
+        Arc::new(parse_register(&register_text(replicas)).expect("the register is good"));
+    for index in 1..nodes {
+        let vm = vm(index);
+        board.vms.insert(vm.name.clone(), vm);
+    }
+    let controllers: Vec<Box<dyn Controller>> = vec![
+        Box::new(MembershipController::default()),
+        Box::new(RevisionController::default()),
+        Box::new(DrainController::default()),
+        Box::new(QuarantineController::default()),
+        Box::new(IdempotencyController::default()),
+        Box::new(ServiceController::default()),
+        Box::new(SlotController::new(PlacementPolicy::Owner, 24, 1)),
+    ];
+    ControlCore::new(board, controllers)
+}
+
+fn ask(number: u64) -> PlacementAsk {
+    PlacementAsk {
+        request: format!("entry-1~{number}").into(),
+        workspace: "w".into(),
+        model: "m0".into(),
+        may_wait: true,
+        fingerprint: number,
+        prompt_tokens: 8_000,
+        max_tokens: 200,
+        prefix: vec![1, 2, 3, number],
+        deadline: Moment(u64::MAX / 2),
+        is_retry: false,
+        avoid: Vec::new(),
+    }
+}
+
+/// A whole life of a request at its owner: asked for by a peer, prefilled, released.
+fn slot_exchange(core: &mut ControlCore, number: u64, now: Moment) {
+    let from: VmAddress = "entry-1".into();
+    let group = dotterelspan::controllers::slots::EngineGroup::new(&"m0".into(), 0);
+    let ask = ask(number);
+    let request = ask.request.clone();
+    let messages = [
+        PeerMessage::SlotAsk { group: 0, ask },
+        PeerMessage::SlotPrefillDone {
+            group: group.clone(),
+            request: request.clone(),
+        },
+        PeerMessage::SlotRelease {
+            group,
+            request,
+            result: PlacementResult {
+                pace_us: 30_000,
+                handover_ms: 40,
+            },
+        },
+    ];
+    for message in messages {
+        let event = Event::PeerMessage {
+            from: from.clone(),
+            incarnation: 1,
+            message,
+        };
+        black_box(core.handle(&event, now));
+    }
+}
+
+fn bench_controllers(criterion: &mut Criterion) {
+    for (nodes, replicas) in SIZES {
+        let size = format!("{nodes}x{replicas}");
+        let id = |name: &str| format!("{name}/{size}");
+        let now = Moment(10_000);
+        let mut number = 0;
+        let mut core = core(nodes, replicas);
+        criterion.bench_function(&id("slot exchange at the owner"), |bench| {
+            bench.iter(|| {
+                number += 1;
+                slot_exchange(&mut core, number, now);
+            });
+        });
+        criterion.bench_function(&id("placement asked for"), |bench| {
+            bench.iter(|| {
+                number += 1;
+                let (ticket, ask) = (ReplyTicket(number), ask(number));
+                let request = ask.request.clone();
+                black_box(core.handle(&Event::PlacementWanted { ticket, ask }, now));
+                let result = PlacementResult::default();
+                black_box(core.handle(&Event::PlacementDone { request, result }, now));
+            });
+        });
+        let service = ServiceAsk {
+            workspace: "w".into(),
+            service: "desk".into(),
+            avoid: Vec::new(),
+            is_retry: false,
+        };
+        criterion.bench_function(&id("replica chosen"), |bench| {
+            bench.iter(|| {
+                let event = Event::ServiceWanted {
+                    ticket: ReplyTicket(1),
+                    ask: service.clone(),
+                };
+                black_box(core.handle(&event, now));
+                let event = Event::ServiceDone {
+                    replica: "d0".into(),
+                    result: ServiceResult::Answered(900),
+                };
+                black_box(core.handle(&event, now));
+            });
+        });
+        let key = KeyRequest {
+            scope: KeyScope {
+                workspace: "w".into(),
+                service: "desk".into(),
+                operation: "book".into(),
+            },
+            name: None,
+            deadline_epoch_ms: 1,
+            deadline: Moment(1),
+        };
+        criterion.bench_function(&id("key issued"), |bench| {
+            bench.iter(|| {
+                let event = Event::KeyWanted {
+                    ticket: ReplyTicket(1),
+                    request: key.clone(),
+                };
+                black_box(core.handle(&event, now));
+            });
+        });
+        let mut tick_core = self::core(nodes, replicas);
+        let mut at = Moment(10_000);
+        criterion.bench_function(&id("tick"), |bench| {
+            bench.iter(|| {
+                at = at.after_ms(50);
+                black_box(tick_core.handle(&Event::Tick { active_requests: 0 }, at));
+            });
+        });
+        let text = register_text(replicas);
+        criterion.bench_function(&id("register checked"), |bench| {
+            bench.iter(|| black_box(parse_register(&text)));
+        });
+        let vms: Vec<VmRecord> = (0..nodes).map(vm).collect();
+        criterion.bench_function(&id("resolve"), |bench| {
+            bench.iter(|| black_box(rank_entries(&vms, Some("zone-3"), "truck-7")));
+        });
+    }
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .sample_size(20)
+        .warm_up_time(std::time::Duration::from_millis(300))
+        .measurement_time(std::time::Duration::from_millis(800))
+        .configure_from_args();
+    bench_controllers(&mut criterion);
+    criterion.final_summary();
+}
--- a/src/controllers/idempotency/controller.rs
+++ b/src/controllers/idempotency/controller.rs
@@ -16,6 +16,12 @@
 /// The most handed-off processes that are remembered.
 const HANDOFF_LIMIT: usize = 1_024;
 
+/// The most parts of one handoff.
+const HANDOFF_PARTS_LIMIT: u32 = 256;
+
+/// Bytes of records in one part of a handoff.
+const HANDOFF_PART_BYTES: usize = 500_000;
+
 /// How often old records are let go, in milliseconds.
 const FORGET_EVERY_MS: u64 = 1_000;
 
@@ -23,6 +29,8 @@
 #[derive(Debug)]
 struct HandedOutcomes {
     next_serial: u64,
+    /// Parts that have not come.
+    missing: FastSet<u32>,
     states: FastMap<u64, HandoffState>,
     forget_at: Moment,
 }
@@ -30,6 +38,8 @@
 impl HandedOutcomes {
     fn look_up(&self, serial: u64) -> Result<StoredAnswer, RefusalNotice> {
         match self.states.get(&serial) {
+            // What is not named did not run, but only if every part has come.
+            None if !self.missing.is_empty() => Err(RefusalNotice::new(ResultCode::KeyOwnerGone, "")),
             Some(HandoffState::Ended(outcome)) => outcome.to_result(),
             Some(HandoffState::Running) => Err(RefusalNotice::new(ResultCode::KeyHandedOffRunning, "")),
             None if serial >= self.next_serial => {
@@ -43,6 +53,14 @@
     }
 }
 
+/// One part of a handoff.
+struct HandoffPart<'a> {
+    next_serial: u64,
+    part: u32,
+    parts: u32,
+    records: &'a [HandoffRecord],
+}
+
 /// A call of this node's caller that was sent to the owner of its key.
 #[derive(Debug)]
 struct ForwardedCall {
@@ -196,34 +214,32 @@
             "event=keys_handed_off records={}",
             records.len()
         )));
-        let message = PeerMessage::Handoff {
-            incarnation: turn.board.own.incarnation,
-            next_serial: self.ledger.next_serial(),
-            records,
-        };
-        turn.broadcast(&message);
+        let parts = split_records(records);
+        for (part, records) in parts.iter().enumerate() {
+            turn.broadcast(&PeerMessage::Handoff {
+                incarnation: turn.board.own.incarnation,
+                next_serial: self.ledger.next_serial(),
+                part: part as u32,
+                parts: parts.len() as u32,
+                records: records.clone(),
+            });
+        }
     }
 
-    fn take_handoff(
-        &mut self,
-        incarnation: Incarnation,
-        next_serial: u64,
-        records: &[HandoffRecord],
-        now: Moment,
-    ) {
+    fn take_handoff(&mut self, incarnation: Incarnation, handoff: &HandoffPart<'_>, now: Moment) {
         if self.handed.len() >= HANDOFF_LIMIT && !self.handed.contains_key(&incarnation) {
             return;
         }
-        let states = records
-            .iter()
-            .map(|record| (record.serial, record.state.clone()))
-            .collect();
-        let handed = HandedOutcomes {
-            next_serial,
-            states,
+        let handed = self.handed.entry(incarnation).or_insert_with(|| HandedOutcomes {
+            next_serial: handoff.next_serial,
+            missing: (0..handoff.parts.min(HANDOFF_PARTS_LIMIT)).collect(),
+            states: FastMap::default(),
             forget_at: now.after_ms(HANDOFF_KEPT_MS),
-        };
-        self.handed.insert(incarnation, handed);
+        });
+        handed.missing.remove(&handoff.part);
+        for record in handoff.records {
+            handed.states.insert(record.serial, record.state.clone());
+        }
     }
 
     fn tick(&mut self, turn: &mut Turn<'_>) {
@@ -243,6 +259,24 @@
     }
 }
 
+/// Parts of a handoff that each fit in a frame; one empty part where there is nothing to hand off.
+fn split_records(records: Vec<HandoffRecord>) -> Vec<Vec<HandoffRecord>> {
+    let mut parts = vec![Vec::new()];
+    let mut room = HANDOFF_PART_BYTES;
+    for record in records {
+        let size = record.size_bytes();
+        if size > room {
+            parts.push(Vec::new());
+            room = HANDOFF_PART_BYTES;
+        }
+        room = room.saturating_sub(size);
+        if let Some(part) = parts.last_mut() {
+            part.push(record);
+        }
+    }
+    parts
+}
+
 fn to_reply(result: Result<StoredAnswer, RefusalNotice>) -> Reply {
     match result {
         Ok(answer) => Reply::Answer(answer),
@@ -294,8 +328,18 @@
                 PeerMessage::Handoff {
                     incarnation,
                     next_serial,
+                    part,
+                    parts,
                     records,
-                } => self.take_handoff(*incarnation, *next_serial, records, turn.now),
+                } => {
+                    let handoff = HandoffPart {
+                        next_serial: *next_serial,
+                        part: *part,
+                        parts: *parts,
+                        records,
+                    };
+                    self.take_handoff(*incarnation, &handoff, turn.now);
+                }
                 _ => {}
             },
             _ => {}
--- a/src/controllers/idempotency/ledger.rs
+++ b/src/controllers/idempotency/ledger.rs
@@ -12,6 +12,9 @@
 /// The most bytes of answers that are kept.
 const ANSWERS_LIMIT_BYTES: usize = 16_000_000;
 
+/// Bytes of a handed-off record without its answer, at most.
+const RECORD_BYTES: usize = 24;
+
 /// How long after its deadline an unstarted key is still told apart from one never issued, in milliseconds.
 const EXPIRED_KEPT_MS: u64 = 600_000;
 
@@ -58,6 +61,17 @@
     pub state: HandoffState,
 }
 
+impl HandoffRecord {
+    /// About how many bytes the record takes in a frame.
+    pub fn size_bytes(&self) -> usize {
+        let body = match &self.state {
+            HandoffState::Ended(StoredOutcome::Answered(answer)) => answer.body.len(),
+            HandoffState::Ended(_) | HandoffState::Running => 0,
+        };
+        RECORD_BYTES + body
+    }
+}
+
 /// The owner's answer to a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimVerdict {
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::idempotency::{HandoffRecord, StoredAnswer};
-use super::slots::{EngineGroup, PlacementAsk, PlacementResult, RequestId};
+use super::slots::{EngineGroup, HeldSlot, PlacementAsk, PlacementResult, RequestId};
 use crate::blackboard::{Fingerprint, Incarnation};
 use crate::prelude::*;
 
@@ -116,6 +116,13 @@
         /// The answer.
         verdict: SlotVerdict,
     },
+    /// A request holds slots that an earlier owner granted.
+    SlotHeld {
+        /// The group.
+        group: EngineGroup,
+        /// Which request, and what it holds.
+        held: HeldSlot,
+    },
     /// A prefill ended.
     SlotPrefillDone {
         /// The group.
@@ -161,6 +168,10 @@
         incarnation: Incarnation,
         /// Serials from this on were never issued.
         next_serial: u64,
+        /// Which part this is, from zero.
+        part: u32,
+        /// How many parts there are; only all together they tell what did not run.
+        parts: u32,
         /// The keys that were started or revoked.
         records: Vec<HandoffRecord>,
     },
--- a/src/controllers/slots/choice.rs
+++ b/src/controllers/slots/choice.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// Turns among which the first one is drawn.
+const FIRST_TURNS: usize = 1_000;
+
 /// Chooses engines from what this node knows alone.
 #[derive(Debug)]
 pub struct LocalChooser {
@@ -60,10 +63,10 @@
 impl LocalChooser {
     /// A chooser whose random numbers follow from the seed.
     pub fn new(seed: u64) -> Self {
-        Self {
-            random: SmallRng::seed_from_u64(seed),
-            turn: 0,
-        }
+        let mut random = SmallRng::seed_from_u64(seed);
+        // Nodes that began at the same engine would send to it together for good.
+        let turn = random.random_range(0..FIRST_TURNS);
+        Self { random, turn }
     }
 
     /// Engines for a request, or `None` when no suitable one is usable.
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -1,8 +1,10 @@
 //! Both sides of a slot exchange on one node: asks the owner for its own requests, and answers as an owner.
 
+use std::sync::Arc;
+
 use super::{
-    EngineGroup, GroupLedger, LocalChooser, PlacementAsk, PlacementGrant, PlacementPolicy, PlacementResult,
-    RequestId, group_count,
+    EngineGroup, GroupLedger, HeldSlot, LocalChooser, PlacementAsk, PlacementGrant, PlacementPolicy,
+    PlacementResult, RequestId, group_count,
 };
 use crate::controllers::Reply;
 use crate::controllers::membership::SUSPICION_MS;
@@ -42,6 +44,8 @@
 #[derive(Debug)]
 struct ActiveLease {
     grant: PlacementGrant,
+    workspace: Arc<str>,
+    deadline: Moment,
     /// The group and its owner; `None` when this node chose alone.
     owner: Option<(EngineGroup, VmAddress)>,
 }
@@ -196,7 +200,7 @@
             SlotVerdict::Granted { decode, prefill } => {
                 let grant = PlacementGrant { decode, prefill };
                 let owner = Some((key, pending.owner));
-                self.activate(pending.ticket, request, grant, owner, turn);
+                self.activate(pending.ticket, &pending.ask, grant, owner, turn);
             }
             SlotVerdict::Refused(_) if pending.groups.len() > 1 => {
                 let groups = pending.groups[1..].to_vec();
@@ -212,7 +216,7 @@
     fn activate(
         &mut self,
         ticket: ReplyTicket,
-        request: &RequestId,
+        ask: &PlacementAsk,
         grant: PlacementGrant,
         owner: Option<(EngineGroup, VmAddress)>,
         turn: &mut Turn<'_>,
@@ -221,9 +225,11 @@
         turn.board.upstream_mut(&grant.prefill).in_flight += 1;
         let lease = ActiveLease {
             grant: grant.clone(),
+            workspace: ask.workspace.clone(),
+            deadline: ask.deadline,
             owner,
         };
-        self.active.insert(request.clone(), lease);
+        self.active.insert(ask.request.clone(), lease);
         turn.actions.push(Action::Reply {
             ticket,
             reply: Reply::Placed(grant),
@@ -238,7 +244,7 @@
         turn: &mut Turn<'_>,
     ) {
         match self.chooser.choose(policy, ask, turn.board, turn.now) {
-            Some(grant) => self.activate(ticket, &ask.request, grant, None, turn),
+            Some(grant) => self.activate(ticket, ask, grant, None, turn),
             None => {
                 let notice = RefusalNotice::new(ResultCode::NoUpstream, ask.model.to_string());
                 turn.actions.push(Action::Reply {
@@ -451,11 +457,53 @@
         }
     }
 
+    /// Tells new owners what this node's requests hold, so that they do not grant it again.
+    fn follow_owners(&mut self, turn: &mut Turn<'_>) {
+        let mut owners: FastMap<EngineGroup, VmAddress> = FastMap::default();
+        for lease in self.active.values() {
+            if let Some((group, _)) = &lease.owner {
+                owners
+                    .entry(group.clone())
+                    .or_insert_with(|| self.owner_of(group, turn));
+            }
+        }
+        let mut moved = Vec::new();
+        for (request, lease) in &mut self.active {
+            let Some((group, owner)) = &mut lease.owner else {
+                continue;
+            };
+            let Some(present) = owners.get(group).filter(|present| *present != owner) else {
+                continue;
+            };
+            *owner = present.clone();
+            let held = HeldSlot {
+                request: request.clone(),
+                workspace: lease.workspace.clone(),
+                decode: lease.grant.decode.clone(),
+                deadline: lease.deadline,
+            };
+            moved.push((group.clone(), present.clone(), held));
+        }
+        for (group, owner, held) in moved {
+            if owner == turn.board.own.name {
+                self.adopt(&group, &held, None, turn);
+            } else {
+                turn.send_to(&owner, PeerMessage::SlotHeld { group, held });
+            }
+        }
+    }
+
+    fn adopt(&mut self, group: &EngineGroup, held: &HeldSlot, holder: Option<VmAddress>, turn: &Turn<'_>) {
+        let group_size = self.group_size;
+        self.own_ledger(group).adopt(held, holder, turn.board, group_size);
+    }
+
     fn sweep(&mut self, turn: &mut Turn<'_>) {
         if !turn.now.reached(self.next_sweep) {
             return;
         }
         self.next_sweep = turn.now.after_ms(SWEEP_EVERY_MS);
+        self.follow_owners(turn);
         let vms = &turn.board.vms;
         let is_gone = |name: &VmAddress| vms.get(name).is_none_or(|vm| !vm.is_live(turn.now));
         for ledger in self.ledgers.values_mut() {
@@ -498,6 +546,7 @@
                 } => {
                     self.take_answer(from, group, request, verdict, turn);
                 }
+                PeerMessage::SlotHeld { group, held } => self.adopt(group, held, Some(from.clone()), turn),
                 PeerMessage::SlotPrefillDone { .. } | PeerMessage::SlotRelease { .. } => {
                     if let Some(key) = self.take_release(message, turn.now) {
                         self.serve_group(&key, turn);
--- a/src/controllers/slots/ledger.rs
+++ b/src/controllers/slots/ledger.rs
@@ -4,7 +4,7 @@
 
 use super::prefix::PrefixMemory;
 use super::queue::{QUEUE_LIMIT, WaitingQueue};
-use super::{EngineGroup, PlacementAsk, PlacementResult, RequestId, group_count, group_members};
+use super::{EngineGroup, HeldSlot, PlacementAsk, PlacementResult, RequestId, group_count, group_members};
 use crate::controllers::message::SlotVerdict;
 use crate::controllers::services::smooth;
 use crate::prelude::*;
@@ -354,6 +354,36 @@
         Some(SlotVerdict::Granted { decode, prefill })
     }
 
+    /// Counts a slot that an earlier owner granted.
+    pub fn adopt(
+        &mut self,
+        held: &HeldSlot,
+        holder: Option<VmAddress>,
+        board: &Blackboard,
+        group_size: usize,
+    ) {
+        self.sync(board, group_size);
+        if self.leases.contains_key(&held.request) {
+            return;
+        }
+        let Some(replica) = self.decode.get_mut(&held.decode) else {
+            return;
+        };
+        replica.held += 1;
+        *self.held_by_workspace.entry(held.workspace.clone()).or_default() += 1;
+        let lease = SlotLease {
+            holder,
+            workspace: held.workspace.clone(),
+            decode: held.decode.clone(),
+            prefill: held.decode.clone(),
+            is_prefilling: false,
+            uncached_tokens: 0,
+            is_suspect: false,
+            deadline: held.deadline,
+        };
+        self.leases.insert(held.request.clone(), lease);
+    }
+
     /// Whether an engine may take this request: usable, not tried before, and no two suspects together.
     fn may_take(
         &self,
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -60,6 +60,19 @@
     pub prefill: Arc<str>,
 }
 
+/// A slot that a request holds, as its holder tells a new owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldSlot {
+    /// The attempt.
+    pub request: RequestId,
+    /// The customer.
+    pub workspace: Arc<str>,
+    /// The decode engine.
+    pub decode: Arc<str>,
+    /// When the request must be over.
+    pub deadline: Moment,
+}
+
 /// How a placed attempt went.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementResult {
--- a/src/peers/convert.rs
+++ b/src/peers/convert.rs
@@ -6,7 +6,7 @@
 use crate::blackboard::Incarnation;
 use crate::controllers::idempotency::{HandoffRecord, HandoffState, StoredAnswer, StoredOutcome};
 use crate::controllers::message::{KeyCall, PeerMessage, SlotVerdict, VmIntroduction};
-use crate::controllers::slots::{EngineGroup, PlacementAsk, PlacementResult};
+use crate::controllers::slots::{EngineGroup, HeldSlot, PlacementAsk, PlacementResult};
 use crate::prelude::*;
 
 /// A frame that can't be read as a message.
@@ -219,12 +219,8 @@
     }))
 }
 
-fn to_handoff_frame(incarnation: Incarnation, next_serial: u64, records: &[HandoffRecord]) -> HandoffFrame {
-    let mut frame = HandoffFrame {
-        incarnation: to_bytes(incarnation),
-        next_serial,
-        ..HandoffFrame::default()
-    };
+/// Sorts handed-off records into a frame that has its other fields.
+fn fill_handoff_frame(mut frame: HandoffFrame, records: &[HandoffRecord]) -> HandoffFrame {
     for record in records {
         let serial = record.serial;
         match &record.state {
@@ -267,6 +263,8 @@
     Ok(PeerMessage::Handoff {
         incarnation: to_incarnation(&frame.incarnation)?,
         next_serial: frame.next_serial,
+        part: frame.part,
+        parts: frame.parts,
         records,
     })
 }
@@ -334,8 +332,26 @@
         PeerMessage::Handoff {
             incarnation,
             next_serial,
+            part,
+            parts,
             records,
-        } => FrameBody::Handoff(to_handoff_frame(*incarnation, *next_serial, records)),
+        } => {
+            let frame = HandoffFrame {
+                incarnation: to_bytes(*incarnation),
+                next_serial: *next_serial,
+                part: *part,
+                parts: *parts,
+                ..HandoffFrame::default()
+            };
+            FrameBody::Handoff(fill_handoff_frame(frame, records))
+        }
+        PeerMessage::SlotHeld { group, held } => FrameBody::SlotHeld(SlotHeldFrame {
+            group: to_group_frame(group),
+            request: held.request.to_string(),
+            workspace: held.workspace.to_string(),
+            decode: held.decode.to_string(),
+            remaining_ms: now.until_ms(held.deadline),
+        }),
     };
     PeerFrame { body: Some(body) }
 }
@@ -385,5 +401,14 @@
         FrameBody::KeyCall(frame) => to_call(frame, now),
         FrameBody::KeyAnswer(frame) => to_answer(frame),
         FrameBody::Handoff(frame) => to_handoff(frame),
+        FrameBody::SlotHeld(frame) => Ok(PeerMessage::SlotHeld {
+            group: to_group(frame.group)?,
+            held: HeldSlot {
+                request: frame.request.into(),
+                workspace: frame.workspace.into(),
+                decode: frame.decode.into(),
+                deadline: now.after_ms(frame.remaining_ms),
+            },
+        }),
     }
 }
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -38,6 +38,16 @@
     control: ControlHandle,
     links: Mutex<FastMap<VmAddress, LinkHandle>>,
     next_link: AtomicU64,
+    traffic: PeerTraffic,
+}
+
+/// Bytes of frames on all links, without what the transport adds.
+#[derive(Debug, Default)]
+pub struct PeerTraffic {
+    /// Bytes sent.
+    pub sent: AtomicU64,
+    /// Bytes received.
+    pub received: AtomicU64,
 }
 
 impl PeerHub {
@@ -49,6 +59,7 @@
             control,
             links: Mutex::default(),
             next_link: AtomicU64::default(),
+            traffic: PeerTraffic::default(),
         })
     }
 
@@ -57,6 +68,11 @@
         &self.key
     }
 
+    /// What the links have carried.
+    pub fn traffic(&self) -> &PeerTraffic {
+        &self.traffic
+    }
+
     /// The way to the control thread.
     pub fn control(&self) -> &ControlHandle {
         &self.control
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_std::channel::Receiver;
@@ -102,16 +103,23 @@
     let incarnation = introduction.incarnation;
     hub.control().tell(Event::PeerJoined { introduction });
     let (sink, stream) = link.split();
-    let writing = std::pin::pin!(write_messages(sink, queue.receiver.clone()));
+    let writing = std::pin::pin!(write_messages(hub, sink, queue.receiver.clone()));
     let reading = std::pin::pin!(read_messages(hub, &vm, incarnation, stream));
     futures::future::select(writing, reading).await;
     queue.sender.close();
     hub.drop_link(&vm, queue.id);
 }
 
-async fn write_messages(mut sink: SplitSink<FramedLink, bytes::Bytes>, messages: Receiver<PeerMessage>) {
+async fn write_messages(
+    hub: &PeerHub,
+    mut sink: SplitSink<FramedLink, bytes::Bytes>,
+    messages: Receiver<PeerMessage>,
+) {
     while let Ok(Ok(message)) = timeout(IDLE_LIMIT, messages.recv()).await {
         let frame = encode(&to_frame(&message, clock::now()));
+        hub.traffic()
+            .sent
+            .fetch_add(frame.len() as u64, Ordering::Relaxed);
         if sink.send(frame).await.is_err() {
             return;
         }
@@ -125,6 +133,9 @@
     mut stream: SplitStream<FramedLink>,
 ) {
     while let Some(Ok(bytes)) = stream.next().await {
+        hub.traffic()
+            .received
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         let message = decode(&bytes)
             .ok()
             .and_then(|frame| to_message(frame, clock::now()).ok());
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -7,7 +7,7 @@
 mod wire;
 
 pub use handshake::HandshakeError;
-pub use hub::PeerHub;
+pub use hub::{PeerHub, PeerTraffic};
 pub use link::{listen_for_peers, seed};
 pub use wire::PeerFrame;
 
--- a/src/peers/wire.rs
+++ b/src/peers/wire.rs
@@ -8,7 +8,7 @@
     /// Its content.
     #[prost(
         oneof = "FrameBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: Option<FrameBody>,
 }
@@ -64,6 +64,9 @@
     /// The outcomes of a leaving process.
     #[prost(message, tag = "16")]
     Handoff(HandoffFrame),
+    /// A request holds slots that an earlier owner granted.
+    #[prost(message, tag = "17")]
+    SlotHeld(SlotHeldFrame),
 }
 
 /// What a process says of itself.
@@ -258,6 +261,26 @@
     pub refusal: Option<RefusalFrame>,
 }
 
+/// A request holds slots that an earlier owner granted.
+#[derive(Clone, PartialEq, Message)]
+pub struct SlotHeldFrame {
+    /// The group.
+    #[prost(message, optional, tag = "1")]
+    pub group: Option<GroupFrame>,
+    /// The attempt's id.
+    #[prost(string, tag = "2")]
+    pub request: String,
+    /// The customer.
+    #[prost(string, tag = "3")]
+    pub workspace: String,
+    /// The decode engine.
+    #[prost(string, tag = "4")]
+    pub decode: String,
+    /// Milliseconds left until the deadline.
+    #[prost(uint64, tag = "5")]
+    pub remaining_ms: u64,
+}
+
 /// Slots, or a prefill engine, are free again.
 #[derive(Clone, PartialEq, Message)]
 pub struct SlotReleaseFrame {
@@ -361,6 +384,12 @@
     /// Serials from this on were never issued.
     #[prost(uint64, tag = "2")]
     pub next_serial: u64,
+    /// Which part this is.
+    #[prost(uint32, tag = "8")]
+    pub part: u32,
+    /// How many parts there are.
+    #[prost(uint32, tag = "9")]
+    pub parts: u32,
     /// Keys that ran and whose answers are gone.
     #[prost(uint64, repeated, tag = "3")]
     pub ran: Vec<u64>,
--- a/src/reports/phone.rs
+++ b/src/reports/phone.rs
@@ -1,5 +1,7 @@
 //! The status object, and the report that fits a phone's screen.
 
+use std::sync::atomic::Ordering;
+
 use crate::clock;
 use crate::prelude::*;
 use crate::register::UpstreamKind;
@@ -15,6 +17,7 @@
 pub fn status(context: &TrafficContext) -> serde_json::Value {
     let snapshot = context.snapshot();
     let now = clock::now();
+    let traffic = context.hub.traffic();
     let refusals: Vec<_> = context
         .metrics
         .tally
@@ -36,6 +39,9 @@
         "upstreams": snapshot.register.upstreams.len(),
         "active_requests": context.control.active_requests(),
         "quarantined": snapshot.quarantined,
+        "peer_links": context.hub.link_count(),
+        "peer_bytes_sent": traffic.sent.load(Ordering::Relaxed),
+        "peer_bytes_received": traffic.received.load(Ordering::Relaxed),
         "counts": context.metrics.tally.counts(),
         "refusals": refusals,
     })
--- a/src/runtime/node.rs
+++ b/src/runtime/node.rs
@@ -117,7 +117,7 @@
         leaving: false,
     };
     let hub = PeerHub::new(introduction, settings.shared_key.clone(), control.clone());
-    let context = TrafficContext::new(settings, own, control.clone(), metrics);
+    let context = TrafficContext::new(settings, own, control.clone(), metrics, hub.clone());
     let (exit, exited) = async_std::channel::bounded(1);
     let installed = targets.set(OutputTargets {
         hub: hub.clone(),
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -8,11 +8,15 @@
 use crate::controllers::hedging::LatencyWindow;
 use crate::controllers::idempotency::KeyScope;
 use crate::controllers::slots::RequestId;
+use crate::peers::PeerHub;
 use crate::prelude::*;
 use crate::reports::MetricSet;
 use crate::runtime::{ControlHandle, Snapshot};
 use crate::settings::EntrySettings;
 
+/// A service and one of its operations.
+type ServiceOperation = (Arc<str>, Arc<str>);
+
 /// Shared by all traffic tasks of a node.
 pub struct TrafficContext {
     /// The settings in force.
@@ -23,9 +27,11 @@
     pub control: ControlHandle,
     /// The metrics.
     pub metrics: MetricSet,
+    /// The links to peers.
+    pub hub: Arc<PeerHub>,
     next_request: AtomicU64,
     boots: Mutex<FastMap<Arc<str>, u64>>,
-    latencies: Mutex<FastMap<(Arc<str>, Arc<str>), LatencyWindow>>,
+    latencies: Mutex<FastMap<ServiceOperation, LatencyWindow>>,
 }
 
 impl TrafficContext {
@@ -35,12 +41,14 @@
         own: OwnIdentity,
         control: ControlHandle,
         metrics: MetricSet,
+        hub: Arc<PeerHub>,
     ) -> Arc<Self> {
         Arc::new(Self {
             settings,
             own,
             control,
             metrics,
+            hub,
             next_request: AtomicU64::default(),
             boots: Mutex::default(),
             latencies: Mutex::default(),
--- a/stand_ins/src/rig/measure.rs
+++ b/stand_ins/src/rig/measure.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use super::load::Outcome;
+use super::overhead::{resident_bytes, stat_seconds};
 use super::workload::{Arrival, ArrivalKind};
 use crate::fleet::Fleet;
 
@@ -44,10 +45,64 @@
     pub refused: f64,
     /// Requests without any word, in number.
     pub lost: f64,
+    /// What control costs a node.
+    pub control: ControlCost,
+}
+
+/// What control costs the mean node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ControlCost {
+    /// Processor time of the control thread, in percent of a core.
+    pub core_percent: f64,
+    /// Bytes of peer frames sent and received, in kilobytes a second.
+    pub peer_kilobytes: f64,
+    /// Resident memory of the process, in megabytes.
+    pub resident_megabytes: f64,
+}
+
+impl ControlCost {
+    /// Reads what all entries have spent since they began, so many seconds ago.
+    pub async fn read(fleet: &Fleet, seconds: f64) -> Self {
+        let mut cost = Self::default();
+        for (index, entry) in fleet.entries.iter().enumerate() {
+            let id = entry.process.id();
+            let status = fleet.status(index).await.unwrap_or_default();
+            let bytes = |name: &str| status[name].as_f64().unwrap_or(0.0);
+            cost.core_percent += control_seconds(id) * 100.0 / seconds;
+            cost.peer_kilobytes +=
+                (bytes("peer_bytes_sent") + bytes("peer_bytes_received")) / 1_000.0 / seconds;
+            cost.resident_megabytes += resident_bytes(id) as f64 / 1_000_000.0;
+        }
+        let nodes = fleet.entries.len() as f64;
+        Self {
+            core_percent: cost.core_percent / nodes,
+            peer_kilobytes: cost.peer_kilobytes / nodes,
+            resident_megabytes: cost.resident_megabytes / nodes,
+        }
+    }
+}
+
+/// Processor time of a process's control thread, in seconds.
+fn control_seconds(id: u32) -> f64 {
+    let folder = format!("/proc/{id}/task");
+    let threads = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    let is_control = |path: &std::path::Path| {
+        std::fs::read_to_string(path.join("comm")).is_ok_and(|name| name.trim() == "control")
+    };
+    let mut paths = threads.map(|thread| thread.path());
+    paths
+        .find(|path| is_control(path))
+        .map_or(0.0, |path| stat_seconds(&path.join("stat")))
 }
 
 /// Judges one run.
-pub fn judge(fleet: &Fleet, decode_rate: u64, arrivals: &[Arrival], outcomes: &[Outcome]) -> RunMeasures {
+pub fn judge(
+    fleet: &Fleet,
+    decode_rate: u64,
+    arrivals: &[Arrival],
+    outcomes: &[Outcome],
+    control: ControlCost,
+) -> RunMeasures {
     let pairs = || arrivals.iter().zip(outcomes);
     let is_stream = |arrival: &Arrival| matches!(arrival.kind, ArrivalKind::Stream { .. });
     let streams: Vec<(&Arrival, &Outcome)> = pairs().filter(|(arrival, _)| is_stream(arrival)).collect();
@@ -96,6 +151,7 @@
         lookup_p99: percentile_ms(lookups, 99),
         refused: refused as f64 * 100.0 / streams.len().max(1) as f64,
         lost: lost as f64,
+        control,
     }
 }
 
--- a/stand_ins/src/rig/mod.rs
+++ b/stand_ins/src/rig/mod.rs
@@ -6,11 +6,11 @@
 mod summary;
 mod workload;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::demo::build_entry;
 use crate::fleet::{Fleet, FleetPlan};
-use measure::RunMeasures;
+use measure::{ControlCost, RunMeasures};
 use workload::{UserProfile, draw_arrivals};
 
 /// What to measure.
@@ -112,11 +112,13 @@
     let stragglers = order
         .has_stragglers
         .then(|| load::start_stragglers(&fleet, seed, order.seconds));
+    let began = Instant::now();
     let outcomes = load::offer(&fleet, profile, &arrivals).await;
+    let control = ControlCost::read(&fleet, began.elapsed().as_secs_f64()).await;
     if let Some(stragglers) = stragglers {
         stragglers.await;
     }
     // The last requests end, and what nobody fetched expires.
     async_std::task::sleep(Duration::from_millis(1_500)).await;
-    measure::judge(&fleet, decode_rate(profile), &arrivals, &outcomes)
+    measure::judge(&fleet, decode_rate(profile), &arrivals, &outcomes, control)
 }
--- a/stand_ins/src/rig/overhead.rs
+++ b/stand_ins/src/rig/overhead.rs
@@ -1,5 +1,6 @@
 //! What an entry adds: latency against the same stand-in called directly, processor time a token, memory a stream.
 
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use async_std::task::{JoinHandle, sleep, spawn};
@@ -160,7 +161,12 @@
 
 /// Processor time of a process, in seconds.
 pub fn processor_seconds(id: u32) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    stat_seconds(Path::new(&format!("/proc/{id}/stat")))
+}
+
+/// Processor time in a stat file of the system, in seconds.
+pub fn stat_seconds(path: &Path) -> f64 {
+    let stat = std::fs::read_to_string(path).unwrap_or_default();
     let after_name = stat.rsplit(')').next().unwrap_or_default();
     let fields: Vec<f64> = after_name
         .split_whitespace()
@@ -201,7 +207,8 @@
 }
 
 async fn measure_memory(count: usize) {
-    let fleet = start(2_000_000, count).await;
+    // Two decode engines share the streams.
+    let fleet = start(2_000_000, count.div_ceil(2)).await;
     let id = fleet.entries[0].process.id();
     let before = resident_bytes(id);
     let streams = hold_streams(&fleet, count, 400).await;
--- a/stand_ins/src/rig/summary.rs
+++ b/stand_ins/src/rig/summary.rs
@@ -12,8 +12,8 @@
     format!(
         "user {} entries {} prefill {} decode {} ({} tokens/s) desks {}; load {}%, {} s, seeds {:?}, swings {}, \
          stragglers {}; engine time scale 1\n| policy | streams/s | goodput % | bound % | crest % | wasted % | cached % | \
-         first p50 ms | first p99 ms | gap p99 ms | lookup p50 ms | lookup p99 ms | refused % | lost |\n\
-         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+         first p50 ms | first p99 ms | gap p99 ms | lookup p50 ms | lookup p99 ms | refused % | lost | control % core | peer KB/s | RSS MB |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|",
         order.user,
         profile.entries,
         profile.prefills,
@@ -30,7 +30,7 @@
 
 /// One policy's row.
 pub fn row(policy: &str, runs: &[RunMeasures]) -> String {
-    let columns: [fn(&RunMeasures) -> f64; 13] = [
+    let columns: [fn(&RunMeasures) -> f64; 16] = [
         |run| run.offered,
         |run| run.goodput,
         |run| run.bound,
@@ -44,6 +44,9 @@
         |run| run.lookup_p99,
         |run| run.refused,
         |run| run.lost,
+        |run| run.control.core_percent,
+        |run| run.control.peer_kilobytes,
+        |run| run.control.resident_megabytes,
     ];
     let cells: Vec<String> = columns
         .iter()
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -35,6 +35,8 @@
     stream_survives_an_outage_of_the_platform => PlatformDown,
     stream_survives_a_stale_platform => PlatformStale,
     stream_survives_upstreams_marked_leaving_and_back => LeavingAndBack,
+    stream_survives_crossed_answers => CrossAnswers,
+    stream_survives_a_wrong_vm_list => VmsWrong,
     stream_survives_an_entry_told_to_leave => DrainEntry,
     memory_is_freed_when_the_caller_cancels => CallerCancels,
     memory_is_freed_when_the_caller_vanishes => CallerVanishes,
@@ -62,4 +64,6 @@
     booking_runs_once_when_the_key_owner_leaves => DrainOwner,
     booking_runs_once_when_the_rule_changes => RuleChanges,
     booking_runs_once_under_a_crossed_answer => CrossedAnswer,
+    booking_runs_once_under_an_outage_of_the_platform => PlatformDown,
+    booking_runs_once_under_a_wrong_vm_list => VmsWrong,
 }
--- a/tests/fault_matrix/run_once.rs
+++ b/tests/fault_matrix/run_once.rs
@@ -34,6 +34,8 @@
     DrainOwner,
     RuleChanges,
     CrossedAnswer,
+    PlatformDown,
+    VmsWrong,
 }
 
 /// When it goes wrong.
@@ -151,6 +153,8 @@
                 async_std::task::sleep(Duration::from_millis(100)).await;
                 self.route_services("pass").await;
             }
+            CallFault::PlatformDown => self.fleet.platform_fault(json!({ "down": true })).await,
+            CallFault::VmsWrong => self.fleet.publish_vms(&[0, 1, 2]).await,
             CallFault::DrainOwner => self.fleet.entries[0].process.terminate(),
             CallFault::RuleChanges => {
                 let text = self
--- a/tests/fault_matrix/stream.rs
+++ b/tests/fault_matrix/stream.rs
@@ -43,6 +43,8 @@
     PlatformDown,
     PlatformStale,
     LeavingAndBack,
+    CrossAnswers,
+    VmsWrong,
     DrainEntry,
     CallerCancels,
     CallerVanishes,
@@ -274,6 +276,8 @@
             StreamFault::PlatformDown => self.platform_outage().await,
             StreamFault::PlatformStale => self.platform_stale().await,
             StreamFault::LeavingAndBack => self.mark_leaving_and_back().await,
+            StreamFault::CrossAnswers => self.cross_answers().await,
+            StreamFault::VmsWrong => self.fleet.publish_vms(&[serving, owner]).await,
             StreamFault::DrainEntry => self.fleet.entries[serving].process.terminate(),
             StreamFault::CallerCancels | StreamFault::CallerVanishes => {}
         }
@@ -303,6 +307,18 @@
         }
     }
 
+    /// For a while every engine answers with another request's id.
+    async fn cross_answers(&self) {
+        let engines = || self.fleet.prefills.iter().chain(&self.fleet.decodes);
+        for engine in engines() {
+            http::post(&engine.address, "/fault", &json!({ "crosses": true })).await;
+        }
+        async_std::task::sleep(Duration::from_millis(300)).await;
+        for engine in engines() {
+            http::post(&engine.address, "/fault", &json!({})).await;
+        }
+    }
+
     async fn route_peers(&self, mode: &str) {
         for entry in &self.fleet.entries {
             self.fleet.route(&entry.peer_routed, mode).await;
--- a/tests/properties/slots.rs
+++ b/tests/properties/slots.rs
@@ -5,11 +5,15 @@
 
 use dotterelspan::blackboard::OwnIdentity;
 use dotterelspan::controllers::message::SlotVerdict;
+use dotterelspan::controllers::rendezvous;
 use dotterelspan::controllers::slots::{EngineGroup, GroupLedger, PlacementAsk, PlacementResult};
+use dotterelspan::controllers::{RegisterSource, Reply};
 use dotterelspan::prelude::*;
 use dotterelspan::register::parse_register;
 use proptest::prelude::*;
 
+use crate::network::Network;
+
 const SLOTS: u32 = 2;
 
 #[derive(Clone, Debug)]
@@ -32,7 +36,7 @@
     proptest::collection::vec(step, 1..150)
 }
 
-fn board(leaving: bool) -> Blackboard {
+fn register_text(leaving: bool) -> String {
     let engine = |role: &str, index: usize, leaving: bool| {
         format!(
             "[[upstream]]\nname = \"{role}-{index}\"\nzone = \"z\"\naddress = \"10.0.0.{}:1\"\nkind = \"engine\"\n\
@@ -40,13 +44,16 @@
             index + if role == "decode" { 10 } else { 20 }
         )
     };
-    let text = format!(
+    format!(
         "[[zone]]\nname = \"z\"\n{}{}{}{}",
         engine("decode", 0, leaving),
         engine("decode", 1, false),
         engine("prefill", 0, false),
         engine("prefill", 1, false)
-    );
+    )
+}
+
+fn board(leaving: bool) -> Blackboard {
     let own = OwnIdentity {
         name: "entry-0".into(),
         zone: "z".into(),
@@ -56,7 +63,8 @@
     };
     let mut board = Blackboard::new(own);
     board.register.revision = 1 + u64::from(leaving);
-    board.register.register = Arc::new(parse_register(&text).expect("the register is good"));
+    board.register.register =
+        Arc::new(parse_register(&register_text(leaving)).expect("the register is good"));
     board
 }
 
@@ -154,3 +162,69 @@
         prop_assert!(ledger.is_idle(), "{} still wait", ledger.waiting());
     }
 }
+
+/// Delivers everything that is under way, but nothing to or from one node.
+fn settle(network: &mut Network, without: Option<usize>) {
+    for _ in 0..20 {
+        network.pass(100);
+        let flights: Vec<_> = network.flights.drain(..).collect();
+        for flight in flights {
+            if without != Some(flight.from) && without != Some(flight.to) {
+                network.deliver(flight);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_new_owner_counts_what_is_held() {
+    const NODES: usize = 4;
+    let mut network = Network::new(NODES);
+    let offer = Event::RegisterOffered {
+        revision: 1,
+        text: register_text(false).into(),
+        source: RegisterSource::Peer("entry-0".into()),
+    };
+    for node in 0..NODES {
+        network.event(node, &offer);
+    }
+    let names: Vec<String> = (0..NODES).map(|index| format!("entry-{index}")).collect();
+    let owner = rendezvous::owner("m/0", names.iter().map(String::as_str)).expect("there are nodes");
+    let owner = names
+        .iter()
+        .position(|name| name == owner)
+        .expect("the owner is a node");
+    let holder = (owner + 1) % NODES;
+    let place = |network: &mut Network, number: u8| {
+        let (ticket, ask) = (ReplyTicket(u64::from(number)), ask(number));
+        network.event(holder, &Event::PlacementWanted { ticket, ask });
+    };
+    // All slots of both decode engines, two at a time, since a prefill engine takes two prompts at once.
+    for number in 0..2 * SLOTS as u8 {
+        place(&mut network, number);
+        settle(&mut network, None);
+        network.event(
+            holder,
+            &Event::PrefillDone {
+                request: ask(number).request,
+            },
+        );
+        settle(&mut network, None);
+    }
+    let placed = |network: &Network| {
+        let is_placed = |reply: &&(usize, ReplyTicket, Reply)| matches!(reply.2, Reply::Placed(_));
+        network.replies.iter().filter(is_placed).count()
+    };
+    assert_eq!(placed(&network), 2 * SLOTS as usize);
+    // The owner dies; the next one in rank must not grant the same slots again.
+    for node in (0..NODES).filter(|node| *node != owner) {
+        let vm = format!("entry-{owner}").as_str().into();
+        network.event(node, &Event::PeerUnreachable { vm });
+    }
+    settle(&mut network, Some(owner));
+    for number in 100..104 {
+        place(&mut network, number);
+    }
+    settle(&mut network, Some(owner));
+    assert_eq!(placed(&network), 2 * SLOTS as usize, "slots were granted twice");
+}
