Count what waits for a prefill engine, and let exactly one owner count a slot

By reading: an owner that was only thought dead went on counting slots that its successor had taken over.

Change: prompts that wait for an engine count as work ahead there, worked out anew each time the queue is served. Holders give a slot back at the earlier owner when they tell the new one.

--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -475,16 +475,19 @@
             let Some(present) = owners.get(group).filter(|present| *present != owner) else {
                 continue;
             };
-            *owner = present.clone();
+            let earlier = std::mem::replace(owner, present.clone());
             let held = HeldSlot {
                 request: request.clone(),
                 workspace: lease.workspace.clone(),
                 decode: lease.grant.decode.clone(),
                 deadline: lease.deadline,
             };
-            moved.push((group.clone(), present.clone(), held));
+            moved.push((group.clone(), earlier, present.clone(), held));
         }
-        for (group, owner, held) in moved {
+        for (group, earlier, owner, held) in moved {
+            // Exactly one owner counts a slot: the earlier one may only have been thought dead.
+            let release = release_of(&group, &held.request, PlacementResult::default());
+            self.tell_owner(&group, &earlier, release, turn);
             if owner == turn.board.own.name {
                 self.adopt(&group, &held, None, turn);
             } else {
--- a/src/controllers/slots/ledger.rs
+++ b/src/controllers/slots/ledger.rs
@@ -60,6 +60,8 @@
     memory: PrefixMemory,
     busy_since: Moment,
     busy_tokens: u64,
+    /// Uncached tokens of prompts that wait for this engine.
+    deferred_tokens: u64,
 }
 
 impl PrefillReplica {
@@ -71,6 +73,7 @@
             memory: PrefixMemory::default(),
             busy_since: Moment::default(),
             busy_tokens: 0,
+            deferred_tokens: 0,
         }
     }
 
@@ -98,7 +101,8 @@
 
     /// The time until a prompt of so many uncached tokens would be done, in microseconds.
     fn cost_us(&self, uncached_tokens: u64) -> u64 {
-        (self.pending_tokens + uncached_tokens) * 1_000_000 / self.rate.max(1)
+        let ahead = self.pending_tokens + self.deferred_tokens;
+        (ahead + uncached_tokens) * 1_000_000 / self.rate.max(1)
     }
 }
 
@@ -428,7 +432,7 @@
     ///
     /// `None` also where that engine has enough to do: the request waits for it.
     fn choose_prefill(
-        &self,
+        &mut self,
         ask: &PlacementAsk,
         is_suspect: bool,
         board: &Blackboard,
@@ -449,16 +453,19 @@
             .iter()
             .max_by_key(|(cost_us, cached, _)| (*cached, u64::MAX - cost_us))?;
         let bound_us = cheapest.0 * (100 + MOVE_GAIN_PERCENT) / 100;
-        let chosen = if best_cached.0 <= bound_us {
-            best_cached.2
+        let (_, cached, name) = if best_cached.0 <= bound_us {
+            best_cached
         } else {
-            cheapest.2
+            cheapest
         };
-        let has_room = self
-            .prefill
-            .get(chosen)
-            .is_some_and(|replica| replica.running < PREFILLS_AT_ONCE);
-        has_room.then(|| chosen.clone())
+        let (cached, name) = (*cached, (*name).clone());
+        let replica = self.prefill.get_mut(&name)?;
+        if replica.running < PREFILLS_AT_ONCE {
+            return Some(name);
+        }
+        // The prompt waits for this engine, so the next one finds more work ahead of it there.
+        replica.deferred_tokens += u64::from(ask.prompt_tokens.saturating_sub(cached));
+        None
     }
 
     /// Notes that a request's prefill ended, so that its engine can take the next.
@@ -525,6 +532,7 @@
             now.0 + first_token_ms > waiting.asked_at.0 + FIRST_TOKEN_TARGET_MS
         });
         self.queue = queue;
+        self.forget_deferred();
         let waiting: Vec<_> = self.queue.iter().cloned().collect();
         for entry in waiting {
             let Some(verdict) = self.place(&entry.ask, entry.holder.clone(), board, now) else {
@@ -543,6 +551,13 @@
         grants
     }
 
+    /// What waits for which engine is worked out anew each time the queue is served.
+    fn forget_deferred(&mut self) {
+        for replica in self.prefill.values_mut() {
+            replica.deferred_tokens = 0;
+        }
+    }
+
     fn is_full(&self) -> bool {
         self.decode.values().all(|replica| replica.held >= replica.slots)
             || self
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -61,6 +61,8 @@
     booking_runs_once_under_silence_of_service_connections => SilenceServices,
     booking_runs_once_under_silence_of_peer_links => SilencePeers,
     booking_runs_once_under_a_cut_of_service_connections => CutServices,
+    booking_runs_once_under_a_cut_of_its_own_connection => CutService,
+    booking_runs_once_when_the_service_dies_before_it_answers => AnswerLost,
     booking_runs_once_when_the_key_owner_leaves => DrainOwner,
     booking_runs_once_when_the_rule_changes => RuleChanges,
     booking_runs_once_under_a_crossed_answer => CrossedAnswer,
--- a/tests/fault_matrix/run_once.rs
+++ b/tests/fault_matrix/run_once.rs
@@ -31,6 +31,8 @@
     SilenceServices,
     SilencePeers,
     CutServices,
+    CutService,
+    AnswerLost,
     DrainOwner,
     RuleChanges,
     CrossedAnswer,
@@ -153,6 +155,18 @@
                 async_std::task::sleep(Duration::from_millis(100)).await;
                 self.route_services("pass").await;
             }
+            CallFault::CutService => {
+                let routed = self.fleet.services[self.service()].routed.clone();
+                self.fleet.route(&routed, "cut").await;
+                async_std::task::sleep(Duration::from_millis(100)).await;
+                self.fleet.route(&routed, "pass").await;
+            }
+            CallFault::AnswerLost => {
+                for service in &self.fleet.services {
+                    let fault = json!({ "before_ms": SERVICE_MS, "dies_after": true });
+                    http::post(&service.address, "/fault", &fault).await;
+                }
+            }
             CallFault::PlatformDown => self.fleet.platform_fault(json!({ "down": true })).await,
             CallFault::VmsWrong => self.fleet.publish_vms(&[0, 1, 2]).await,
             CallFault::DrainOwner => self.fleet.entries[0].process.terminate(),
