Prove refusals in doubt and crossed answers with checks that fail without them

Cause: two checks did not fail when their mechanism was taken out in a scratch copy: a crossed answer of the desk carried the right content, and the row that once found a false 'not run' did so only by timing.

Change: a crossing desk answers with somebody else's content; tests/refusals.rs restarts all entries in an outage and repeats a booking that ran, with a passed deadline, another workspace and no register. A call given up unstarted is repeated after its desks are back.

--- a/stand_ins/src/service.rs
+++ b/stand_ins/src/service.rs
@@ -23,7 +23,7 @@
     dies_after: bool,
     /// Ends its process before it runs a call.
     dies_before: bool,
-    /// Answers with another request's id.
+    /// Answers with another request's id and content.
     crosses: bool,
 }
 
@@ -103,7 +103,10 @@
     if fault.dies_before {
         std::process::exit(9);
     }
-    let answer = run_or_repeat(state, operation, &subject, &key, &payload);
+    let mut answer = run_or_repeat(state, operation, &subject, &key, &payload);
+    if fault.crosses {
+        answer["id"] = Value::from("somebody else's");
+    }
     if fault.dies_after {
         std::process::exit(9);
     }
--- /dev/null
+++ b/tests/refusals.rs
@@ -0,0 +1,103 @@
+//! A refusal that says "not run" is true of the operation, not only of the try that it answers.
+
+use async_std::task::block_on;
+use serde_json::{Value, json};
+use stand_ins::caller::{call_body, get_key};
+use stand_ins::fleet::{Fleet, FleetPlan, wait_for};
+use stand_ins::http::{self, Answer};
+
+const WITHIN_MS: u64 = 30_000;
+
+async fn book_once(fleet: &Fleet) -> Value {
+    let key = get_key(&fleet.entries[0].routed, "kitamura", "desk", "book", WITHIN_MS)
+        .await
+        .expect("a key");
+    let body = call_body("kitamura", "desk", "book", "pickup", Some(&key), WITHIN_MS);
+    let answer = http::post(&fleet.entries[0].routed, "/v1/call", &body)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    body
+}
+
+fn assert_in_doubt(answer: &Answer, code: u64) {
+    assert_eq!(answer.body["code"].as_u64(), Some(code), "{answer:?}");
+    assert_eq!(answer.body["effect"], "outcome unknown", "{answer:?}");
+}
+
+#[test]
+fn a_repeat_that_is_refused_before_its_owner_was_asked_is_in_doubt() {
+    block_on(async {
+        let mut fleet = Fleet::start(FleetPlan::small()).await;
+        let body = book_once(&fleet).await;
+        let mut late = body.clone();
+        late["deadline_ms"] = json!(1_000);
+        let mut other = body.clone();
+        other["workspace"] = json!("nobody");
+        for entry in &fleet.entries {
+            let answer = http::post(&entry.routed, "/v1/call", &late)
+                .await
+                .expect("an answer");
+            assert_in_doubt(&answer, 1010);
+            let answer = http::post(&entry.routed, "/v1/call", &other)
+                .await
+                .expect("an answer");
+            assert_in_doubt(&answer, 1005);
+        }
+        fleet.platform_fault(json!({ "down": true })).await;
+        for index in 0..3 {
+            fleet.entries[index].process.kill();
+        }
+        for index in 0..3 {
+            fleet.start_entry(index);
+            let address = fleet.entries[index].routed.clone();
+            let body = &body;
+            wait_for("an entry answers", || async {
+                http::get(&address, "/v1/status")
+                    .await
+                    .is_some_and(|answer| answer.status == 200)
+            })
+            .await;
+            let answer = http::post(&address, "/v1/call", body).await.expect("an answer");
+            assert_in_doubt(&answer, 2006);
+        }
+        assert_eq!(fleet.runs_of("pickup"), 1);
+    });
+}
+
+#[test]
+fn a_call_given_up_unstarted_never_runs_under_its_key() {
+    block_on(async {
+        let fleet = Fleet::start(FleetPlan::small()).await;
+        let key = get_key(&fleet.entries[0].routed, "kitamura", "desk", "book", WITHIN_MS)
+            .await
+            .expect("a key");
+        let body = call_body("kitamura", "desk", "book", "pickup", Some(&key), WITHIN_MS);
+        for service in &fleet.services {
+            service.process.terminate();
+        }
+        for service in &fleet.services {
+            let address = &service.address;
+            wait_for("the desk is gone", || async move {
+                http::get(address, "/health").await.is_none()
+            })
+            .await;
+        }
+        let answer = http::post(&fleet.entries[1].routed, "/v1/call", &body)
+            .await
+            .expect("an answer");
+        let is_unknown = answer.body["effect"] == "outcome unknown";
+        let mut fleet = fleet;
+        for name in ["desk-0", "desk-1"] {
+            fleet.restart_upstream(name).await;
+        }
+        for entry in &fleet.entries {
+            let again = http::post(&entry.routed, "/v1/call", &body)
+                .await
+                .expect("an answer");
+            assert_ne!(again.status, 200, "it ran after all: {again:?}");
+            assert_eq!(again.body["effect"] == "outcome unknown", is_unknown, "{again:?}");
+        }
+        assert_eq!(fleet.runs_of("pickup"), 0);
+    });
+}
