--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -6,15 +6,11 @@
 use criterion::Criterion;
 use dotterelspan::blackboard::OwnIdentity;
 use dotterelspan::controllers::ControlCore;
-use dotterelspan::controllers::drain::DrainController;
-use dotterelspan::controllers::idempotency::{IdempotencyController, KeyRequest, KeyScope};
-use dotterelspan::controllers::membership::MembershipController;
+use dotterelspan::controllers::idempotency::{KeyRequest, KeyScope};
 use dotterelspan::controllers::message::PeerMessage;
-use dotterelspan::controllers::quarantine::QuarantineController;
 use dotterelspan::controllers::resolve::rank_entries;
-use dotterelspan::controllers::revision::RevisionController;
-use dotterelspan::controllers::services::{ServiceAsk, ServiceController, ServiceResult};
-use dotterelspan::controllers::slots::{PlacementAsk, PlacementPolicy, PlacementResult, SlotController};
+use dotterelspan::controllers::services::{ServiceAsk, ServiceResult};
+use dotterelspan::controllers::slots::{PlacementAsk, PlacementPolicy, PlacementResult};
 use dotterelspan::prelude::*;
 use dotterelspan::register::parse_register;
 
@@ -82,16 +78,7 @@
         let vm = vm(index);
         board.vms.insert(vm.name.clone(), vm);
     }
-    let controllers: Vec<Box<dyn Controller>> = vec![
-        Box::new(MembershipController::default()),
-        Box::new(RevisionController::default()),
-        Box::new(DrainController::default()),
-        Box::new(QuarantineController::default()),
-        Box::new(IdempotencyController::default()),
-        Box::new(ServiceController::default()),
-        Box::new(SlotController::new(PlacementPolicy::Owner, 24, 1)),
-    ];
-    ControlCore::new(board, controllers)
+    ControlCore::with_all_parts(board, PlacementPolicy::Owner, 24, 1)
 }
 
 fn ask(number: u64) -> PlacementAsk {
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -20,10 +20,14 @@
 
 use crate::blackboard::{Fingerprint, Incarnation};
 use crate::prelude::*;
-use idempotency::{IdempotencyKey, KeyOutcome, KeyRequest};
+use drain::DrainController;
+use idempotency::{IdempotencyController, IdempotencyKey, KeyOutcome, KeyRequest};
+use membership::MembershipController;
 use message::{KeyCall, PeerMessage, VmIntroduction};
-use services::{ServiceAsk, ServiceResult};
-use slots::{PlacementAsk, PlacementGrant, PlacementResult, RequestId};
+use quarantine::QuarantineController;
+use revision::RevisionController;
+use services::{ServiceAsk, ServiceController, ServiceResult};
+use slots::{PlacementAsk, PlacementGrant, PlacementPolicy, PlacementResult, RequestId, SlotController};
 
 /// Names a waiting task of the traffic side, so that a reply finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -320,6 +324,20 @@
         Self { board, controllers }
     }
 
+    /// A core with all parts of a node; `seed` is for choices at random.
+    pub fn with_all_parts(board: Blackboard, policy: PlacementPolicy, group_size: usize, seed: u64) -> Self {
+        let controllers: Vec<Box<dyn Controller>> = vec![
+            Box::new(MembershipController::default()),
+            Box::new(RevisionController::default()),
+            Box::new(DrainController::default()),
+            Box::new(QuarantineController::default()),
+            Box::new(IdempotencyController::default()),
+            Box::new(ServiceController::default()),
+            Box::new(SlotController::new(policy, group_size, seed)),
+        ];
+        Self::new(board, controllers)
+    }
+
     /// Lets every controller see the event.
     pub fn handle(&mut self, event: &Event, now: Moment) -> Vec<Action> {
         let mut turn = Turn {
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -1,4 +1,4 @@
-//! Both sides of a slot exchange on one node: asks the owner for its own requests, and answers as an owner.
+//! The asker's side of a slot exchange: gets slots for this node's own requests, and gives them back.
 
 use std::sync::Arc;
 
@@ -19,9 +19,6 @@
 /// How often a queued request asks again, so that the loss of its owner is noticed, in milliseconds.
 const ASK_AGAIN_MS: u64 = 500;
 
-/// How often an owner looks for holders that are gone, in milliseconds.
-const SWEEP_EVERY_MS: u64 = 500;
-
 /// When to come back after no engine was found usable, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -53,13 +50,13 @@
 /// Grants slots as an owner, and gets them for this node's own requests.
 pub struct SlotController {
     policy: PlacementPolicy,
-    group_size: usize,
+    pub(super) group_size: usize,
     chooser: LocalChooser,
     budget: RetryBudget,
-    ledgers: FastMap<EngineGroup, GroupLedger>,
+    pub(super) ledgers: FastMap<EngineGroup, GroupLedger>,
     pending: FastMap<RequestId, PendingAsk>,
     active: FastMap<RequestId, ActiveLease>,
-    next_sweep: Moment,
+    pub(super) next_sweep: Moment,
 }
 
 impl SlotController {
@@ -176,14 +173,8 @@
         turn.send_to(owner, message);
     }
 
-    fn own_ledger(&mut self, key: &EngineGroup) -> &mut GroupLedger {
-        self.ledgers
-            .entry(key.clone())
-            .or_insert_with(|| GroupLedger::new(key))
-    }
-
     /// Takes the answer to one of this node's own requests.
-    fn take_verdict(&mut self, request: &RequestId, verdict: SlotVerdict, turn: &mut Turn<'_>) {
+    pub(super) fn take_verdict(&mut self, request: &RequestId, verdict: SlotVerdict, turn: &mut Turn<'_>) {
         if verdict == SlotVerdict::Queued {
             if let Some(pending) = self.pending.get_mut(request) {
                 pending.answer_by = turn.now.after_ms(ASK_AGAIN_MS + ANSWER_LIMIT_MS);
@@ -271,25 +262,6 @@
         self.serve_group(key, turn);
     }
 
-    /// Books a prefill's end or a release in the ledger here.
-    fn take_release(&mut self, message: &PeerMessage, now: Moment) -> Option<EngineGroup> {
-        match message {
-            PeerMessage::SlotPrefillDone { group, request } => {
-                self.ledgers.get_mut(group)?.prefill_done(request, now);
-                Some(group.clone())
-            }
-            PeerMessage::SlotRelease {
-                group,
-                request,
-                result,
-            } => {
-                self.ledgers.get_mut(group)?.release(request, *result, now);
-                Some(group.clone())
-            }
-            _ => None,
-        }
-    }
-
     fn finish_prefill(&mut self, request: &RequestId, turn: &mut Turn<'_>) {
         let Some(lease) = self.active.get(request) else {
             return;
@@ -322,45 +294,6 @@
         }
     }
 
-    fn serve_group(&mut self, key: &EngineGroup, turn: &mut Turn<'_>) {
-        let Some(ledger) = self.ledgers.get_mut(key) else {
-            return;
-        };
-        let grants = ledger.serve_queue(turn.board, self.group_size, turn.now);
-        for grant in grants {
-            let Some(holder) = grant.holder else {
-                self.take_verdict(&grant.request, grant.verdict, turn);
-                continue;
-            };
-            self.send_answer(&holder, key, &grant.request, grant.verdict, turn);
-        }
-    }
-
-    fn answer_ask(&mut self, from: &VmAddress, group: u32, ask: &PlacementAsk, turn: &mut Turn<'_>) {
-        let key = EngineGroup::new(&ask.model, group);
-        let group_size = self.group_size;
-        let verdict = self
-            .own_ledger(&key)
-            .ask(ask, Some(from.clone()), turn.board, group_size, turn.now);
-        self.send_answer(from, &key, &ask.request, verdict, turn);
-    }
-
-    fn send_answer(
-        &self,
-        holder: &VmAddress,
-        key: &EngineGroup,
-        request: &RequestId,
-        verdict: SlotVerdict,
-        turn: &mut Turn<'_>,
-    ) {
-        let message = PeerMessage::SlotAnswer {
-            group: key.clone(),
-            request: request.clone(),
-            verdict,
-        };
-        turn.send_to(holder, message);
-    }
-
     /// Takes an owner's answer; a grant that nobody here waits for goes back.
     fn take_answer(
         &mut self,
@@ -458,7 +391,7 @@
     }
 
     /// Tells new owners what this node's requests hold, so that they do not grant it again.
-    fn follow_owners(&mut self, turn: &mut Turn<'_>) {
+    pub(super) fn follow_owners(&mut self, turn: &mut Turn<'_>) {
         let mut owners: FastMap<EngineGroup, VmAddress> = FastMap::default();
         for lease in self.active.values() {
             if let Some((group, _)) = &lease.owner {
@@ -495,28 +428,6 @@
             }
         }
     }
-
-    fn adopt(&mut self, group: &EngineGroup, held: &HeldSlot, holder: Option<VmAddress>, turn: &Turn<'_>) {
-        let group_size = self.group_size;
-        self.own_ledger(group).adopt(held, holder, turn.board, group_size);
-    }
-
-    fn sweep(&mut self, turn: &mut Turn<'_>) {
-        if !turn.now.reached(self.next_sweep) {
-            return;
-        }
-        self.next_sweep = turn.now.after_ms(SWEEP_EVERY_MS);
-        self.follow_owners(turn);
-        let vms = &turn.board.vms;
-        let is_gone = |name: &VmAddress| vms.get(name).is_none_or(|vm| !vm.is_live(turn.now));
-        for ledger in self.ledgers.values_mut() {
-            ledger.expire(turn.now, is_gone);
-        }
-        let keys: Vec<EngineGroup> = self.ledgers.keys().cloned().collect();
-        for key in keys {
-            self.serve_group(&key, turn);
-        }
-    }
 }
 
 fn release_of(key: &EngineGroup, request: &RequestId, result: PlacementResult) -> PeerMessage {
--- a/src/controllers/slots/ledger.rs
+++ b/src/controllers/slots/ledger.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use super::prefix::PrefixMemory;
 use super::queue::{QUEUE_LIMIT, WaitingQueue};
+use super::replica::{CompletionRate, DEFAULT_PREFILL_RATE, DecodeReplica, PrefillReplica};
 use super::{EngineGroup, HeldSlot, PlacementAsk, PlacementResult, RequestId, group_count, group_members};
 use crate::controllers::message::SlotVerdict;
 use crate::controllers::services::smooth;
@@ -13,21 +13,12 @@
 /// Prefills that an engine is given at once; more would wait where no class goes first.
 const PREFILLS_AT_ONCE: u32 = 2;
 
-/// The prefill rate assumed for an engine that has none measured, in tokens a second.
-const DEFAULT_PREFILL_RATE: u64 = 8_000;
-
-/// The fewest prompt tokens from which a prefill rate is worked out.
-const RATE_SAMPLE_TOKENS: u64 = 2_000;
-
 /// A cached prefix is left for another engine only for a gain of at least this share, in percent.
 const MOVE_GAIN_PERCENT: u64 = 50;
 
 /// The users' target for the first token, in milliseconds.
 const FIRST_TOKEN_TARGET_MS: u64 = 520;
 
-/// The span over which completions are counted, in milliseconds.
-const RATE_WINDOW_MS: u64 = 2_000;
-
 /// When to come back while no completion rate is known, in milliseconds.
 const DEFAULT_RETRY_MS: u64 = 1_000;
 
@@ -45,67 +36,6 @@
     pub verdict: SlotVerdict,
 }
 
-#[derive(Debug)]
-struct DecodeReplica {
-    slots: u32,
-    held: u32,
-    pace_us: u64,
-}
-
-#[derive(Debug)]
-struct PrefillReplica {
-    running: u32,
-    pending_tokens: u64,
-    rate: u64,
-    memory: PrefixMemory,
-    busy_since: Moment,
-    busy_tokens: u64,
-    /// Uncached tokens of prompts that wait for this engine.
-    deferred_tokens: u64,
-}
-
-impl PrefillReplica {
-    fn new() -> Self {
-        Self {
-            running: 0,
-            pending_tokens: 0,
-            rate: DEFAULT_PREFILL_RATE,
-            memory: PrefixMemory::default(),
-            busy_since: Moment::default(),
-            busy_tokens: 0,
-            deferred_tokens: 0,
-        }
-    }
-
-    fn begin(&mut self, tokens: u64, now: Moment) {
-        if self.running == 0 {
-            self.busy_since = now;
-            self.busy_tokens = 0;
-        }
-        self.running += 1;
-        self.pending_tokens += tokens;
-    }
-
-    /// Books a prefill's end; the rate is that of the latest span in which the engine was never idle.
-    fn end(&mut self, tokens: u64, now: Moment) {
-        self.running = self.running.saturating_sub(1);
-        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
-        self.busy_tokens += tokens;
-        let busy_ms = now.0.saturating_sub(self.busy_since.0);
-        if self.busy_tokens >= RATE_SAMPLE_TOKENS && busy_ms > 0 {
-            self.rate = smooth(self.rate, self.busy_tokens * 1_000 / busy_ms).max(1);
-            self.busy_since = now;
-            self.busy_tokens = 0;
-        }
-    }
-
-    /// The time until a prompt of so many uncached tokens would be done, in microseconds.
-    fn cost_us(&self, uncached_tokens: u64) -> u64 {
-        let ahead = self.pending_tokens + self.deferred_tokens;
-        (ahead + uncached_tokens) * 1_000_000 / self.rate.max(1)
-    }
-}
-
 #[derive(Debug)]
 struct SlotLease {
     holder: Option<VmAddress>,
@@ -118,31 +48,6 @@
     deadline: Moment,
 }
 
-/// Counts the completions of the most recent window.
-#[derive(Debug, Default)]
-struct CompletionRate {
-    window_began: Moment,
-    count: u64,
-    per_second_milli: u64,
-}
-
-impl CompletionRate {
-    fn note(&mut self, now: Moment) {
-        self.count += 1;
-        let span_ms = now.0.saturating_sub(self.window_began.0);
-        if span_ms >= RATE_WINDOW_MS {
-            self.per_second_milli = self.count * 1_000_000 / span_ms;
-            self.count = 0;
-            self.window_began = now;
-        }
-    }
-
-    /// The time in which this many requests complete, in milliseconds.
-    fn wait_ms(&self, requests: u64) -> Option<u64> {
-        (self.per_second_milli > 0).then(|| requests * 1_000_000 / self.per_second_milli)
-    }
-}
-
 /// The slots and the queue of one group.
 #[derive(Debug)]
 pub struct GroupLedger {
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -7,8 +7,10 @@
 mod client;
 mod groups;
 mod ledger;
+mod owner;
 mod prefix;
 mod queue;
+mod replica;
 
 pub use choice::{LocalChooser, PlacementPolicy};
 pub use client::SlotController;
--- /dev/null
+++ b/src/controllers/slots/owner.rs
@@ -0,0 +1,109 @@
+//! The owner's side of a slot exchange: answers asks, takes slots back, and serves its groups' queues.
+
+use super::client::SlotController;
+use super::{EngineGroup, GroupLedger, HeldSlot, PlacementAsk, RequestId};
+use crate::controllers::message::{PeerMessage, SlotVerdict};
+use crate::prelude::*;
+
+/// How often an owner looks for holders that are gone, in milliseconds.
+const SWEEP_EVERY_MS: u64 = 500;
+
+impl SlotController {
+    pub(super) fn own_ledger(&mut self, key: &EngineGroup) -> &mut GroupLedger {
+        self.ledgers
+            .entry(key.clone())
+            .or_insert_with(|| GroupLedger::new(key))
+    }
+
+    /// Books a prefill's end or a release in the ledger here.
+    pub(super) fn take_release(&mut self, message: &PeerMessage, now: Moment) -> Option<EngineGroup> {
+        match message {
+            PeerMessage::SlotPrefillDone { group, request } => {
+                self.ledgers.get_mut(group)?.prefill_done(request, now);
+                Some(group.clone())
+            }
+            PeerMessage::SlotRelease {
+                group,
+                request,
+                result,
+            } => {
+                self.ledgers.get_mut(group)?.release(request, *result, now);
+                Some(group.clone())
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn serve_group(&mut self, key: &EngineGroup, turn: &mut Turn<'_>) {
+        let Some(ledger) = self.ledgers.get_mut(key) else {
+            return;
+        };
+        let grants = ledger.serve_queue(turn.board, self.group_size, turn.now);
+        for grant in grants {
+            let Some(holder) = grant.holder else {
+                self.take_verdict(&grant.request, grant.verdict, turn);
+                continue;
+            };
+            self.send_answer(&holder, key, &grant.request, grant.verdict, turn);
+        }
+    }
+
+    pub(super) fn answer_ask(
+        &mut self,
+        from: &VmAddress,
+        group: u32,
+        ask: &PlacementAsk,
+        turn: &mut Turn<'_>,
+    ) {
+        let key = EngineGroup::new(&ask.model, group);
+        let group_size = self.group_size;
+        let verdict = self
+            .own_ledger(&key)
+            .ask(ask, Some(from.clone()), turn.board, group_size, turn.now);
+        self.send_answer(from, &key, &ask.request, verdict, turn);
+    }
+
+    fn send_answer(
+        &self,
+        holder: &VmAddress,
+        key: &EngineGroup,
+        request: &RequestId,
+        verdict: SlotVerdict,
+        turn: &mut Turn<'_>,
+    ) {
+        let message = PeerMessage::SlotAnswer {
+            group: key.clone(),
+            request: request.clone(),
+            verdict,
+        };
+        turn.send_to(holder, message);
+    }
+
+    pub(super) fn adopt(
+        &mut self,
+        group: &EngineGroup,
+        held: &HeldSlot,
+        holder: Option<VmAddress>,
+        turn: &Turn<'_>,
+    ) {
+        let group_size = self.group_size;
+        self.own_ledger(group).adopt(held, holder, turn.board, group_size);
+    }
+
+    pub(super) fn sweep(&mut self, turn: &mut Turn<'_>) {
+        if !turn.now.reached(self.next_sweep) {
+            return;
+        }
+        self.next_sweep = turn.now.after_ms(SWEEP_EVERY_MS);
+        self.follow_owners(turn);
+        let vms = &turn.board.vms;
+        let is_gone = |name: &VmAddress| vms.get(name).is_none_or(|vm| !vm.is_live(turn.now));
+        for ledger in self.ledgers.values_mut() {
+            ledger.expire(turn.now, is_gone);
+        }
+        let keys: Vec<EngineGroup> = self.ledgers.keys().cloned().collect();
+        for key in keys {
+            self.serve_group(&key, turn);
+        }
+    }
+}
--- /dev/null
+++ b/src/controllers/slots/replica.rs
@@ -0,0 +1,112 @@
+//! Engines as their owner sees them: what they hold, and how fast they have been lately.
+
+use super::prefix::PrefixMemory;
+use crate::controllers::services::smooth;
+use crate::prelude::*;
+
+/// The prefill rate assumed for an engine that has none measured, in tokens a second.
+pub const DEFAULT_PREFILL_RATE: u64 = 8_000;
+
+/// The fewest prompt tokens from which a prefill rate is worked out.
+const RATE_SAMPLE_TOKENS: u64 = 2_000;
+
+/// The span over which completions are counted, in milliseconds.
+const RATE_WINDOW_MS: u64 = 2_000;
+
+/// A decode engine.
+#[derive(Debug)]
+pub struct DecodeReplica {
+    /// Requests that it can hold.
+    pub slots: u32,
+    /// Requests that it holds.
+    pub held: u32,
+    /// A smoothed time between its tokens, in microseconds; zero where none is known.
+    pub pace_us: u64,
+}
+
+/// A prefill engine.
+#[derive(Debug)]
+pub struct PrefillReplica {
+    /// Prompts that it was given and has not finished.
+    pub running: u32,
+    /// Their uncached tokens.
+    pub pending_tokens: u64,
+    /// Uncached tokens that it runs in a second.
+    pub rate: u64,
+    /// What it is believed to have cached.
+    pub memory: PrefixMemory,
+    busy_since: Moment,
+    busy_tokens: u64,
+    /// Uncached tokens of prompts that wait for this engine.
+    pub deferred_tokens: u64,
+}
+
+impl PrefillReplica {
+    /// An engine that has done nothing yet.
+    pub fn new() -> Self {
+        Self {
+            running: 0,
+            pending_tokens: 0,
+            rate: DEFAULT_PREFILL_RATE,
+            memory: PrefixMemory::default(),
+            busy_since: Moment::default(),
+            busy_tokens: 0,
+            deferred_tokens: 0,
+        }
+    }
+
+    /// Books a prefill's beginning.
+    pub fn begin(&mut self, tokens: u64, now: Moment) {
+        if self.running == 0 {
+            self.busy_since = now;
+            self.busy_tokens = 0;
+        }
+        self.running += 1;
+        self.pending_tokens += tokens;
+    }
+
+    /// Books a prefill's end; the rate is that of the latest span in which the engine was never idle.
+    pub fn end(&mut self, tokens: u64, now: Moment) {
+        self.running = self.running.saturating_sub(1);
+        self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
+        self.busy_tokens += tokens;
+        let busy_ms = now.0.saturating_sub(self.busy_since.0);
+        if self.busy_tokens >= RATE_SAMPLE_TOKENS && busy_ms > 0 {
+            self.rate = smooth(self.rate, self.busy_tokens * 1_000 / busy_ms).max(1);
+            self.busy_since = now;
+            self.busy_tokens = 0;
+        }
+    }
+
+    /// The time until a prompt of so many uncached tokens would be done, in microseconds.
+    pub fn cost_us(&self, uncached_tokens: u64) -> u64 {
+        let ahead = self.pending_tokens + self.deferred_tokens;
+        (ahead + uncached_tokens) * 1_000_000 / self.rate.max(1)
+    }
+}
+
+/// Counts the completions of the most recent window.
+#[derive(Debug, Default)]
+pub struct CompletionRate {
+    window_began: Moment,
+    count: u64,
+    per_second_milli: u64,
+}
+
+impl CompletionRate {
+    /// Notes a completion.
+    pub fn note(&mut self, now: Moment) {
+        self.count += 1;
+        let span_ms = now.0.saturating_sub(self.window_began.0);
+        if span_ms >= RATE_WINDOW_MS {
+            self.per_second_milli = self.count * 1_000_000 / span_ms;
+            self.count = 0;
+            self.window_began = now;
+        }
+    }
+
+    /// The time in which this many requests complete, in milliseconds.
+    pub fn wait_ms(&self, requests: u64) -> Option<u64> {
+        (self.per_second_milli > 0).then(|| requests * 1_000_000 / self.per_second_milli)
+    }
+}
--- a/src/runtime/node.rs
+++ b/src/runtime/node.rs
@@ -12,14 +12,7 @@
 use crate::blackboard::OwnIdentity;
 use crate::clock;
 use crate::controllers::ControlCore;
-use crate::controllers::drain::DrainController;
-use crate::controllers::idempotency::IdempotencyController;
-use crate::controllers::membership::MembershipController;
 use crate::controllers::message::VmIntroduction;
-use crate::controllers::quarantine::QuarantineController;
-use crate::controllers::revision::RevisionController;
-use crate::controllers::services::ServiceController;
-use crate::controllers::slots::SlotController;
 use crate::peers::{self, PeerHub};
 use crate::platform::{HttpPlatform, PlatformSource, watch_register, watch_vms};
 use crate::prelude::*;
@@ -76,16 +69,7 @@
 
 fn build_core(settings: &EntrySettings, own: OwnIdentity) -> ControlCore {
     let seed = own.incarnation as u64;
-    let controllers: Vec<Box<dyn Controller>> = vec![
-        Box::new(MembershipController::default()),
-        Box::new(RevisionController::default()),
-        Box::new(DrainController::default()),
-        Box::new(QuarantineController::default()),
-        Box::new(IdempotencyController::default()),
-        Box::new(ServiceController::default()),
-        Box::new(SlotController::new(settings.policy, settings.group_size, seed)),
-    ];
-    ControlCore::new(Blackboard::new(own), controllers)
+    ControlCore::with_all_parts(Blackboard::new(own), settings.policy, settings.group_size, seed)
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
--- /dev/null
+++ b/src/traffic/call/lookup.rs
@@ -0,0 +1,97 @@
+//! Idempotent calls: tried on one replica after another, and on a second one when the first is slow.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::{Either, select};
+
+use super::replica::{CallEnd, call_replica, choose_replica};
+use super::{ASK_AGAIN_MS, CheckedCall};
+use crate::clock;
+use crate::controllers::idempotency::StoredAnswer;
+use crate::prelude::*;
+use crate::traffic::TrafficContext;
+
+/// An idempotent call: tried on one replica after another, and on a second one when the first is slow.
+pub(super) async fn look_up(
+    context: &Arc<TrafficContext>,
+    call: &CheckedCall,
+) -> Result<StoredAnswer, RefusalNotice> {
+    let began_at = clock::now();
+    let mut avoid = Vec::new();
+    let mut is_sent = false;
+    loop {
+        if clock::now().reached(call.deadline) {
+            let code = if is_sent {
+                ResultCode::DeadlineDuringRun
+            } else {
+                ResultCode::DeadlinePassed
+            };
+            return Err(RefusalNotice::new(code, "").retry_after_ms(ASK_AGAIN_MS));
+        }
+        let replica = match choose_replica(context, &call.scope, &avoid, !avoid.is_empty()).await {
+            Ok(replica) => replica,
+            Err(notice) if is_sent => {
+                let failed = RefusalNotice::new(ResultCode::UpstreamFailed, notice.detail);
+                return Err(failed.retry_after_ms(ASK_AGAIN_MS));
+            }
+            Err(notice) => return Err(notice),
+        };
+        avoid.push(replica.clone());
+        match call_hedged(context, call, replica, &mut avoid).await {
+            CallEnd::Answered(answer) => {
+                context
+                    .metrics
+                    .note_lookup(&call.scope.workspace, &call.scope.operation, began_at);
+                context.note_latency(&call.scope, clock::now().0 - began_at.0);
+                return Ok(answer);
+            }
+            CallEnd::Unsent => {}
+            CallEnd::Lost => is_sent = true,
+        }
+    }
+}
+
+/// Calls a replica, and after a while without an answer a second one; the first answer counts.
+async fn call_hedged(
+    context: &Arc<TrafficContext>,
+    call: &CheckedCall,
+    replica: Arc<str>,
+    avoid: &mut Vec<Arc<str>>,
+) -> CallEnd {
+    let first = spawn_call(context, call, replica);
+    let hedge_after = Duration::from_millis(context.hedge_delay_ms(&call.scope));
+    let pause = std::pin::pin!(async_std::task::sleep(hedge_after));
+    let first = match select(first, pause).await {
+        Either::Left((end, _)) => return end,
+        Either::Right((_, first)) => first,
+    };
+    let Ok(replica) = choose_replica(context, &call.scope, avoid, true).await else {
+        return first.await;
+    };
+    avoid.push(replica.clone());
+    context.metrics.note_hedge();
+    let second = spawn_call(context, call, replica);
+    match select(first, second).await {
+        Either::Left((CallEnd::Answered(answer), _)) | Either::Right((CallEnd::Answered(answer), _)) => {
+            CallEnd::Answered(answer)
+        }
+        Either::Left((_, second)) => second.await,
+        Either::Right((_, first)) => first.await,
+    }
+}
+
+/// Runs a call as a task of its own, so that its end is noted even when another answer counts.
+fn spawn_call(
+    context: &Arc<TrafficContext>,
+    call: &CheckedCall,
+    replica: Arc<str>,
+) -> async_std::task::JoinHandle<CallEnd> {
+    let context = context.clone();
+    let scope = call.scope.clone();
+    let payload = call.payload.clone();
+    let deadline = call.deadline;
+    async_std::task::spawn(async move {
+        call_replica(&context, &replica, &scope, &payload, None, deadline, deadline).await
+    })
+}
--- /dev/null
+++ b/src/traffic/call/mod.rs
@@ -0,0 +1,90 @@
+//! Calls to plain services: idempotent ones are retried and hedged, the others run once, at their key's owner.
+
+mod lookup;
+mod replica;
+mod run_once;
+
+pub use run_once::{run_forwarded, send_to_owner};
+
+use std::sync::Arc;
+
+use http_types::{Request, Response};
+
+use super::TrafficContext;
+use super::answer::json_answer;
+use super::request::{CallBody, check_deadline, check_workspace, read_json};
+use super::routes::refuse_when_leaving;
+use crate::controllers::idempotency::KeyScope;
+use crate::prelude::*;
+use crate::register::OperationRule;
+use lookup::look_up;
+use run_once::call_once;
+
+/// When to ask again for a call that is still running, in milliseconds.
+const ASK_AGAIN_MS: u64 = 1_000;
+
+/// A call that was checked.
+struct CheckedCall {
+    scope: KeyScope,
+    payload: Arc<str>,
+    deadline: Moment,
+}
+
+/// The operation with this name.
+pub fn find_operation<'a>(
+    register: &'a Register,
+    service: &str,
+    operation: &str,
+) -> Result<&'a OperationRule, RefusalNotice> {
+    let rule = register.operation(service, operation);
+    rule.ok_or_else(|| RefusalNotice::new(ResultCode::UnknownService, format!("{service}/{operation}")))
+}
+
+/// Serves a call to a plain service.
+pub async fn call(context: &Arc<TrafficContext>, mut request: Request) -> Result<Response, RefusalNotice> {
+    // Until the body is read it may carry a key, and until the key's owner is asked its call may have run.
+    let body: CallBody = read_json(context, &mut request)
+        .await
+        .map_err(RefusalNotice::in_doubt)?;
+    let key = body.key.clone();
+    let checked = check_call(context, body);
+    let (call, repeat) = match key {
+        Some(_) => checked.map_err(RefusalNotice::in_doubt)?,
+        None => checked?,
+    };
+    let answer = match (repeat, key) {
+        (RepeatRule::Safe, _) => look_up(context, &call).await?,
+        (RepeatRule::Never | RepeatRule::ByKey, None) => {
+            return Err(RefusalNotice::new(ResultCode::KeyRequired, ""));
+        }
+        (RepeatRule::Never | RepeatRule::ByKey, Some(key)) => call_once(context, &call, &key).await?,
+    };
+    let payload: serde_json::Value = serde_json::from_str(&answer.body)
+        .unwrap_or_else(|_| serde_json::Value::String(answer.body.to_string()));
+    Ok(json_answer(
+        200,
+        &serde_json::json!({ "effect": "ran", "service_status": answer.status, "answer": payload }),
+    ))
+}
+
+/// Checks a call against the register.
+fn check_call(context: &TrafficContext, body: CallBody) -> Result<(CheckedCall, RepeatRule), RefusalNotice> {
+    let snapshot = context.snapshot();
+    // A leaving node still passes calls with keys on, since their owner may be another one.
+    if body.key.is_none() {
+        refuse_when_leaving(context)?;
+    }
+    check_workspace(&snapshot, &body.workspace)?;
+    let repeat = find_operation(&snapshot.register, &body.service, &body.operation)?.repeat;
+    let (_, deadline) = check_deadline(body.deadline_ms)?;
+    let call = CheckedCall {
+        scope: KeyScope {
+            workspace: body.workspace.into(),
+            service: body.service.into(),
+            operation: body.operation.into(),
+        },
+        payload: body.payload.to_string().into(),
+        deadline,
+    };
+    Ok((call, repeat))
+}
--- /dev/null
+++ b/src/traffic/call/replica.rs
@@ -0,0 +1,131 @@
+//! One call to one replica of a plain service, over a connection of its own.
+
+use std::sync::Arc;
+
+use crate::clock;
+use crate::controllers::Reply;
+use crate::controllers::idempotency::{KeyScope, StoredAnswer};
+use crate::controllers::services::{ServiceAsk, ServiceResult};
+use crate::prelude::*;
+use crate::traffic::TrafficContext;
+use crate::traffic::upstream::{UpstreamError, connect, post_json, read_body, send};
+
+/// The longest answer of a service, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 4_000_000;
+
+/// How a call to one replica ended.
+pub(super) enum CallEnd {
+    Answered(StoredAnswer),
+    Unsent,
+    Lost,
+}
+
+/// Calls one replica over a new connection.
+pub(super) async fn call_replica(
+    context: &TrafficContext,
+    replica: &Arc<str>,
+    scope: &KeyScope,
+    payload: &str,
+    key: Option<&str>,
+    start_by: Moment,
+    answer_by: Moment,
+) -> CallEnd {
+    let began_at = clock::now();
+    let outcome = exchange_with_replica(context, replica, scope, payload, key, start_by, answer_by).await;
+    let result = match &outcome {
+        Ok(_) => ServiceResult::Answered((clock::now().0 - began_at.0) * 1_000),
+        Err(UpstreamError::Deadline { .. }) => {
+            ServiceResult::Abandoned((clock::now().0 - began_at.0) * 1_000)
+        }
+        Err(_) => ServiceResult::Failed,
+    };
+    context.control.tell(Event::ServiceDone {
+        replica: replica.clone(),
+        result,
+    });
+    match outcome {
+        Ok(answer) => CallEnd::Answered(answer),
+        Err(error) if error.is_unsent() => CallEnd::Unsent,
+        Err(_) => CallEnd::Lost,
+    }
+}
+
+async fn exchange_with_replica(
+    context: &TrafficContext,
+    replica: &str,
+    scope: &KeyScope,
+    payload: &str,
+    key: Option<&str>,
+    start_by: Moment,
+    answer_by: Moment,
+) -> Result<StoredAnswer, UpstreamError> {
+    let snapshot = context.snapshot();
+    let upstream = snapshot.register.upstream(replica);
+    let address = upstream
+        .map(|upstream| upstream.address.clone())
+        .unwrap_or_default();
+    let unsent = || UpstreamError::Connect {
+        address: address.clone(),
+    };
+    let broken = || UpstreamError::Broken {
+        address: address.clone(),
+    };
+    let request_id = context.next_request_id();
+    let path = format!("/op/{}", scope.operation);
+    let mut request = post_json(&address, &path, &serde_json::Value::Null).ok_or_else(unsent)?;
+    request.set_body(payload);
+    request.insert_header("content-type", "application/json");
+    request.insert_header("connection", "close");
+    request.insert_header("x-request-id", &*request_id);
+    request.insert_header("x-workspace", &*scope.workspace);
+    if let Some(key) = key {
+        request.insert_header("idempotency-key", key);
+    }
+    let stream = connect(&address, start_by).await?;
+    // The process may have been paused since the claim; nothing has left yet, so not starting is still true.
+    if clock::now().reached(start_by) {
+        return Err(unsent());
+    }
+    let mut response = send(stream, &address, request, answer_by).await?;
+    // An answer to another request is never passed on.
+    let answered_id = response
+        .header("x-request-id")
+        .map(|values| values.last().as_str().to_owned());
+    if answered_id.is_some_and(|id| id != *request_id) {
+        return Err(broken());
+    }
+    let limit = clock::now().remaining(answer_by);
+    let body = async_std::future::timeout(limit, read_body(&mut response, ANSWER_LIMIT_BYTES)).await;
+    let body = body.ok().flatten().ok_or_else(broken)?;
+    let body = String::from_utf8(body).map_err(|_| broken())?;
+    Ok(StoredAnswer {
+        status: u16::from(response.status()),
+        body: body.into(),
+    })
+}
+
+pub(super) async fn choose_replica(
+    context: &TrafficContext,
+    scope: &KeyScope,
+    avoid: &[Arc<str>],
+    is_retry: bool,
+) -> Result<Arc<str>, RefusalNotice> {
+    let ask = ServiceAsk {
+        workspace: scope.workspace.clone(),
+        service: scope.service.clone(),
+        avoid: avoid.to_vec(),
+        is_retry,
+    };
+    match context
+        .control
+        .ask(|ticket| Event::ServiceWanted { ticket, ask })
+        .await
+    {
+        Some(Reply::Replica(replica)) => Ok(replica),
+        Some(Reply::Refused(notice)) => Err(notice),
+        _ => Err(RefusalNotice::new(
+            ResultCode::NoUpstream,
+            scope.service.to_string(),
+        )),
+    }
+}
--- /dev/null
+++ b/src/traffic/call/run_once.rs
@@ -0,0 +1,231 @@
+//! Run-once calls: run by the process that issued the key, sent there by all others.
+
+use std::sync::Arc;
+
+use rand::Rng;
+
+use super::replica::{CallEnd, call_replica, choose_replica};
+use super::{ASK_AGAIN_MS, CheckedCall};
+use crate::clock;
+use crate::controllers::Reply;
+use crate::controllers::idempotency::{IdempotencyKey, KeyOutcome, KeyScope, StoredAnswer};
+use crate::controllers::message::KeyCall;
+use crate::prelude::*;
+use crate::traffic::TrafficContext;
+use crate::traffic::request::hash_parts;
+
+/// How long after its caller's deadline the answer of a started run-once call is still awaited, in milliseconds.
+const LATE_ANSWER_MS: u64 = 30_000;
+
+/// A run-once call: run here when this process issued its key, sent to the owner otherwise.
+pub(super) async fn call_once(
+    context: &Arc<TrafficContext>,
+    call: &CheckedCall,
+    key_text: &str,
+) -> Result<StoredAnswer, RefusalNotice> {
+    let key = IdempotencyKey::decode(key_text, &call.scope, &context.settings.shared_key)
+        .ok_or_else(|| RefusalNotice::new(ResultCode::BadKey, ""))?;
+    if key.incarnation == context.own.incarnation {
+        // A task of its own: the call goes on to its end even when the caller goes away.
+        let running = async_std::task::spawn(run_claimed(
+            context.clone(),
+            call.scope.clone(),
+            key,
+            key_text.to_owned(),
+            call.payload.clone(),
+            call.deadline,
+        ));
+        let limit = clock::now().remaining(call.deadline);
+        return match async_std::future::timeout(limit, running).await {
+            Ok(result) => result,
+            Err(_) => Err(RefusalNotice::new(ResultCode::KeyRunning, "").retry_after_ms(ASK_AGAIN_MS)),
+        };
+    }
+    let body = Some(call.payload.clone());
+    match send_to_owner(context, &call.scope, &key, key_text, body, call.deadline).await {
+        Some(Reply::Answer(answer)) => Ok(answer),
+        Some(Reply::Refused(notice)) => Err(notice),
+        _ => Err(RefusalNotice::new(ResultCode::KeyOwnerUnreachable, "")),
+    }
+}
+
+/// Sends a call, or with no body a revocation, to the owner of its key.
+pub async fn send_to_owner(
+    context: &TrafficContext,
+    scope: &KeyScope,
+    key: &IdempotencyKey,
+    key_text: &str,
+    body: Option<Arc<str>>,
+    deadline: Moment,
+) -> Option<Reply> {
+    let call = KeyCall {
+        call_id: rand::rng().random(),
+        owner: key.owner.clone(),
+        owner_address: key.owner_address.clone(),
+        key: key_text.to_owned(),
+        incarnation: key.incarnation,
+        serial: key.serial,
+        workspace: scope.workspace.clone(),
+        service: scope.service.clone(),
+        operation: scope.operation.clone(),
+        body,
+        deadline,
+    };
+    context
+        .control
+        .ask(|ticket| Event::KeyCallForwarded { ticket, call })
+        .await
+}
+
+/// Claims a key of this process and, if the claim is granted, runs its call.
+async fn run_claimed(
+    context: Arc<TrafficContext>,
+    scope: KeyScope,
+    key: IdempotencyKey,
+    key_text: String,
+    payload: Arc<str>,
+    deadline: Moment,
+) -> Result<StoredAnswer, RefusalNotice> {
+    let guard = context.control.hold_request();
+    let serial = key.serial;
+    let key_deadline = clock::moment_of_epoch(key.deadline_epoch_ms).unwrap_or_default();
+    let body_hash = hash_parts(&[payload.as_bytes()]);
+    let claimed = Event::KeyClaimed {
+        ticket: ReplyTicket(0),
+        key,
+        body_hash,
+    };
+    match context.control.ask(|ticket| with_ticket(claimed, ticket)).await {
+        Some(Reply::Start) => {}
+        Some(Reply::Answer(answer)) => return Ok(answer),
+        Some(Reply::Refused(notice)) => return Err(notice),
+        _ => return Err(RefusalNotice::new(ResultCode::KeyRunning, "").retry_after_ms(ASK_AGAIN_MS)),
+    }
+    let start_by = key_deadline.min(deadline);
+    let outcome = run_once(&context, &scope, &key_text, &payload, start_by).await;
+    context.metrics.note_run_once(&scope.workspace, &outcome);
+    context.control.tell(Event::KeyFinished {
+        serial,
+        outcome: outcome.clone(),
+    });
+    drop(guard);
+    match outcome {
+        KeyOutcome::Answered(answer) => Ok(answer),
+        KeyOutcome::Unknown => Err(RefusalNotice::new(ResultCode::OutcomeUnknown, "")),
+        KeyOutcome::Unstarted(notice) => Err(notice),
+    }
+}
+
+fn with_ticket(event: Event, ticket: ReplyTicket) -> Event {
+    match event {
+        Event::KeyClaimed { key, body_hash, .. } => Event::KeyClaimed {
+            ticket,
+            key,
+            body_hash,
+        },
+        other => other,
+    }
+}
+
+/// Runs a started call: on another replica only while no byte has left, or while the service knows repeats by key.
+async fn run_once(
+    context: &TrafficContext,
+    scope: &KeyScope,
+    key_text: &str,
+    payload: &str,
+    start_by: Moment,
+) -> KeyOutcome {
+    let rule = context
+        .snapshot()
+        .register
+        .operation(&scope.service, &scope.operation)
+        .map(|rule| rule.repeat);
+    let may_repeat = rule == Some(RepeatRule::ByKey);
+    let mut avoid = Vec::new();
+    let mut is_sent = false;
+    loop {
+        let replica = match choose_replica(context, scope, &avoid, !avoid.is_empty()).await {
+            Ok(replica) => replica,
+            Err(_) if is_sent => return KeyOutcome::Unknown,
+            Err(notice) => return KeyOutcome::Unstarted(as_not_run(notice)),
+        };
+        avoid.push(replica.clone());
+        let answer_by = start_by.after_ms(LATE_ANSWER_MS);
+        let end = call_replica(
+            context,
+            &replica,
+            scope,
+            payload,
+            Some(key_text),
+            start_by,
+            answer_by,
+        )
+        .await;
+        match end {
+            CallEnd::Answered(answer) => return KeyOutcome::Answered(answer),
+            CallEnd::Lost if may_repeat => is_sent = true,
+            CallEnd::Lost => return KeyOutcome::Unknown,
+            CallEnd::Unsent if clock::now().reached(start_by) && !is_sent => {
+                return KeyOutcome::Unstarted(RefusalNotice::new(
+                    ResultCode::DeadlinePassed,
+                    "before it was started",
+                ));
+            }
+            CallEnd::Unsent => {}
+        }
+    }
+}
+
+/// The refusal of a call of which no byte has left, whatever the reason.
+fn as_not_run(notice: RefusalNotice) -> RefusalNotice {
+    if notice.effect == RunEffect::NotRun {
+        return notice;
+    }
+    let refused = RefusalNotice::new(ResultCode::UpstreamRefused, notice.detail);
+    refused.retry_after_ms(notice.retry_after_ms.unwrap_or(ASK_AGAIN_MS))
+}
+
+/// Runs, or revokes, a call that a peer forwarded because this process issued its key.
+pub async fn run_forwarded(context: Arc<TrafficContext>, from: VmAddress, call: KeyCall) {
+    let answer = judge_forwarded(&context, &call).await;
+    context.control.tell(Event::KeyCallAnswered {
+        to: from,
+        call_id: call.call_id,
+        answer,
+    });
+}
+
+async fn judge_forwarded(
+    context: &Arc<TrafficContext>,
+    call: &KeyCall,
+) -> Result<StoredAnswer, RefusalNotice> {
+    let scope = KeyScope {
+        workspace: call.workspace.clone(),
+        service: call.service.clone(),
+        operation: call.operation.clone(),
+    };
+    let key = IdempotencyKey::decode(&call.key, &scope, &context.settings.shared_key)
+        .ok_or_else(|| RefusalNotice::new(ResultCode::BadKey, ""))?;
+    if let Some(payload) = &call.body {
+        let payload = payload.clone();
+        return run_claimed(
+            context.clone(),
+            scope,
+            key,
+            call.key.clone(),
+            payload,
+            call.deadline,
+        )
+        .await;
+    }
+    match context
+        .control
+        .ask(|ticket| Event::KeyRevoked { ticket, key })
+        .await
+    {
+        Some(Reply::Revoked) => Err(RefusalNotice::new(ResultCode::KeyRevoked, "")),
+        Some(Reply::Answer(answer)) => Ok(answer),
+        Some(Reply::Refused(notice)) => Err(notice),
+        _ => Err(RefusalNotice::new(ResultCode::KeyRunning, "").retry_after_ms(ASK_AGAIN_MS)),
+    }
+}
--- a/src/traffic/generate/mod.rs
+++ b/src/traffic/generate/mod.rs
@@ -25,7 +25,7 @@
 use token::ResumeToken;
 
 /// Events that wait for a slow caller; a full queue holds the engine's stream back.
-const EVENT_QUEUE: usize = 256;
+const EVENT_QUEUE: usize = 16;
 
 /// Serves a generation, from its beginning or from the last event that the caller received.
 pub async fn generate(
--- a/tests/properties/network.rs
+++ b/tests/properties/network.rs
@@ -5,14 +5,8 @@
 
 use dotterelspan::blackboard::OwnIdentity;
 use dotterelspan::controllers::ControlCore;
-use dotterelspan::controllers::drain::DrainController;
-use dotterelspan::controllers::idempotency::IdempotencyController;
-use dotterelspan::controllers::membership::MembershipController;
 use dotterelspan::controllers::message::{PeerMessage, VmIntroduction};
-use dotterelspan::controllers::quarantine::QuarantineController;
-use dotterelspan::controllers::revision::RevisionController;
-use dotterelspan::controllers::services::ServiceController;
-use dotterelspan::controllers::slots::{PlacementPolicy, SlotController};
+use dotterelspan::controllers::slots::PlacementPolicy;
 use dotterelspan::prelude::*;
 
 /// A message on its way.
@@ -46,20 +40,12 @@
         peer_address: format!("peer-{index}").into(),
         incarnation,
     };
-    let controllers: Vec<Box<dyn Controller>> = vec![
-        Box::new(MembershipController::default()),
-        Box::new(RevisionController::default()),
-        Box::new(DrainController::default()),
-        Box::new(QuarantineController::default()),
-        Box::new(IdempotencyController::default()),
-        Box::new(ServiceController::default()),
-        Box::new(SlotController::new(
-            PlacementPolicy::Owner,
-            24,
-            incarnation as u64,
-        )),
-    ];
-    ControlCore::new(Blackboard::new(own), controllers)
+    ControlCore::with_all_parts(
+        Blackboard::new(own),
+        PlacementPolicy::Owner,
+        24,
+        incarnation as u64,
+    )
 }
 
 impl Network {
