Let the demonstration kill an entry in mid-stream and leave in good order

Cause: the demonstration said that its entries leave, and killed them; it showed nothing of what the product is for.

Change: a second batch of streams runs while entry-0 is killed; the other entries are told to leave and their exit codes are printed.

--- a/stand_ins/src/demo.rs
+++ b/stand_ins/src/demo.rs
@@ -5,13 +5,16 @@
 
 use serde_json::Value;
 
-use crate::caller::{StreamCaller, call_body, generate_body, get_key};
-use crate::fleet::{Fleet, FleetPlan};
+use crate::caller::{Gathered, StreamCaller, call_body, generate_body, get_key};
+use crate::fleet::{Fleet, FleetPlan, PATIENCE};
 use crate::http;
 
 /// How long one request of the demonstration may take, in milliseconds.
 const REQUEST_LIMIT_MS: u64 = 30_000;
 
+/// How long streams run before an entry is killed.
+const MID_STREAM: Duration = Duration::from_millis(600);
+
 /// Tokens of an answer.
 const ANSWER_TOKENS: u32 = 40;
 
@@ -19,16 +22,23 @@
 pub async fn run(requests: usize) -> std::io::Result<()> {
     build_entry()?;
     println!("starting: platform, 3 entries, 2 prefill and 2 decode engines, 2 booking desks");
-    let fleet = Fleet::start(FleetPlan::small()).await;
+    let plan = FleetPlan::small().with_entry_arguments(&["--resolve-keep-ms", "500"]);
+    let mut fleet = Fleet::start(plan).await;
     let entry = &fleet.entries[0].routed;
     let resolved = http::get(entry, "/v1/resolve?caller=demo&zone=furano").await;
     println!(
         "resolve says: {}",
         resolved.map_or(Value::Null, |answer| answer.body["addresses"].clone())
     );
-    send_streams(&fleet, requests).await;
+    let gathered = start_streams(&fleet, requests).await;
+    print_streams(&gathered, "streams");
     send_calls(&fleet, requests).await;
-    for entry in &fleet.entries {
+    let running = async_std::task::spawn(start_streams(&fleet, requests));
+    async_std::task::sleep(MID_STREAM).await;
+    println!("killing entry-0 in the middle of {requests} streams");
+    fleet.entries[0].process.kill();
+    print_streams(&running.await, "streams through the kill");
+    for entry in &fleet.entries[1..] {
         println!("\n--- report of {} ---", entry.name);
         if let Some(Value::String(report)) = http::get(&entry.address, "/v1/report")
             .await
@@ -37,10 +47,21 @@
             print!("{report}");
         }
     }
-    println!("\nleaving: each entry finishes what it has and exits");
+    leave(&mut fleet).await;
     Ok(())
 }
 
+/// Lets the entries leave in good order.
+async fn leave(fleet: &mut Fleet) {
+    println!();
+    for entry in &mut fleet.entries[1..] {
+        entry.process.terminate();
+        let status = entry.process.wait_end(PATIENCE).await;
+        let code = status.and_then(|status| status.code());
+        println!("{} was told to leave and ended with code {code:?}", entry.name);
+    }
+}
+
 /// Builds the daemon, which this program needs beside itself.
 pub fn build_entry() -> std::io::Result<()> {
     let mut command = Command::new(env!("CARGO"));
@@ -62,9 +83,10 @@
     Err(std::io::Error::other("the daemon can't be built"))
 }
 
-async fn send_streams(fleet: &Fleet, requests: usize) {
+/// Sends streams through all entries; the future does not hold the fleet.
+fn start_streams(fleet: &Fleet, requests: usize) -> impl Future<Output = Vec<Gathered>> + Send + use<> {
     let entries = fleet.entry_addresses();
-    let streams = (0..requests).map(|index| {
+    let streams = (0..requests).map(move |index| {
         let mut entries = entries.clone();
         entries.rotate_left(index % 3);
         async move {
@@ -81,13 +103,23 @@
             StreamCaller::new(entries, body).run(limit).await
         }
     });
-    let gathered = futures::future::join_all(streams).await;
-    let whole = gathered.iter().filter(|stream| stream.is_whole).count();
+    futures::future::join_all(streams)
+}
+
+fn print_streams(gathered: &[Gathered], what: &str) {
+    let whole = gathered
+        .iter()
+        .filter(|stream| stream.is_whole && !stream.is_garbled)
+        .count();
+    let resumes: u32 = gathered.iter().map(|stream| stream.resumes).sum();
     let sample: String = gathered
         .first()
-        .map(|stream| stream.tokens.iter().take(6).cloned().collect())
+        .map(|stream| stream.tokens.iter().take(4).cloned().collect())
         .unwrap_or_default();
-    println!("streams: {whole} of {requests} whole, such as: {sample}...");
+    println!(
+        "{what}: {whole} of {} whole, {resumes} resumed, such as: {sample}...",
+        gathered.len()
+    );
 }
 
 async fn send_calls(fleet: &Fleet, requests: usize) {
