Hold a key to one run also when its operation has been declared safe

Cause: by reading. A call with a key took the way of lookups as soon as the register said 'safe', so an operator's edit between a booking and its repeat let the repeat run again, with retries and hedges.

Change: a call with a key goes to the key's owner whatever the rule says now. A model is looked for without making a list of all.

Measured: tests/refusals.rs, a booking that ran, then declared safe, repeated at three entries: 4 runs before, 1 after.

--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -165,16 +165,10 @@
             .filter(move |upstream| upstream.service() == Some(service))
     }
 
-    /// The models that some engine serves, each once.
-    pub fn models(&self) -> Vec<&str> {
-        let mut names: Vec<&str> = self
-            .upstreams
-            .iter()
-            .filter_map(|upstream| upstream.engine().map(|(model, _, _)| model))
-            .collect();
-        names.sort_unstable();
-        names.dedup();
-        names
+    /// Whether some engine serves the model.
+    pub fn has_model(&self, name: &str) -> bool {
+        let serves = |upstream: &Upstream| upstream.engine().is_some_and(|(model, _, _)| model == name);
+        self.upstreams.iter().any(serves)
     }
 }
 
--- a/src/traffic/call/mod.rs
+++ b/src/traffic/call/mod.rs
@@ -53,11 +53,12 @@
         None => checked?,
     };
     let answer = match (repeat, key) {
-        (RepeatRule::Safe, _) => look_up(context, &call).await?,
+        // A key is good for one run, also when the operation has been declared safe since it was issued.
+        (_, Some(key)) => call_once(context, &call, &key).await?,
+        (RepeatRule::Safe, None) => look_up(context, &call).await?,
         (RepeatRule::Never | RepeatRule::ByKey, None) => {
             return Err(RefusalNotice::new(ResultCode::KeyRequired, ""));
         }
-        (RepeatRule::Never | RepeatRule::ByKey, Some(key)) => call_once(context, &call, &key).await?,
     };
     let payload: serde_json::Value = serde_json::from_str(&answer.body)
         .unwrap_or_else(|_| serde_json::Value::String(answer.body.to_string()));
--- a/src/traffic/request.rs
+++ b/src/traffic/request.rs
@@ -196,7 +196,7 @@
         let class = register
             .class(&body.class)
             .ok_or_else(|| RefusalNotice::new(ResultCode::UnknownClass, body.class.clone()))?;
-        if !register.models().contains(&body.model.as_str()) {
+        if !register.has_model(&body.model) {
             return Err(RefusalNotice::new(ResultCode::UnknownModel, body.model));
         }
         if body.max_tokens == 0 || body.max_tokens > MAX_TOKENS_LIMIT {
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -101,3 +101,20 @@
         assert_eq!(fleet.runs_of("pickup"), 0);
     });
 }
+
+#[test]
+fn a_key_holds_also_when_its_operation_is_declared_safe() {
+    block_on(async {
+        let mut fleet = Fleet::start(FleetPlan::small()).await;
+        let body = book_once(&fleet).await;
+        let text = fleet.register.replace("repeat = \"never\"", "repeat = \"safe\"");
+        let revision = fleet.publish_text(&text).await;
+        for index in 0..3 {
+            fleet.wait_revision(index, revision).await;
+            let address = &fleet.entries[index].routed;
+            let answer = http::post(address, "/v1/call", &body).await.expect("an answer");
+            assert_eq!(answer.body["answer"]["id"], "pickup", "{answer:?}");
+        }
+        assert_eq!(fleet.runs_of("pickup"), 1);
+    });
+}
