Give each process of tests a loopback address of its own

Cause: two runs of the tests at once, in two folders, chose the same port between looking and listening: one case of 36 failed with 'an upstream is up did not come about', and its desk's log says 'Address already in use'.

Ruled out: the load of two runs at once; the other run passed 77 of 77.

Change: the IP address on the loopback network follows from the process's id; ports are counted from there.

--- a/stand_ins/src/fleet/process.rs
+++ b/stand_ins/src/fleet/process.rs
@@ -14,15 +14,18 @@
 
 /// A loopback address that nothing listens on.
 ///
-/// Taken from outside the range of the system's own choice, so that no outgoing connection gets it in between.
+/// Each process of tests has an IP address of its own on the loopback network, so that two of them never choose the
+/// same one, and ports outside the range of the system's own choice.
 pub fn free_address() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(0);
-    const FIRST: u64 = 10_000;
-    const SPAN: u64 = 22_000;
+    const FIRST_PORT: u64 = 10_000;
+    const PORTS: u64 = 22_000;
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
     loop {
         let turn = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST + (u64::from(std::process::id()) * 769 + turn) % SPAN;
-        let address = format!("127.0.0.1:{port}");
+        let port = FIRST_PORT + turn % PORTS;
+        // 127.0 is left to others.
+        let address = format!("127.{}.{middle}.{low}:{port}", high + 1);
         if TcpListener::bind(&address).is_ok() {
             return address;
         }
