Blame a request only for engines that had taken it up, and pass over an engine that has just died

Nothing marked a dead engine as down.

Ruled out: two suspects placed together (the owner's rule was not broken); load alone (it only made the order likely).

Change: an attempt that its engine never took up gives no strike.

--- a/src/controllers/quarantine.rs
+++ b/src/controllers/quarantine.rs
@@ -12,6 +12,9 @@
 /// How long strikes count and a hold lasts, in milliseconds.
 pub const HOLD_MS: u64 = 60_000;
 
+/// How long an engine that died is passed over, in milliseconds.
+const DEAD_MS: u64 = 2_000;
+
 /// Counts strikes and keeps the board's suspects and holds.
 #[derive(Debug, Default)]
 pub struct QuarantineController {
@@ -31,6 +34,8 @@
         if !deaths.insert((upstream.clone(), boot)) {
             return false;
         }
+        // An engine that has just died gets nothing until it has had time to come back.
+        turn.board.upstream_mut(upstream).down_until = Some(turn.now.after_ms(DEAD_MS));
         let until = turn.now.after_ms(HOLD_MS);
         turn.board.suspects.insert(fingerprint, until);
         if deaths.len() >= STRIKES_TO_HOLD {
--- a/src/traffic/generate/attempt.rs
+++ b/src/traffic/generate/attempt.rs
@@ -10,7 +10,6 @@
 use crate::clock;
 use crate::controllers::slots::RequestId;
 use crate::traffic::sse::StreamItem;
-use crate::traffic::upstream::UpstreamError;
 
 /// How often a stream is taken up again without a new token before the attempt is given up.
 const ATTACH_TRIES: u32 = 2;
@@ -84,7 +83,7 @@
             engine::start_decode(&self.context, decode, &placement.request, &self.work, kv, skip).await;
         let end = match opened {
             Ok(stream) => self.relay_with_resume(&placement.request, stream).await,
-            Err(error) => self.fail(decode, &error).await,
+            Err(_) => self.fail(decode),
         };
         if matches!(end, AttemptEnd::Failed { .. }) && self.delivered == delivered_before {
             self.context
@@ -105,7 +104,7 @@
         let opened = engine::start_prefill(&self.context, name, &placement.request, &self.work).await;
         let mut stream = match opened {
             Ok(stream) => stream,
-            Err(error) => return Err(self.fail(name, &error).await),
+            Err(_) => return Err(self.fail(name)),
         };
         loop {
             match stream.events.next().await {
@@ -207,16 +206,12 @@
         }
     }
 
-    /// The end of an attempt whose engine could not be reached or broke off.
-    async fn fail(&self, name: &Arc<str>, error: &UpstreamError) -> AttemptEnd {
-        if error.is_unsent() {
-            // Nothing of this request reached the engine, so its death is not this request's doing.
-            return AttemptEnd::Failed {
-                engine: name.clone(),
-                fate: EngineFate::Unclear,
-            };
+    /// The end of an attempt that its engine never took up: a death before that is not this request's doing.
+    fn fail(&self, name: &Arc<str>) -> AttemptEnd {
+        AttemptEnd::Failed {
+            engine: name.clone(),
+            fate: EngineFate::Unclear,
         }
-        self.lose(name).await
     }
 
     async fn lose(&self, name: &Arc<str>) -> AttemptEnd {
