Make what follows from the live VMs once a change, and tell of a lost store on new links

Ruled out: decoding of messages (under 1 % of the samples), the engines' list (made once a list, not once a request, at the owner).

Discovery keeps when its first replica stops. Suspected peers are tried with the probes, which come as often.

--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -82,7 +82,7 @@
         Arc::new(parse_register(&register_text(replicas)).expect("the register is good"));
     for index in 1..nodes {
         let vm = vm(index);
-        board.vms.insert(vm.name.clone(), vm);
+        board.vms.insert(vm);
     }
     ControlCore::with_all_parts(board, PlacementPolicy::Owner, 24, 1)
 }
--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -2,15 +2,16 @@
 
 mod engine;
 mod replica;
+mod vms;
 
 pub use engine::EngineView;
 pub use replica::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
+pub use vms::{LiveView, VmTable};
 
 use std::sync::Arc;
 
 use crate::controllers::discovery::ListRevision;
-use crate::controllers::message::{MemberView, VmIntroduction};
-use crate::controllers::rendezvous::weight;
+use crate::controllers::message::VmIntroduction;
 use crate::prelude::*;
 
 /// A VM's name; unique in a deployment and kept by its replacement.
@@ -139,7 +140,7 @@
     /// The register in force.
     pub register: RegisterFacts,
     /// The other entry VMs, by name.
-    pub vms: FastMap<VmAddress, VmRecord>,
+    pub vms: VmTable,
     /// The upstreams, by name.
     pub upstreams: FastMap<Arc<str>, UpstreamFacts>,
     /// The replicas of services, by name.
@@ -169,7 +170,7 @@
             own,
             renewal: 0,
             register: RegisterFacts::default(),
-            vms: FastMap::default(),
+            vms: VmTable::default(),
             upstreams: FastMap::default(),
             replicas: Arc::default(),
             list_revision: 0,
@@ -185,7 +186,7 @@
 
     /// The other VMs that are taken for alive.
     pub fn live_peers(&self, now: Moment) -> impl Iterator<Item = &VmRecord> {
-        self.vms.values().filter(move |vm| vm.is_live(now))
+        self.vms.iter().filter(move |vm| vm.is_live(now))
     }
 
     /// What this process says of itself.
@@ -199,18 +200,9 @@
         }
     }
 
-    /// The VMs that are taken for alive, this one too, in short.
-    pub fn member_view(&self, now: Moment) -> MemberView {
-        let hash = |name: &str, incarnation: Incarnation| weight(name, "") ^ incarnation as u64;
-        let mut view = MemberView {
-            count: 1,
-            digest: hash(&self.own.name, self.own.incarnation),
-        };
-        for vm in self.live_peers(now) {
-            view.count += 1;
-            view.digest ^= hash(&vm.name, vm.incarnation.unwrap_or_default());
-        }
-        view
+    /// What follows from which VMs are alive now.
+    pub fn live_view(&self, now: Moment) -> Arc<LiveView> {
+        self.vms.live_view(&self.own, self.introduction(), now)
     }
 
     /// The facts of one upstream, made where there are none.
--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -7,7 +7,7 @@
 use history::UpdateHistory;
 
 use super::message::PeerMessage;
-use super::ring::ring_neighbors;
+
 use crate::blackboard::{ReplicaFacts, ReplicaId, ReplicaRecord};
 use crate::prelude::*;
 
@@ -79,6 +79,8 @@
     next_ask: Moment,
     asks: usize,
     history: UpdateHistory,
+    /// When the first replica that is off the list gets nothing more; `None` while there is none.
+    next_stop: Option<Moment>,
     /// Up to which state this node's latest whole reading has told all changes.
     whole_read_to: ListRevision,
 }
@@ -172,7 +174,7 @@
         self.apply(update, turn);
     }
 
-    fn apply(&self, update: &ReplicaUpdate, turn: &mut Turn<'_>) {
+    fn apply(&mut self, update: &ReplicaUpdate, turn: &mut Turn<'_>) {
         for record in &update.present {
             self.upsert(record, turn);
         }
@@ -230,14 +232,17 @@
     }
 
     /// Lets a replica that is off the list get nothing more from a moment on, unless it comes back before.
-    fn stop(&self, id: &ReplicaId, reason: &str, turn: &mut Turn<'_>) {
+    fn stop(&mut self, id: &ReplicaId, reason: &str, turn: &mut Turn<'_>) {
         let now = turn.now;
         if !turn.board.replicas.get(id).is_some_and(|facts| facts.is_listed) {
             return;
         }
         if let Some(facts) = Arc::make_mut(&mut turn.board.replicas).get_mut(id) {
             facts.is_listed = false;
-            facts.stop_at = facts.stop_at.or(Some(now.after_ms(STOP_AFTER_MS)));
+            let stop_at = facts.stop_at.unwrap_or(now.after_ms(STOP_AFTER_MS));
+            facts.stop_at = Some(stop_at);
+            self.next_stop = Some(self.next_stop.map_or(stop_at, |next| next.min(stop_at)));
+
             turn.log(format!(
                 "event=replica_leaving replica={id} reason={reason} list_revision={}",
                 turn.board.list_revision
@@ -289,7 +294,10 @@
     }
 
     /// Drops replicas that are off the list and past their time; draining ones stay until they are off it.
-    fn forget_stopped(&self, turn: &mut Turn<'_>) {
+    fn forget_stopped(&mut self, turn: &mut Turn<'_>) {
+        if self.next_stop.is_none_or(|at| !turn.now.reached(at)) {
+            return;
+        }
         let gone: Vec<ReplicaId> = turn
             .board
             .replicas
@@ -302,6 +310,8 @@
             Arc::make_mut(&mut turn.board.replicas).remove(id);
             turn.log(format!("event=replica_gone replica={id} reason=off_the_list"));
         }
+        let unlisted = turn.board.replicas.values().filter(|facts| !facts.is_listed);
+        self.next_stop = unlisted.filter_map(|facts| facts.stop_at).min();
         if !gone.is_empty() {
             turn.publish();
         }
@@ -342,10 +352,10 @@
     }
 
     fn next_neighbor(&mut self, turn: &Turn<'_>) -> Option<VmAddress> {
-        let neighbors = ring_neighbors(&turn.board.own, turn.board.live_peers(turn.now));
+        let neighbors = &turn.board.live_view(turn.now).neighbors;
         self.asks += 1;
         let index = self.asks.checked_rem(neighbors.len())?;
-        neighbors.into_iter().nth(index)
+        neighbors.get(index).cloned()
     }
 
     /// Answers a peer that is behind.
@@ -415,11 +425,6 @@
     }
 
     fn wake_at(&self, board: &Blackboard, now: Moment) -> Option<Moment> {
-        let stops = board
-            .replicas
-            .values()
-            .filter(|facts| !facts.is_listed)
-            .filter_map(|facts| facts.stop_at);
         let is_blank = board.list_revision == 0;
         let asks = self.ahead.as_ref().map(|ahead| ahead.ask_at.max(self.next_ask));
         let ask = if is_blank {
@@ -427,6 +432,6 @@
         } else {
             asks
         };
-        stops.chain(ask).min()
+        self.next_stop.into_iter().chain(ask).min()
     }
 }
--- a/src/controllers/membership/mod.rs
+++ b/src/controllers/membership/mod.rs
@@ -4,11 +4,11 @@
 mod views;
 
 use super::message::{MemberView, PeerMessage, VmIntroduction};
-use super::ring::ring_neighbors;
+
 use crate::blackboard::Incarnation;
 use crate::prelude::*;
 
-/// Time between two probes of a peer, in milliseconds.
+/// Time between two probes of a peer, and between two attempts to reach a suspected one again, in milliseconds.
 pub const PROBE_EVERY_MS: u64 = 1_000;
 
 /// How long a probed peer may be silent before it is suspected, in milliseconds: a packet that is sent again twice.
@@ -20,14 +20,11 @@
 /// How long a suspected VM that no list names is remembered, in milliseconds.
 const UNLISTED_LIMIT_MS: u64 = 30_000;
 
-/// Time between two attempts to reach some suspected VM again, in milliseconds.
-const RETRY_EVERY_MS: u64 = 1_000;
-
 /// Keeps the board's VMs.
 #[derive(Debug, Default)]
 pub struct MembershipController {
     next_probe: Moment,
-    next_retry: Moment,
+
     retries: usize,
     probes_sent: FastMap<VmAddress, Moment>,
 
@@ -46,15 +43,16 @@
 
 impl MembershipController {
     fn take_list(&self, listed: &[VmRecord], turn: &mut Turn<'_>) {
-        for vm in turn.board.vms.values_mut() {
+        for vm in turn.board.vms.iter_mut() {
             vm.listed = false;
         }
         for fresh in listed.iter().filter(|vm| vm.name != turn.board.own.name) {
-            let vm = turn
-                .board
-                .vms
-                .entry(fresh.name.clone())
-                .or_insert_with(|| fresh.clone());
+            if turn.board.vms.get(&fresh.name).is_none() {
+                turn.board.vms.insert(fresh.clone());
+            }
+            let Some(vm) = turn.board.vms.get_mut(&fresh.name) else {
+                continue;
+            };
             let is_replaced = vm.peer_address != fresh.peer_address;
             vm.listed = true;
             vm.zone = fresh.zone.clone();
@@ -66,7 +64,7 @@
                 vm.suspected_until = None;
             }
         }
-        turn.board.vms.retain(|_, vm| vm.listed || vm.heard_at.is_some());
+        turn.board.vms.retain(|vm| vm.listed || vm.heard_at.is_some());
         turn.publish();
     }
 
@@ -86,7 +84,7 @@
         let mut vm = introduction.to_record();
         vm.listed = known.is_some_and(|vm| vm.listed);
         vm.heard_at = Some(turn.now);
-        turn.board.vms.insert(vm.name.clone(), vm);
+        turn.board.vms.insert(vm);
         turn.publish();
         if !is_news {
             return;
@@ -113,7 +111,7 @@
                 let listed = turn.board.vms.get(&introduction.name).is_some_and(|vm| vm.listed);
                 let mut vm = introduction.to_record();
                 vm.listed = listed;
-                turn.board.vms.insert(vm.name.clone(), vm);
+                turn.board.vms.insert(vm);
                 news.push(introduction.clone());
             }
         }
@@ -151,12 +149,19 @@
     }
 
     fn hear(&mut self, from: &VmAddress, incarnation: Incarnation, turn: &mut Turn<'_>) {
+        let Some(known) = turn.board.vms.get(from) else {
+            return;
+        };
+        let is_as_known = known.incarnation == Some(incarnation) && known.suspected_until.is_none();
+        self.probes_sent.remove(from);
+        turn.board.vms.note_heard(from, turn.now);
+        if is_as_known {
+            return;
+        }
         let Some(vm) = turn.board.vms.get_mut(from) else {
             return;
         };
         vm.incarnation = Some(incarnation);
-        vm.heard_at = Some(turn.now);
-        self.probes_sent.remove(from);
         if vm.suspected_until.take().is_some() {
             let suspicion = to_suspicion(vm);
             turn.log(format!("event=vm_trusted vm={from}"));
@@ -167,12 +172,9 @@
     }
 
     fn heartbeat(&self, from: &VmAddress, leaving: bool, wants_echo: bool, turn: &mut Turn<'_>) {
-        let Some(vm) = turn.board.vms.get_mut(from) else {
-            return;
-        };
-        let is_news = leaving && !vm.leaving;
-        vm.leaving |= leaving;
-        if is_news {
+        let is_news = leaving && turn.board.vms.get(from).is_some_and(|vm| !vm.leaving);
+        if is_news && let Some(vm) = turn.board.vms.get_mut(from) {
+            vm.leaving = true;
             let introduction = VmIntroduction::of_record(vm);
             turn.publish();
             if let Some(introduction) = introduction {
@@ -276,16 +278,13 @@
         if turn.now.reached(self.next_probe) {
             self.next_probe = turn.now.after_ms(PROBE_EVERY_MS);
             self.forget_gone(turn);
+            self.retry_suspected(turn);
             let heartbeat = turn.heartbeat(true);
-            for name in ring_neighbors(&turn.board.own, turn.board.live_peers(turn.now)) {
+            for name in turn.board.live_view(turn.now).neighbors.iter() {
                 self.probes_sent.entry(name.clone()).or_insert(turn.now);
-                turn.send_to(&name, heartbeat.clone());
+                turn.send_to(name, heartbeat.clone());
             }
         }
-        if turn.now.reached(self.next_retry) {
-            self.next_retry = turn.now.after_ms(RETRY_EVERY_MS);
-            self.retry_suspected(turn);
-        }
     }
 
     /// Tries one suspected VM after the other, so that the two sides of a healed partition find each other.
@@ -293,7 +292,7 @@
         let mut suspected: Vec<VmAddress> = turn
             .board
             .vms
-            .values()
+            .iter()
             .filter(|vm| !vm.is_live(turn.now))
             .map(|vm| vm.name.clone())
             .collect();
@@ -309,7 +308,7 @@
     fn forget_gone(&mut self, turn: &mut Turn<'_>) {
         turn.board
             .vms
-            .retain(|_, vm| vm.listed || vm.suspected_until.is_none() || !vm.is_live(turn.now));
+            .retain(|vm| vm.listed || vm.suspected_until.is_none() || !vm.is_live(turn.now));
     }
 }
 
@@ -365,13 +364,11 @@
         }
     }
 
-    fn wake_at(&self, board: &Blackboard, now: Moment) -> Option<Moment> {
+    fn wake_at(&self, _board: &Blackboard, _now: Moment) -> Option<Moment> {
         let silences = self
             .probes_sent
             .values()
             .map(|sent_at| sent_at.after_ms(SILENCE_LIMIT_MS));
-        let has_suspects = board.vms.values().any(|vm| !vm.is_live(now));
-        let retry = has_suspects.then_some(self.next_retry);
-        silences.chain(retry).chain([self.next_probe]).min()
+        silences.chain([self.next_probe]).min()
     }
 }
--- a/src/controllers/membership/views.rs
+++ b/src/controllers/membership/views.rs
@@ -4,7 +4,7 @@
 
 use super::{MembershipController, to_suspicion};
 use crate::controllers::message::{MemberView, PeerMessage, VmIntroduction};
-use crate::controllers::ring::{neighbors_of, ring_neighbors};
+use crate::controllers::ring::neighbors_of;
 use crate::prelude::*;
 
 /// How long a view must be unchanged before it is compared with that of others, in milliseconds: news go around the ring
@@ -20,7 +20,7 @@
     /// Asks a VM that knows more VMs, or others, for all that it knows. One is asked at a time, and only neighbors on the
     /// ring: a seed would else be asked by all that begin together.
     pub(super) fn compare_views(&mut self, from: &VmAddress, view: MemberView, turn: &mut Turn<'_>) {
-        let own = turn.board.member_view(turn.now);
+        let own = turn.board.live_view(turn.now).member_view;
         if std::mem::replace(&mut self.latest_view, own) != own {
             self.settled_at = turn.now.after_ms(VIEW_SETTLED_MS);
             self.pull_pause_ms = FIRST_PULL_PAUSE_MS;
@@ -46,7 +46,7 @@
     /// Whether a VM may be asked for all that it knows: a neighbor, but not the seed by a process that has just begun and
     /// knows another neighbor.
     fn is_asked(&self, vm: &VmAddress, turn: &Turn<'_>) -> bool {
-        let neighbors = ring_neighbors(&turn.board.own, turn.board.live_peers(turn.now));
+        let neighbors = &turn.board.live_view(turn.now).neighbors;
         let is_free = self.has_pulled || neighbors.len() == 1 || self.seed.as_ref() != Some(vm);
         neighbors.contains(vm) && is_free
     }
@@ -65,7 +65,7 @@
     /// Tells a VM of all that are taken for dead: it may have been frozen, or cut off, as the others were told. The latest
     /// process of each goes before, since a suspicion counts only for the process that it names.
     pub(super) fn tell_suspects(&self, to: &VmAddress, turn: &mut Turn<'_>) {
-        let suspects = turn.board.vms.values();
+        let suspects = turn.board.vms.iter();
         let (introductions, suspicions): (Vec<VmIntroduction>, Vec<PeerMessage>) = suspects
             .filter(|vm| vm.name != *to && !vm.is_live(turn.now))
             .filter_map(|vm| Some((VmIntroduction::of_record(vm)?, to_suspicion(vm))))
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -327,7 +327,7 @@
             revision: self.board.register.revision,
             list_revision: self.board.list_revision,
             store_age_ms: self.board.store_heard_at.until_ms(self.now),
-            view: self.board.member_view(self.now),
+            view: self.board.live_view(self.now).member_view,
             leaving: self.board.drain.is_some(),
             wants_echo,
         }
@@ -347,15 +347,14 @@
 
     /// Sends a message to the neighbors on the ring of live VMs; they pass it on if it is news to them.
     pub fn send_to_neighbors(&mut self, message: &PeerMessage) {
-        for neighbor in ring::ring_neighbors(&self.board.own, self.board.live_peers(self.now)) {
-            self.send_to(&neighbor, message.clone());
+        for neighbor in self.board.live_view(self.now).neighbors.iter() {
+            self.send_to(neighbor, message.clone());
         }
     }
 
     /// Sends a message to every second neighbor on the ring, which costs half as much and takes more steps around it.
     pub fn send_to_some_neighbors(&mut self, message: &PeerMessage) {
-        let neighbors = ring::ring_neighbors(&self.board.own, self.board.live_peers(self.now));
-        for neighbor in neighbors.iter().step_by(2) {
+        for neighbor in self.board.live_view(self.now).neighbors.iter().step_by(2) {
             self.send_to(neighbor, message.clone());
         }
     }
--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -32,14 +32,13 @@
         return true;
     }
     let is_forgotten = !is_blank && now.reached(board.store_heard_at.after_ms(OLDEST_WORD_MS));
-    is_forgotten || board.gives_orders || is_reader(board, now)
+    is_forgotten || board.gives_orders || board.live_view(now).is_reader
 }
 
-/// Whether this node is one of those that read on behalf of all.
-fn is_reader(board: &Blackboard, now: Moment) -> bool {
-    let own = weight(READER_KEY, &board.own.name);
-    let ahead = board
-        .live_peers(now)
+/// Whether a VM is one of those that read on behalf of all.
+pub fn is_reader<'a>(name: &str, others: impl Iterator<Item = &'a VmRecord>) -> bool {
+    let own = weight(READER_KEY, name);
+    let ahead = others
         .filter(|vm| !vm.leaving && !vm.store_lost)
         .filter(|vm| weight(READER_KEY, &vm.name) > own)
         .take(READER_COUNT)
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -135,9 +135,10 @@
     fn owner_of(&self, key: &EngineGroup, turn: &Turn<'_>) -> VmAddress {
         let name = format!("{}/{}", key.model, key.index);
         let own = (turn.board.drain.is_none()).then(|| (&*turn.board.own.name, turn.board.own.millicores));
-        let peers = turn
-            .board
-            .live_peers(turn.now)
+        let view = turn.board.live_view(turn.now);
+        let peers = view
+            .peers()
+            .iter()
             .filter(|vm| !vm.leaving)
             .map(|vm| (&*vm.name, vm.millicores));
         let candidates: Vec<(&str, u32)> = peers.chain(own).collect();
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -33,7 +33,6 @@
 
 /// Sends messages over links, and opens links where there are none.
 pub struct PeerHub {
-    own: VmIntroduction,
     key: SharedKey,
     control: ControlHandle,
     links: Mutex<FastMap<VmAddress, LinkHandle>>,
@@ -52,9 +51,8 @@
 
 impl PeerHub {
     /// A hub without links.
-    pub fn new(own: VmIntroduction, key: SharedKey, control: ControlHandle) -> Arc<Self> {
+    pub fn new(key: SharedKey, control: ControlHandle) -> Arc<Self> {
         Arc::new(Self {
-            own,
             key,
             control,
             links: Mutex::default(),
@@ -80,13 +78,7 @@
 
     /// What this process says of itself now.
     pub fn introduction(&self) -> VmIntroduction {
-        let snapshot = self.control.snapshot();
-        VmIntroduction {
-            renewal: snapshot.renewal,
-            revision: snapshot.revision,
-            leaving: snapshot.accept_until.is_some(),
-            ..self.own.clone()
-        }
+        self.control.snapshot().introduction.clone()
     }
 
     fn lock_links(&self) -> std::sync::MutexGuard<'_, FastMap<VmAddress, LinkHandle>> {
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -124,11 +124,7 @@
     let own = identify(&settings);
     let core = build_core(own.clone(), adapter.parse_register, &settings);
     let (control, targets) = start_control(core)?;
-    let hub = PeerHub::new(
-        own.introduction(),
-        SharedKey::of_closed_network(),
-        control.clone(),
-    );
+    let hub = PeerHub::new(SharedKey::of_closed_network(), control.clone());
     let context = GatewayContext::new(
         settings,
         own,
--- a/src/runtime/node.rs
+++ b/src/runtime/node.rs
@@ -115,7 +115,7 @@
     let own = identify(&settings);
     let metrics = MetricSet::new()?;
     let (control, targets) = start_control(build_core(&settings, own.clone()))?;
-    let hub = PeerHub::new(own.introduction(), settings.shared_key.clone(), control.clone());
+    let hub = PeerHub::new(settings.shared_key.clone(), control.clone());
     let context = TrafficContext::new(settings, own, control.clone(), metrics, hub.clone());
     let (exit, exited) = async_std::channel::bounded(1);
     targets.set(OutputTargets {
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -5,11 +5,12 @@
 use super::super::controllers::rendezvous;
 use crate::blackboard::{ReplicaFacts, ReplicaId};
 use crate::controllers::discovery::ListRevision;
+use crate::controllers::message::VmIntroduction;
 use crate::controllers::readers::reads_store;
 use crate::prelude::*;
 
 /// A view of the board.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Snapshot {
     /// The revision in force.
     pub revision: Revision,
@@ -27,10 +28,10 @@
     pub list_lost_at: Option<Moment>,
     /// Whether this VM should read the platform's store.
     pub reads_store: bool,
-    /// How often this process has contradicted a suspicion of itself.
-    pub renewal: u32,
+    /// What this process says of itself on a new link.
+    pub introduction: VmIntroduction,
     /// All VMs that are taken for alive, this one too.
-    pub live_vms: Vec<VmRecord>,
+    pub live_vms: Arc<[VmRecord]>,
     /// All VMs that are known, this one too.
     pub known_vms: usize,
     /// Until when new work is taken; `None` while the node is not leaving.
@@ -42,13 +43,8 @@
 impl Snapshot {
     /// Copies what traffic needs.
     pub fn of(board: &Blackboard, now: Moment) -> Self {
-        let own = VmRecord {
-            listed: true,
-            heard_at: Some(now),
-            ..board.introduction().to_record()
-        };
-        let mut live_vms: Vec<VmRecord> = board.live_peers(now).cloned().collect();
-        live_vms.push(own);
+        let view = board.live_view(now);
+
         let refused = board.register.refused.as_ref();
         Self {
             revision: board.register.revision,
@@ -59,8 +55,9 @@
             list_revision: board.list_revision,
             list_lost_at: board.list_lost_at,
             reads_store: reads_store(board, now),
-            renewal: board.renewal,
-            live_vms,
+            introduction: board.introduction(),
+            live_vms: view.vms.clone(),
+
             known_vms: board.vms.len() + 1,
             accept_until: board.drain.map(|drain| drain.accept_until),
             quarantined: board.quarantine.len(),
