Announce changes of the list that do not fit into a packet, and tell only what is news

The list grows while services start; six readers see it grow at states of their own, and each piece under 100 entries went from each VM to each of its neighbors. A reader also told again what others had told.

Change: only what fits into one packet, 10 entries, is sent at once; the rest is announced and asked for. An answer lets the next question go at once. A reader passes on only what is not known.

--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -25,9 +25,9 @@
 /// Time between two looks for peers while the list was never read, in milliseconds.
 const BLANK_TICK_MS: u64 = 50;
 
-/// Entries in one update from which on neighbors are only told that it is there, and ask for it: each node is so sent
-/// it once, and not once by each neighbor. Fewer are sent at once, since asking takes a way there and back at each step.
-const BULK_ENTRIES: usize = 100;
+/// The most entries in an update that is sent to neighbors at once, as many as fit into one packet. Of larger ones they are
+/// only told, and ask for what they lack: each node is so sent it once, and not once by each neighbor.
+const PACKET_ENTRIES: usize = 10;
 
 /// The number of a state of the list; it only grows.
 pub type ListRevision = u64;
@@ -89,13 +89,12 @@
     /// Takes what this node read itself, and tells its neighbors what changed.
     fn take_read(&mut self, update: &ReplicaUpdate, turn: &mut Turn<'_>) {
         let known = turn.board.list_revision;
-        let changes = match update.is_whole && known > 0 {
-            true => self.find_changes(update, turn),
-            false => ReplicaUpdate {
-                since: update.since.max(self.whole_read_to),
-                ..update.clone()
-            },
+        let changes = match (update.is_whole, known) {
+            (_, 0) => update.clone(),
+            (true, _) => self.find_changes(update, turn),
+            (false, _) => self.find_news(update, turn.board),
         };
+
         if changes.revision == known {
             // The list is the known one; only what was dropped here alone comes back.
             self.apply(&changes, turn);
@@ -107,14 +106,9 @@
 
     /// What a whole reading changes in what is known, so that peers are told of changes only, not of the whole list.
     fn find_changes(&mut self, reading: &ReplicaUpdate, turn: &Turn<'_>) -> ReplicaUpdate {
-        let known = &turn.board.replicas;
-        let is_news = |record: &&ReplicaRecord| {
-            known
-                .get(&record.id)
-                .is_none_or(|facts| *facts.record != **record || !facts.is_listed)
-        };
-        let present: Vec<ReplicaRecord> = reading.present.iter().filter(is_news).cloned().collect();
+        let present = find_fresh(reading, turn.board);
         let removed = find_unlisted(reading, turn.board);
+
         let since = turn.board.list_revision;
         let has_changes = !present.is_empty() || !removed.is_empty();
         // Where the latest change is a removal, no entry carries its revision; it lies behind what is known.
@@ -130,6 +124,17 @@
         changes
     }
 
+    /// What read changes add to what is known: another reader may have told a part of them already.
+    fn find_news(&self, reading: &ReplicaUpdate, board: &Blackboard) -> ReplicaUpdate {
+        let is_listed = |id: &&ReplicaId| board.replicas.get(*id).is_some_and(|facts| facts.is_listed);
+        ReplicaUpdate {
+            since: reading.since.max(self.whole_read_to).max(board.list_revision),
+            present: find_fresh(reading, board),
+            removed: reading.removed.iter().filter(is_listed).cloned().collect(),
+            ..*reading
+        }
+    }
+
     /// Tells neighbors of a state that this node has just reached.
     fn pass_news(&self, update: &ReplicaUpdate, known: ListRevision, turn: &mut Turn<'_>) {
         if turn.board.list_revision == known {
@@ -138,7 +143,7 @@
         if update.is_whole {
             // Neighbors that know less ask for it.
             turn.send_to_neighbors(&turn.heartbeat(false));
-        } else if update.entry_count() >= BULK_ENTRIES {
+        } else if update.entry_count() > PACKET_ENTRIES {
             turn.send_to_neighbors(&PeerMessage::ReplicasContent(ReplicaUpdate::announcement(
                 update.revision,
             )));
@@ -171,6 +176,8 @@
         turn.board.list_revision = update.revision;
         self.history.note(known, update);
         self.ahead = None;
+        // Whoever was asked has answered; a list that grows on is asked for again at once.
+        self.next_ask = turn.now;
         self.apply(update, turn);
     }
 
@@ -379,6 +386,15 @@
     }
 }
 
+/// Entries that are not known, or not as they are now.
+fn find_fresh(reading: &ReplicaUpdate, board: &Blackboard) -> Vec<ReplicaRecord> {
+    let is_fresh = |record: &&ReplicaRecord| {
+        let known = board.replicas.get(&record.id);
+        known.is_none_or(|facts| *facts.record != **record || !facts.is_listed)
+    };
+    reading.present.iter().filter(is_fresh).cloned().collect()
+}
+
 /// Replicas that were on the list and are not on a newer whole one.
 fn find_unlisted(whole: &ReplicaUpdate, board: &Blackboard) -> Vec<ReplicaId> {
     let present: FastSet<&ReplicaId> = whole.present.iter().map(|record| &record.id).collect();
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -279,6 +279,38 @@
     assert!(told <= 60 * 600 * 3 / 2, "{told} entries");
 }
 
+/// Entries that readers find at once while a service starts.
+const PIECE: u64 = 20;
+
+#[test]
+fn a_list_that_grows_in_pieces_is_sent_to_each_node_about_once() {
+    let mut fleet = SimulatedFleet::new(60, 14);
+    fleet.run_ms(1_500);
+    fleet.read_all(change(0, 3, &["i-1", "i-2"], &[]));
+    fleet.run_ms(3_000);
+    let before = fleet.entries_told();
+    let pieces: u64 = 30;
+    let state = |piece: u64| 3 + piece * PIECE;
+    for piece in 0..pieces {
+        // Two readers see the list grow by turns, each from the state where it read last.
+        let first = piece.saturating_sub(1);
+        let mut update = change(state(first), state(piece + 1), &[], &[]);
+        for piece in first..=piece {
+            let grown = change_many(0, 0, &format!("p{piece}"), PIECE as usize);
+            update.present.extend(grown.present);
+        }
+        fleet.read((piece % 2) as usize, update);
+        fleet.run_ms(150);
+    }
+    fleet.run_ms(3_000);
+    let entries = (pieces * PIECE) as usize;
+    for index in 0..60 {
+        assert_eq!(fleet.board(index).replicas.len(), 2 + entries, "node {index}");
+    }
+    let told = fleet.entries_told() - before;
+    assert!(told <= 60 * entries * 3 / 2, "{told} entries for {entries}");
+}
+
 #[test]
 fn a_node_that_missed_changes_is_told_those_and_not_the_whole_list() {
     let mut fleet = SimulatedFleet::new(10, 4);
