Let seeds read first and the others by turns as a whole fleet starts

Cause: with 330 VMs and 2,945 replicas (scratch site, trial, who reads and who gives whole lists logged) all VMs began to read the whole list: at 120 ms each knew but its neighbors on the ring and took itself for a reader, and at 1 s all that knew nothing read. 302 whole lists from the store, the last 4 s after the start, and 380 from peers, the first of them half a second after it, since the readers' own lists came late. A node that knew nothing and had asked one that knew nothing either did not ask again for 400 ms, whoever said it had the list.

Ruled out: processor time of decoding (seconds are waited for transfers), the configuration (known 0.4 s after the start).

Change: a fresh process that is no seed waits 400 ms for what seeds read, 1 s if it found no peer, and then reads by turns of six, 200 ms each, at most 3 s; questions at a guess no longer hold back those to a peer that has the list. Seeds are looked for every 250 ms while no peer is known.

Figures: readers as 120 simulated nodes start: 120 before, at most 12 after.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -155,6 +155,8 @@
     pub store_revision: u64,
     /// Whether this VM orders engines to the other pool.
     pub gives_orders: bool,
+    /// Whether the settings of all VMs name this one as a seed.
+    pub is_seed: bool,
     /// Requests that are not to run, with the end of each hold.
     pub quarantine: FastMap<Fingerprint, Moment>,
     /// Requests that were running on one upstream as it died, with the end of the suspicion.
@@ -178,6 +180,7 @@
             store_heard_at: Moment::default(),
             store_revision: 0,
             gives_orders: false,
+            is_seed: false,
             quarantine: FastMap::default(),
             suspects: FastMap::default(),
             drain: None,
--- a/src/blackboard/vms.rs
+++ b/src/blackboard/vms.rs
@@ -5,7 +5,7 @@
 
 use super::{OwnIdentity, VmAddress, VmRecord};
 use crate::controllers::message::{MemberView, VmIntroduction};
-use crate::controllers::readers::is_reader;
+use crate::controllers::readers::count_readers_ahead;
 use crate::controllers::rendezvous::weight;
 use crate::controllers::ring::ring_neighbors;
 use crate::prelude::*;
@@ -19,8 +19,8 @@
     pub neighbors: Arc<[VmAddress]>,
     /// The same VMs in short, to compare with what others see.
     pub member_view: MemberView,
-    /// Whether this node is one of those that read the platform's store on behalf of all.
-    pub is_reader: bool,
+    /// How many VMs would read the platform's store on behalf of all before this one.
+    pub readers_ahead: usize,
     /// What this node said of itself as this was made.
     own: VmIntroduction,
     /// When the first suspicion lapses by itself; `None` while there is none.
@@ -44,7 +44,7 @@
                 digest: vms.iter().fold(0, |digest, vm| digest ^ hash(vm)),
             },
             neighbors: ring_neighbors(own, live()).into(),
-            is_reader: is_reader(&own.name, live()),
+            readers_ahead: count_readers_ahead(&own.name, live()),
             own: introduction,
             valid_until: suspicions.filter(|until| !now.reached(*until)).min(),
             vms,
--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -77,6 +77,8 @@
 pub struct DiscoveryController {
     ahead: Option<AheadPeer>,
     next_ask: Moment,
+    /// When a node that knows nothing next asks a peer of which it does not know whether it has the list.
+    next_guess: Moment,
     asks: usize,
     history: UpdateHistory,
     /// When the first replica that is off the list gets nothing more; `None` while there is none.
@@ -345,15 +347,24 @@
             return;
         }
         let ahead = self.ahead.take_if(|ahead| turn.now.reached(ahead.ask_at));
+        let is_guess = ahead.is_none();
         let peer = match ahead {
             Some(ahead) => Some(ahead.name),
-            None if turn.board.list_revision == 0 => self.next_neighbor(turn),
+            None if turn.board.list_revision == 0 && turn.now.reached(self.next_guess) => {
+                self.next_neighbor(turn)
+            }
             None => None,
         };
         let Some(peer) = peer else {
             return;
         };
-        self.next_ask = turn.now.after_ms(ASK_EVERY_MS);
+        // A peer that knows nothing either does not answer, which must not keep this node from asking one that does.
+        let next = if is_guess {
+            &mut self.next_guess
+        } else {
+            &mut self.next_ask
+        };
+        *next = turn.now.after_ms(ASK_EVERY_MS);
         let revision = turn.board.list_revision;
         turn.send_to(&peer, PeerMessage::ReplicasWanted { revision });
     }
@@ -444,7 +455,7 @@
         let is_blank = board.list_revision == 0;
         let asks = self.ahead.as_ref().map(|ahead| ahead.ask_at.max(self.next_ask));
         let ask = if is_blank {
-            Some(self.next_ask.max(now.after_ms(BLANK_TICK_MS)))
+            Some(now.after_ms(BLANK_TICK_MS))
         } else {
             asks
         };
--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -19,29 +19,53 @@
 /// an answer.
 const PEERS_FIRST_MS: u64 = 120;
 
-/// How long a fresh process that is none of the readers waits for what they have read, in milliseconds.
-const PEERS_LATEST_MS: u64 = 1_000;
+/// How long a fresh process that is no seed waits for what seeds read, in milliseconds: as long as a seed itself waits, a
+/// whole list at ten megabits a second, and its way around the ring.
+const SEEDS_FIRST_MS: u64 = 400;
+
+/// How long a fresh process that has found no peer waits, in milliseconds: some rounds over the seeds, which may start
+/// later than it does.
+const ALONE_MS: u64 = 1_000;
+
+/// Time after which the next VMs in order read as well while nothing is known, in milliseconds: a whole list and its way.
+const TURN_MS: u64 = 200;
+
+/// How long a fresh process waits at most for what others read, in milliseconds: the bound for a start after which all
+/// VMs have to serve, less the time of its own reading.
+const PEERS_LATEST_MS: u64 = 3_000;
 
 /// Whether this node should read the store.
 pub fn reads_store(board: &Blackboard, now: Moment) -> bool {
-    if !now.reached(Moment(PEERS_FIRST_MS)) {
-        return false;
+    let view = board.live_view(now);
+    if board.list_revision == 0 || board.register.revision == 0 {
+        return now.reached(blank_read_at(board, view.readers_ahead));
     }
-    let is_blank = board.list_revision == 0 || board.register.revision == 0;
-    if is_blank && now.reached(Moment(PEERS_LATEST_MS)) {
-        return true;
+    let is_forgotten = now.reached(board.store_heard_at.after_ms(OLDEST_WORD_MS));
+    let is_due = is_forgotten || board.gives_orders || view.readers_ahead < READER_COUNT;
+    is_due && now.reached(Moment(PEERS_FIRST_MS))
+}
+
+/// When a process that knows nothing yet reads the store itself. Seeds do so first, since all ask them; the others take
+/// turns, so that the store does not answer a whole fleet at once.
+fn blank_read_at(board: &Blackboard, readers_ahead: usize) -> Moment {
+    if board.is_seed {
+        return Moment(PEERS_FIRST_MS);
     }
-    let is_forgotten = !is_blank && now.reached(board.store_heard_at.after_ms(OLDEST_WORD_MS));
-    is_forgotten || board.gives_orders || board.live_view(now).is_reader
+    let first_ms = if board.vms.is_empty() {
+        ALONE_MS
+    } else {
+        SEEDS_FIRST_MS
+    };
+
+    let turn = (readers_ahead / READER_COUNT) as u64;
+    Moment(first_ms + turn * TURN_MS).min(Moment(PEERS_LATEST_MS))
 }
 
-/// Whether a VM is one of those that read on behalf of all.
-pub fn is_reader<'a>(name: &str, others: impl Iterator<Item = &'a VmRecord>) -> bool {
+/// How many VMs would read on behalf of all before the named one.
+pub fn count_readers_ahead<'a>(name: &str, others: impl Iterator<Item = &'a VmRecord>) -> usize {
     let own = weight(READER_KEY, name);
-    let ahead = others
+    others
         .filter(|vm| !vm.leaving && !vm.store_lost)
         .filter(|vm| weight(READER_KEY, &vm.name) > own)
-        .take(READER_COUNT)
-        .count();
-    ahead < READER_COUNT
+        .count()
 }
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -94,6 +94,7 @@
     ];
     let mut board = Blackboard::new(own);
     board.gives_orders = settings.gives_orders();
+    board.is_seed = settings.is_seed();
     ControlCore::new(board, controllers)
 }
 
@@ -172,7 +173,7 @@
 /// Asks the seeds for peers for as long as this process knows none.
 async fn seek_peers(hub: Arc<PeerHub>, context: Arc<GatewayContext>) {
     /// Time between two rounds over the seeds while no peer is known.
-    const SEEK_EVERY: Duration = Duration::from_millis(500);
+    const SEEK_EVERY: Duration = Duration::from_millis(250);
     let own = context.settings().addresses.peers;
     loop {
         let seeds = context.settings().seeds.clone();
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -48,6 +48,11 @@
     pub fn gives_orders(&self) -> bool {
         self.seeds.first() == Some(&self.addresses.peers)
     }
+
+    /// Whether this VM is a seed, which all processes look for first.
+    pub fn is_seed(&self) -> bool {
+        self.seeds.contains(&self.addresses.peers)
+    }
 }
 
 /// The settings of a gateway.
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -2,6 +2,7 @@
 
 mod simulated_fleet;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use dotterelspan::blackboard::{ReplicaRecord, ReplicaRole};
@@ -209,6 +210,40 @@
     assert_eq!(others.len(), READERS, "two others took their places: {others:?}");
 }
 
+/// How long a node takes to read the whole list, in milliseconds.
+const READ_MS: u64 = 300;
+
+/// Steps of 50 milliseconds in which a fleet that starts must have the list: two seconds.
+const START_STEPS: usize = 40;
+
+#[test]
+fn few_nodes_read_the_store_when_all_start_at_once() {
+    let mut fleet = SimulatedFleet::new(120, 15);
+    let mut read_at = BTreeMap::new();
+    for step in 0..START_STEPS {
+        fleet.run_ms(50);
+        let now_ms = step as u64 * 50;
+        for index in fleet.readers() {
+            if *read_at.entry(index).or_insert(now_ms + READ_MS) == now_ms {
+                fleet.read(index, change_many(0, 500, "i", 500));
+            }
+        }
+    }
+    assert!(read_at.len() <= 2 * READERS, "{} nodes read", read_at.len());
+    for index in 0..120 {
+        assert_eq!(fleet.board(index).replicas.len(), 500, "node {index}");
+    }
+}
+
+#[test]
+fn a_fleet_whose_seed_has_no_store_reads_the_list_all_the_same() {
+    let mut fleet = SimulatedFleet::new(40, 16);
+    fleet.lose_store(0);
+    fleet.run_ms(2_000);
+    let readers = fleet.readers();
+    assert!(readers.len() > READERS, "{} nodes read", readers.len());
+}
+
 #[test]
 fn what_one_node_reads_reaches_all_and_a_missed_change_is_made_up() {
     let mut fleet = SimulatedFleet::new(40, 13);
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -17,7 +17,7 @@
 const STEP_MS: u64 = 50;
 
 /// How often a node looks for its seed while it knows nobody, in milliseconds.
-const SEED_EVERY_MS: u64 = 500;
+const SEED_EVERY_MS: u64 = 250;
 
 /// When the fleet begins, on its clock.
 const START: Moment = Moment(1_000);
@@ -77,6 +77,7 @@
     let mut board = Blackboard::new(own);
     // A configuration is known, so that no node reads the store for that.
     board.register.revision = 1;
+    board.is_seed = index == 0;
     let core = ControlCore::new(
         board,
         vec![
@@ -254,7 +255,7 @@
     }
 
     fn seek_seed(&mut self, index: usize) {
-        let is_due = self.now.0.is_multiple_of(SEED_EVERY_MS);
+        let is_due = self.clock(&self.nodes[index]).0 % SEED_EVERY_MS == STEP_MS;
         let is_alone = self.links.range((index, 0)..(index + 1, 0)).next().is_none();
         if index > 0 && is_due && is_alone && self.can_link(index, 0) {
             self.link(index, 0);
