Put the stand-ins' proxy on the ways of the soak; part the asker's side of slots

Cause: the soak's connections failed only by what processes did. No delay, no cut in one direction, no silence on the way was ever tried with real processes.

Change: routes of stand_ins::proxy can be opened in a process of the caller's and hold back one direction; the soak's ways to replicas and store go over them and change at random beside the processes' troubles, with random numbers of their own, so that a seed keeps its kills.

The proxy's test: held bytes arrive late and whole.

Links between nodes and callers' connections have no proxy (KNOWN-LIMITS).

--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 
 use super::{
-    EngineEnd, EngineGroup, GroupLedger, HeldSlot, LocalChooser, MemoryLoad, PlacementAsk, PlacementGrant,
+    EngineEnd, EngineGroup, GroupLedger, LocalChooser, MemoryLoad, PlacementAsk, PlacementGrant,
     PlacementPolicy, PlacementResult, RequestId, group_count,
 };
 use crate::controllers::Reply;
-use crate::controllers::membership::SUSPICION_MS;
 use crate::controllers::message::{PeerMessage, SlotVerdict};
 use crate::controllers::rendezvous;
 use crate::controllers::retry_budget::RetryBudget;
@@ -15,16 +14,16 @@
 
 /// How long an owner may take to answer, in milliseconds: a round trip between zones and some work on a small VM. It is
 /// an eighth of the shortest objective for a first token.
-const ANSWER_LIMIT_MS: u64 = 120;
+pub(super) const ANSWER_LIMIT_MS: u64 = 120;
 
 /// How often a queued request asks again, so that the loss of its owner is noticed, in milliseconds.
-const ASK_AGAIN_MS: u64 = 500;
+pub(super) const ASK_AGAIN_MS: u64 = 500;
 
 /// Time between two looks at a queue in which requests may have become late, in milliseconds.
 const QUEUE_TICK_MS: u64 = 50;
 
 /// When to come back after no engine was found usable, in milliseconds.
-const RETRY_AFTER_MS: u64 = 1_000;
+pub(super) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// A VM owns engines only if it is at least this part of the largest VM's size: its work grows with the fleet's requests,
 /// not with its own.
@@ -35,25 +34,25 @@
 
 /// A request of this node that waits for an owner's answer.
 #[derive(Debug)]
-struct PendingAsk {
-    ticket: ReplyTicket,
-    ask: PlacementAsk,
+pub(super) struct PendingAsk {
+    pub(super) ticket: ReplyTicket,
+    pub(super) ask: PlacementAsk,
     /// Groups still to ask, the present one first.
-    groups: Vec<u32>,
-    owner: VmAddress,
-    answer_by: Moment,
-    ask_again_at: Moment,
+    pub(super) groups: Vec<u32>,
+    pub(super) owner: VmAddress,
+    pub(super) answer_by: Moment,
+    pub(super) ask_again_at: Moment,
 }
 
 /// A request of this node that has its engines.
 #[derive(Debug)]
-struct ActiveLease {
-    grant: PlacementGrant,
-    workspace: Arc<str>,
-    load: MemoryLoad,
-    deadline: Moment,
+pub(super) struct ActiveLease {
+    pub(super) grant: PlacementGrant,
+    pub(super) workspace: Arc<str>,
+    pub(super) load: MemoryLoad,
+    pub(super) deadline: Moment,
     /// The group and its owner; `None` when this node chose alone.
-    owner: Option<(EngineGroup, VmAddress)>,
+    pub(super) owner: Option<(EngineGroup, VmAddress)>,
 }
 
 /// Grants slots as an owner, and gets them for this node's own requests.
@@ -63,8 +62,8 @@
     chooser: LocalChooser,
     budget: RetryBudget,
     pub(super) ledgers: FastMap<EngineGroup, GroupLedger>,
-    pending: FastMap<RequestId, PendingAsk>,
-    active: FastMap<RequestId, ActiveLease>,
+    pub(super) pending: FastMap<RequestId, PendingAsk>,
+    pub(super) active: FastMap<RequestId, ActiveLease>,
     pub(super) next_sweep: Moment,
 }
 
@@ -132,7 +131,7 @@
     }
 
     /// The VM that owns a group, as this node sees it.
-    fn owner_of(&self, key: &EngineGroup, turn: &Turn<'_>) -> VmAddress {
+    pub(super) fn owner_of(&self, key: &EngineGroup, turn: &Turn<'_>) -> VmAddress {
         let name = format!("{}/{}", key.model, key.index);
         let own = (turn.board.drain.is_none()).then(|| (&*turn.board.own.name, turn.board.own.millicores));
         let view = turn.board.live_view(turn.now);
@@ -172,7 +171,13 @@
     }
 
     /// Sends a pending request to its owner, which may be this node.
-    fn send_ask(&mut self, request: &RequestId, key: &EngineGroup, owner: &VmAddress, turn: &mut Turn<'_>) {
+    pub(super) fn send_ask(
+        &mut self,
+        request: &RequestId,
+        key: &EngineGroup,
+        owner: &VmAddress,
+        turn: &mut Turn<'_>,
+    ) {
         let Some(pending) = self.pending.get(request) else {
             return;
         };
@@ -254,7 +259,7 @@
         });
     }
 
-    fn choose_alone(
+    pub(super) fn choose_alone(
         &mut self,
         ticket: ReplyTicket,
         ask: &PlacementAsk,
@@ -274,7 +279,7 @@
     }
 
     /// Tells the group's owner, or the ledger here, about one of this node's requests.
-    fn tell_owner(
+    pub(super) fn tell_owner(
         &mut self,
         key: &EngineGroup,
         owner: &VmAddress,
@@ -303,7 +308,7 @@
         }
     }
 
-    fn finish(&mut self, request: &RequestId, result: PlacementResult, turn: &mut Turn<'_>) {
+    pub(super) fn finish(&mut self, request: &RequestId, result: PlacementResult, turn: &mut Turn<'_>) {
         let owner = if let Some(lease) = self.active.remove(request) {
             for name in std::iter::once(&lease.grant.decode).chain(&lease.grant.prefill) {
                 let facts = turn.board.upstream_mut(name);
@@ -345,121 +350,9 @@
             turn.send_to(from, release_of(key, request, PlacementResult::default()));
         }
     }
-
-    /// Gives up on owners that do not answer, and asks again for what is queued.
-    fn tend_pending(&mut self, turn: &mut Turn<'_>) {
-        let due: Vec<RequestId> = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| {
-                turn.now.reached(pending.answer_by) || turn.now.reached(pending.ask_again_at)
-            })
-            .map(|(request, _)| request.clone())
-            .collect();
-        for request in due {
-            self.tend_one(&request, turn);
-        }
-    }
-
-    fn tend_one(&mut self, request: &RequestId, turn: &mut Turn<'_>) {
-        let Some(pending) = self.pending.get_mut(request) else {
-            return;
-        };
-        if turn.now.reached(pending.ask.deadline) {
-            let ticket = pending.ticket;
-            self.finish(request, PlacementResult::default(), turn);
-            let notice = RefusalNotice::new(ResultCode::QueueTimeout, "the deadline came while it waited");
-            turn.actions.push(Action::Reply {
-                ticket,
-                reply: Reply::Refused(notice.retry_after_ms(RETRY_AFTER_MS)),
-            });
-            return;
-        }
-        let is_lost = turn.now.reached(pending.answer_by) && pending.owner != turn.board.own.name;
-        if is_lost {
-            let Some(pending) = self.pending.remove(request) else {
-                return;
-            };
-            let group = pending.groups.first().copied().unwrap_or(0);
-            let key = EngineGroup::new(&pending.ask.model, group);
-            turn.send_to(
-                &pending.owner,
-                release_of(&key, request, PlacementResult::default()),
-            );
-            self.give_up_owner(&pending.owner, turn);
-            self.choose_alone(pending.ticket, &pending.ask, PlacementPolicy::Owner, turn);
-            return;
-        }
-        pending.ask_again_at = turn.now.after_ms(ASK_AGAIN_MS);
-        let group = pending.groups.first().copied().unwrap_or(0);
-        let key = EngineGroup::new(&pending.ask.model, group);
-        let old_owner = pending.owner.clone();
-        let owner = self.owner_of(&key, turn);
-        if owner != old_owner {
-            let message = release_of(&key, request, PlacementResult::default());
-            self.tell_owner(&key, &old_owner, message, turn);
-            if let Some(pending) = self.pending.get_mut(request) {
-                pending.owner = owner.clone();
-                pending.answer_by = turn.now.after_ms(ANSWER_LIMIT_MS);
-            }
-        }
-        self.send_ask(request, &key, &owner, turn);
-    }
-
-    fn give_up_owner(&self, owner: &VmAddress, turn: &mut Turn<'_>) {
-        if let Some(vm) = turn.board.vms.get_mut(owner)
-            && vm.is_live(turn.now)
-        {
-            vm.suspected_until = Some(turn.now.after_ms(SUSPICION_MS));
-            turn.publish();
-            turn.actions.push(Action::ResetLink { vm: owner.clone() });
-            turn.actions
-                .push(Action::Log(format!("event=owner_silent vm={owner}")));
-        }
-    }
-
-    /// Tells new owners what this node's requests hold, so that they do not grant it again.
-    pub(super) fn follow_owners(&mut self, turn: &mut Turn<'_>) {
-        let mut owners: FastMap<EngineGroup, VmAddress> = FastMap::default();
-        for lease in self.active.values() {
-            if let Some((group, _)) = &lease.owner {
-                owners
-                    .entry(group.clone())
-                    .or_insert_with(|| self.owner_of(group, turn));
-            }
-        }
-        let mut moved = Vec::new();
-        for (request, lease) in &mut self.active {
-            let Some((group, owner)) = &mut lease.owner else {
-                continue;
-            };
-            let Some(present) = owners.get(group).filter(|present| *present != owner) else {
-                continue;
-            };
-            let earlier = std::mem::replace(owner, present.clone());
-            let held = HeldSlot {
-                request: request.clone(),
-                workspace: lease.workspace.clone(),
-                decode: lease.grant.decode.clone(),
-                load: lease.load,
-                deadline: lease.deadline,
-            };
-            moved.push((group.clone(), earlier, present.clone(), held));
-        }
-        for (group, earlier, owner, held) in moved {
-            // Exactly one owner counts a slot: the earlier one may only have been thought dead.
-            let release = release_of(&group, &held.request, PlacementResult::default());
-            self.tell_owner(&group, &earlier, release, turn);
-            if owner == turn.board.own.name {
-                self.adopt(&group, &held, None, turn);
-            } else {
-                turn.send_to(&owner, PeerMessage::SlotHeld { group, held });
-            }
-        }
-    }
 }
 
-fn release_of(key: &EngineGroup, request: &RequestId, result: PlacementResult) -> PeerMessage {
+pub(super) fn release_of(key: &EngineGroup, request: &RequestId, result: PlacementResult) -> PeerMessage {
     PeerMessage::SlotRelease {
         group: key.clone(),
         request: request.clone(),
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -12,6 +12,7 @@
 mod prefix;
 mod queue;
 mod replica;
+mod tending;
 
 pub use choice::{LocalChooser, PlacementPolicy};
 pub use client::SlotController;
--- a/stand_ins/src/proxy.rs
+++ b/stand_ins/src/proxy.rs
@@ -1,4 +1,5 @@
-//! A TCP proxy with faults: cuts, silence of open connections, partitions and delay, for each route by itself.
+//! A TCP proxy with faults: cuts, silence of open connections, partitions in one direction or both, and delay, for each
+//! route by itself.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -28,11 +29,22 @@
     Cut,
     /// Passes nothing in either direction, and closes nothing.
     Partition,
+    /// Passes nothing to the target, and closes nothing.
+    HoldThere,
+    /// Passes nothing from the target, and closes nothing.
+    HoldBack,
+}
+
+/// Which way a part of a connection copies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    There,
+    Back,
 }
 
 /// One route.
 #[derive(Debug)]
-struct Route {
+pub struct ProxyRoute {
     listen: String,
     target: String,
     mode: Mutex<RouteMode>,
@@ -42,7 +54,33 @@
     delay_ms: AtomicU64,
 }
 
-impl Route {
+impl ProxyRoute {
+    /// Opens a route from an address, of which the port may be zero, to another one.
+    pub async fn open(listen: &str, target: &str) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(listen).await?;
+        let route = Arc::new(Self {
+            listen: listener.local_addr()?.to_string(),
+            target: target.to_owned(),
+            mode: Mutex::default(),
+            silent_through: AtomicU64::default(),
+            generation: AtomicU64::new(1),
+            delay_ms: AtomicU64::default(),
+        });
+        async_std::task::spawn(accept(route.clone(), listener));
+        Ok(route)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> &str {
+        &self.listen
+    }
+
+    /// Changes what it does, and how long each piece takes in each direction.
+    pub fn set_mode(&self, mode: RouteMode, delay_ms: u64) {
+        self.delay_ms.store(delay_ms, Ordering::Relaxed);
+        *self.mode.lock().expect("no holder of this lock panics") = mode;
+    }
+
     fn mode(&self) -> RouteMode {
         *self.mode.lock().expect("no holder of this lock panics")
     }
@@ -53,24 +91,14 @@
     let mut opened = Vec::new();
     for text in routes {
         let (listen, target) = text.split_once('=').unwrap_or((text, ""));
-        let route = Arc::new(Route {
-            listen: listen.to_owned(),
-            target: target.to_owned(),
-            mode: Mutex::default(),
-            silent_through: AtomicU64::default(),
-            generation: AtomicU64::new(1),
-            delay_ms: AtomicU64::default(),
-        });
-        let listener = TcpListener::bind(listen).await?;
-        async_std::task::spawn(accept(route.clone(), listener));
-        opened.push(route);
+        opened.push(ProxyRoute::open(listen, target).await?);
     }
     let listener = TcpListener::bind(control).await?;
     http::serve(listener, Arc::new(opened), answer).await;
     Ok(())
 }
 
-async fn answer(routes: Arc<Vec<Arc<Route>>>, mut request: Request) -> Response {
+async fn answer(routes: Arc<Vec<Arc<ProxyRoute>>>, mut request: Request) -> Response {
     if request.method() != Method::Post {
         return http::json(200, &Value::Null);
     }
@@ -80,18 +108,17 @@
         .iter()
         .filter(|route| wanted.is_empty() || route.listen == wanted)
     {
-        set_mode(route, &body);
+        obey(route, &body);
     }
     http::json(200, &json!({}))
 }
 
-fn set_mode(route: &Route, body: &Value) {
-    route
-        .delay_ms
-        .store(body["delay_ms"].as_u64().unwrap_or(0), Ordering::Relaxed);
+fn obey(route: &ProxyRoute, body: &Value) {
     let mode = match body["mode"].as_str() {
         Some("cut") => RouteMode::Cut,
         Some("partition") => RouteMode::Partition,
+        Some("hold_there") => RouteMode::HoldThere,
+        Some("hold_back") => RouteMode::HoldBack,
         Some("silence") => {
             let through = route.generation.fetch_add(1, Ordering::Relaxed);
             route.silent_through.store(through, Ordering::Relaxed);
@@ -99,10 +126,10 @@
         }
         _ => RouteMode::Pass,
     };
-    *route.mode.lock().expect("no holder of this lock panics") = mode;
+    route.set_mode(mode, body["delay_ms"].as_u64().unwrap_or(0));
 }
 
-async fn accept(route: Arc<Route>, listener: TcpListener) {
+async fn accept(route: Arc<ProxyRoute>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
@@ -112,7 +139,7 @@
     }
 }
 
-async fn carry(route: &Arc<Route>, near: TcpStream) {
+async fn carry(route: &Arc<ProxyRoute>, near: TcpStream) {
     if route.mode() == RouteMode::Cut {
         return;
     }
@@ -125,8 +152,20 @@
     };
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    let up = std::pin::pin!(copy(route, generation, near.clone(), far.clone()));
-    let down = std::pin::pin!(copy(route, generation, far.clone(), near.clone()));
+    let up = std::pin::pin!(copy(
+        route,
+        generation,
+        Direction::There,
+        near.clone(),
+        far.clone()
+    ));
+    let down = std::pin::pin!(copy(
+        route,
+        generation,
+        Direction::Back,
+        far.clone(),
+        near.clone()
+    ));
     let cut = std::pin::pin!(wait_for_cut(route));
     let both = futures::future::join(up, down);
     futures::future::select(both, cut).await;
@@ -134,18 +173,24 @@
     let _ = far.shutdown(std::net::Shutdown::Both);
 }
 
-async fn wait_for_cut(route: &Route) {
+async fn wait_for_cut(route: &ProxyRoute) {
     while route.mode() != RouteMode::Cut {
         async_std::task::sleep(LOOK_EVERY).await;
     }
 }
 
 /// Copies one direction; what comes while nothing may pass is kept back, and an end is passed on.
-async fn copy(route: &Route, generation: u64, mut from: TcpStream, mut to: TcpStream) {
+async fn copy(
+    route: &ProxyRoute,
+    generation: u64,
+    direction: Direction,
+    mut from: TcpStream,
+    mut to: TcpStream,
+) {
     let mut buffer = vec![0; COPY_BYTES];
     loop {
         let read = from.read(&mut buffer).await.unwrap_or(0);
-        while is_blocked(route, generation) {
+        while is_blocked(route, generation, direction) {
             async_std::task::sleep(LOOK_EVERY).await;
         }
         let delay_ms = route.delay_ms.load(Ordering::Relaxed);
@@ -163,7 +208,12 @@
     }
 }
 
-fn is_blocked(route: &Route, generation: u64) -> bool {
-    let is_silent = generation <= route.silent_through.load(Ordering::Relaxed);
-    is_silent || route.mode() == RouteMode::Partition
+fn is_blocked(route: &ProxyRoute, generation: u64, direction: Direction) -> bool {
+    let is_held = match route.mode() {
+        RouteMode::Pass | RouteMode::Cut => false,
+        RouteMode::Partition => true,
+        RouteMode::HoldThere => direction == Direction::There,
+        RouteMode::HoldBack => direction == Direction::Back,
+    };
+    is_held || generation <= route.silent_through.load(Ordering::Relaxed)
 }
--- a/stand_ins/tests/proxy.rs
+++ b/stand_ins/tests/proxy.rs
@@ -1,11 +1,17 @@
 //! The fault proxy does what the proofs rely on.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use async_std::future::timeout;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task::block_on;
 use serde_json::json;
 use stand_ins::fleet::{Process, free_address, wait_for};
 use stand_ins::http;
+use stand_ins::proxy::{ProxyRoute, RouteMode};
 
 #[test]
 fn a_cut_route_refuses_and_a_passing_one_carries() {
@@ -50,3 +56,49 @@
         target.kill();
     });
 }
+
+/// How long bytes may take that pass, and how long to wait for bytes that must not.
+const PASS_LIMIT: Duration = Duration::from_secs(5);
+const HELD_FOR: Duration = Duration::from_millis(200);
+
+/// A listener that sends back what comes, and notes how many bytes have come.
+async fn start_echo() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let count = Arc::new(AtomicUsize::new(0));
+    let seen = count.clone();
+    async_std::task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut buffer = [0; 64];
+        while let Ok(read @ 1..) = stream.read(&mut buffer).await {
+            seen.fetch_add(read, Ordering::Relaxed);
+            stream
+                .write_all(&buffer[..read])
+                .await
+                .expect("an open connection");
+        }
+    });
+    (address, count)
+}
+
+#[test]
+fn a_held_direction_passes_nothing_until_it_is_open_and_loses_nothing() {
+    block_on(async {
+        let (target, count) = start_echo().await;
+        let route = ProxyRoute::open("127.0.0.1:0", &target).await.expect("a route");
+        let mut stream = TcpStream::connect(route.address()).await.expect("a connection");
+        let mut answer = [0; 4];
+        for (mode, arrives) in [(RouteMode::HoldThere, 0), (RouteMode::HoldBack, 4)] {
+            let before = count.load(Ordering::Relaxed);
+            route.set_mode(mode, 0);
+            stream.write_all(b"ping").await.expect("an open connection");
+            let held = timeout(HELD_FOR, stream.read_exact(&mut answer)).await;
+            assert!(held.is_err(), "{mode:?} lets no answer through");
+            assert_eq!(count.load(Ordering::Relaxed) - before, arrives, "{mode:?}");
+            route.set_mode(RouteMode::Pass, 0);
+            let passed = timeout(PASS_LIMIT, stream.read_exact(&mut answer)).await;
+            passed.expect("the route is open").expect("an answer");
+            assert_eq!(&answer, b"ping", "{mode:?}");
+        }
+    });
+}
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -40,6 +40,7 @@
 #[derive(Clone)]
 pub struct StandInReplica {
     pub id: String,
+    /// Where it listens, or the way to it.
     pub address: SocketAddr,
     mood: Arc<Mutex<ReplicaMood>>,
     requests: Arc<Mutex<Vec<Message>>>,
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -1,5 +1,5 @@
-//! A randomized soak: three nodes, their replicas, their store and callers, with signals, restarts and faults in series
-//! and at the same time. `SOAK_SEEDS=first..last` chooses the seeds; a seed that ever failed stays in [`REGRESSIONS`].
+//! A randomized soak: three nodes, their replicas, their store and callers, with signals, restarts and faults in series,
+//! and at the same time with ways to the replicas and the store that are slow, broken or cut. `SOAK_SEEDS=first..last` chooses the seeds; a seed that ever failed stays in [`REGRESSIONS`].
 
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use stand_ins::proxy::{ProxyRoute, RouteMode};
 
 use crate::node::{GatewayNode, publish_config, wait_until};
 use crate::replica::{ReplicaMood, STREAM_EVENTS, StandInReplica};
@@ -44,6 +45,24 @@
     ReplicaMood::Silent,
 ];
 
+/// What the ways do while there is trouble, and how long a piece of bytes takes, in milliseconds. They are open as often as
+/// not, so that callers are served; what is held back arrives later, as with a transport that sends lost packets again.
+const WAY_MODES: [(RouteMode, u64); 10] = [
+    (RouteMode::Pass, 0),
+    (RouteMode::Pass, 0),
+    (RouteMode::Pass, 0),
+    (RouteMode::Pass, 0),
+    (RouteMode::Pass, 0),
+    (RouteMode::Pass, 60),
+    (RouteMode::Cut, 0),
+    (RouteMode::HoldThere, 0),
+    (RouteMode::HoldBack, 0),
+    (RouteMode::Partition, 0),
+];
+
+/// Keeps the trouble of the ways apart from that of the processes, of which each seed has the same with other ways.
+const WAYS_SEED: u64 = 1 << 32;
+
 /// What a caller asked and got.
 struct CallRecord {
     id: String,
@@ -56,12 +75,16 @@
     store: StandInStore,
     nodes: Vec<GatewayNode>,
     replicas: Vec<(StandInReplica, &'static str, Option<&'static str>)>,
+    /// The ways to the replicas, and that to the store.
+    ways: Vec<Arc<ProxyRoute>>,
     version: u32,
 }
 
 impl SoakSystem {
     fn start() -> Self {
-        let store = StandInStore::start();
+        let mut store = StandInStore::start();
+        let mut ways = vec![open_way(store.address)];
+        store.address = ways[0].address().parse().expect("an address");
         publish_config(&store, 1);
         let parts = [
             ("i-1", "desk", None),
@@ -73,11 +96,12 @@
             ("i-d2", "llm", Some("decode")),
         ];
         let start = |(id, service, phase)| {
-            (
-                StandInReplica::start(&store, id, service, phase, ReplicaMood::Well),
-                service,
-                phase,
-            )
+            let mut replica = StandInReplica::start(&store, id, service, phase, ReplicaMood::Well);
+            let way = open_way(replica.address);
+            replica.address = way.address().parse().expect("an address");
+            replica.publish(&store, service, phase, "ready");
+            ways.push(way);
+            (replica, service, phase)
         };
         let replicas = parts.map(start).into();
         let first = GatewayNode::start(&store, "vm-1", &[]);
@@ -89,6 +113,7 @@
             store,
             nodes,
             replicas,
+            ways,
             version: 1,
         }
     }
@@ -131,6 +156,7 @@
     }
 
     fn heal(&mut self) {
+        self.ways.iter().for_each(|way| way.set_mode(RouteMode::Pass, 0));
         self.store.set_mood(StoreMood::Well);
         for (replica, service, phase) in &self.replicas {
             replica.set_mood(ReplicaMood::Well);
@@ -143,6 +169,24 @@
     }
 }
 
+/// A way to a listener, with faults.
+fn open_way(target: SocketAddr) -> Arc<ProxyRoute> {
+    let target = target.to_string();
+    let opening = ProxyRoute::open("127.0.0.1:0", &target);
+    async_std::task::block_on(opening).expect("a free port")
+}
+
+/// Changes what the ways do until it is told to stop.
+fn disturb_ways(ways: &[Arc<ProxyRoute>], seed: u64, is_over: &AtomicBool) {
+    let mut random = StdRng::seed_from_u64(seed + WAYS_SEED);
+    while !is_over.load(Ordering::Relaxed) {
+        let way = ways.choose(&mut random).expect("ways");
+        let (mode, delay_ms) = *WAY_MODES.choose(&mut random).expect("modes");
+        way.set_mode(mode, delay_ms);
+        std::thread::sleep(Duration::from_millis(random.random_range(20..250)));
+    }
+}
+
 /// Sends requests over kept connections until it is told to stop; a connection is used until it ends.
 fn call_on(addresses: Vec<SocketAddr>, seed: u64, is_over: &AtomicBool, records: &Mutex<Vec<CallRecord>>) {
     let mut random = StdRng::seed_from_u64(seed);
@@ -227,10 +271,17 @@
             std::thread::spawn(move || call_on(addresses, seed * 100 + caller, &is_over, &records))
         })
         .collect();
+    let is_healing = Arc::new(AtomicBool::new(false));
+    let ways = {
+        let (ways, is_healing) = (system.ways.clone(), is_healing.clone());
+        std::thread::spawn(move || disturb_ways(&ways, seed, &is_healing))
+    };
     for _ in 0..STEPS {
         system.disturb(&mut random);
         std::thread::sleep(Duration::from_millis(random.random_range(20..400)));
     }
+    is_healing.store(true, Ordering::Relaxed);
+    ways.join().expect("the ways' thread");
     system.heal();
     let serves = |node: &GatewayNode, number: u32| {
         let text = request(
