--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -19,10 +19,14 @@
 /// an answer.
 const PEERS_FIRST_MS: u64 = 120;
 
-/// How long a fresh process that is no seed waits for what seeds read, in milliseconds: as long as a seed itself waits, a
-/// whole list at ten megabits a second, and its way around the ring.
+/// How long a fresh process that is no seed waits at most for what seeds read, in milliseconds: as long as a seed itself
+/// waits, a whole list at ten megabits a second, and its way around the ring.
 const SEEDS_FIRST_MS: u64 = 400;
 
+/// How much of that it waits for each VM that it knows, in milliseconds: the longest wait from a hundred VMs on. A store
+/// answers a small fleet at once, and callers wait meanwhile.
+const WAIT_PER_VM_MS: u64 = 3;
+
 /// How long a fresh process that has found no peer waits, in milliseconds: some rounds over the seeds, which may start
 /// later than it does.
 const ALONE_MS: u64 = 1_000;
@@ -51,10 +55,9 @@
     if board.is_seed {
         return Moment(PEERS_FIRST_MS);
     }
-    let first_ms = if board.vms.is_empty() {
-        ALONE_MS
-    } else {
-        SEEDS_FIRST_MS
+    let first_ms = match board.vms.len() as u64 {
+        0 => ALONE_MS,
+        known => SEEDS_FIRST_MS.min(PEERS_FIRST_MS + known * WAIT_PER_VM_MS),
     };
 
     let turn = (readers_ahead / READER_COUNT) as u64;
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -235,6 +235,18 @@
     }
 }
 
+/// How long a small fleet may wait for a seed that can't read, in milliseconds: it is held back for as long only.
+const SMALL_WAIT_MS: u64 = 250;
+
+#[test]
+fn a_small_fleet_waits_for_its_seeds_but_shortly() {
+    let mut fleet = SimulatedFleet::new(21, 17);
+    fleet.lose_store(0);
+    fleet.run_ms(SMALL_WAIT_MS);
+    let readers = fleet.readers();
+    assert!(readers.len() >= READERS, "{} nodes read", readers.len());
+}
+
 #[test]
 fn a_fleet_whose_seed_has_no_store_reads_the_list_all_the_same() {
     let mut fleet = SimulatedFleet::new(40, 16);
