Pass on removals of replicas that the reader itself had dropped

A node that had dropped a replica, since another one answered at its address, took the removal for known and left it out, and its peers kept the replica.

Test: a_removal_is_passed_on_by_a_node_that_had_dropped_the_replica_itself, failing before.

--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -126,13 +126,13 @@
         changes
     }
 
-    /// What read changes add to what is known: another reader may have told a part of them already.
+    /// What read changes add to what is known: another reader may have told a part of them already. Removals are all passed
+    /// on, since this node may itself have dropped a replica that others still have.
     fn find_news(&self, reading: &ReplicaUpdate, board: &Blackboard) -> ReplicaUpdate {
-        let is_listed = |id: &&ReplicaId| board.replicas.get(*id).is_some_and(|facts| facts.is_listed);
         ReplicaUpdate {
             since: reading.since.max(self.whole_read_to).max(board.list_revision),
             present: find_fresh(reading, board),
-            removed: reading.removed.iter().filter(is_listed).cloned().collect(),
+            removed: reading.removed.clone(),
             ..*reading
         }
     }
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -278,6 +278,21 @@
     }
 }
 
+#[test]
+fn a_removal_is_passed_on_by_a_node_that_had_dropped_the_replica_itself() {
+    let mut fleet = SimulatedFleet::new(20, 18);
+    fleet.run_ms(1_500);
+    fleet.read_all(change(0, 3, &["i-1", "i-2"], &[]));
+    fleet.run_ms(3_000);
+    fleet.drop_replica(0, "i-1");
+    fleet.read(0, change(3, 5, &["i-3"], &["i-1"]));
+    fleet.run_ms(AGREE_MS);
+    for index in 0..20 {
+        assert!(!fleet.board(index).replicas.contains_key("i-1"), "node {index}");
+        assert!(fleet.board(index).replicas.contains_key("i-3"), "node {index}");
+    }
+}
+
 #[test]
 fn whole_readings_of_an_unchanged_list_are_passed_to_nobody() {
     let mut fleet = SimulatedFleet::new(30, 2);
