--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -105,6 +105,7 @@
         deadline: Moment(u64::MAX / 2),
         is_retry: false,
         avoid: Vec::new(),
+        barred: Vec::new(),
     }
 }
 
--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -1,10 +1,12 @@
 //! Which replicas there are: the platform's list, kept through its outages, and what peers read of it meanwhile.
 
 mod history;
+mod leaving;
 
 use std::sync::Arc;
 
 use history::UpdateHistory;
+use leaving::LeavingTable;
 
 use super::message::PeerMessage;
 
@@ -85,6 +87,8 @@
     next_stop: Option<Moment>,
     /// Up to which state this node's latest whole reading has told all changes.
     whole_read_to: ListRevision,
+    /// Replicas that said of themselves that they leave.
+    leaving: LeavingTable,
 }
 
 impl DiscoveryController {
@@ -203,10 +207,15 @@
         if known.is_some_and(|known| known.record.started_epoch_ms > record.started_epoch_ms) {
             return;
         }
-        let stop_at = match (record.is_draining, known) {
-            (false, _) => None,
-            (true, Some(known)) if known.stop_at.is_some() => known.stop_at,
-            (true, _) => Some(turn.now.after_ms(STOP_AFTER_MS)),
+        // What the replica said itself outlasts an entry that does not say it yet.
+        let said_stop_at = self.leaving.stop_at(&record.id, record.started_epoch_ms);
+        let known_stop_at = known
+            .filter(|known| known.record.started_epoch_ms == record.started_epoch_ms)
+            .and_then(|known| known.stop_at);
+        let stop_at = match (record.is_draining, known_stop_at) {
+            (false, _) => said_stop_at,
+            (true, Some(stop_at)) => Some(stop_at),
+            (true, None) => Some(said_stop_at.unwrap_or(turn.now.after_ms(STOP_AFTER_MS))),
         };
         let is_moved = known.is_some_and(|known| known.record.role != record.role);
         let is_same = known
@@ -253,12 +262,35 @@
             self.next_stop = Some(self.next_stop.map_or(stop_at, |next| next.min(stop_at)));
 
             turn.log(format!(
-                "event=replica_leaving replica={id} reason={reason} list_revision={}",
+                "event=replica_leaving replica={id} reason={reason} source=list list_revision={}",
                 turn.board.list_revision
             ));
         }
     }
 
+    /// Takes a replica's own word that it leaves, and passes news on. It goes on being listed until it is off the list.
+    fn hear_leaving(&mut self, id: &ReplicaId, started_epoch_ms: u64, source: &str, turn: &mut Turn<'_>) {
+        let stop_at = turn.now.after_ms(STOP_AFTER_MS);
+        if !self.leaving.note(id, started_epoch_ms, stop_at) {
+            return;
+        }
+        let known = Arc::make_mut(&mut turn.board.replicas).get_mut(id);
+        if let Some(facts) = known.filter(|facts| facts.record.started_epoch_ms == started_epoch_ms)
+            && facts.stop_at.is_none()
+        {
+            facts.stop_at = Some(stop_at);
+            turn.log(format!(
+                "event=replica_leaving replica={id} reason=said_so source={source} list_revision={}",
+                turn.board.list_revision
+            ));
+            turn.publish();
+        }
+        turn.send_to_neighbors(&PeerMessage::ReplicaLeaving {
+            replica: id.clone(),
+            started_epoch_ms,
+        });
+    }
+
     /// Drops a replica at whose address another one answered.
     fn replace(&self, id: &ReplicaId, turn: &mut Turn<'_>) {
         if Arc::make_mut(&mut turn.board.replicas).remove(id).is_some() {
@@ -419,6 +451,7 @@
         match event {
             Event::Tick { .. } => {
                 self.forget_stopped(turn);
+                self.leaving.forget_old(turn.now);
                 self.ask_peers(turn);
             }
             Event::ReplicasRead {
@@ -433,6 +466,10 @@
             }
             Event::ListReachable { is_reachable } => self.set_reachable(*is_reachable, turn),
             Event::ReplicaReplaced { replica } => self.replace(replica, turn),
+            Event::ReplicaLeaving {
+                replica,
+                started_epoch_ms,
+            } => self.hear_leaving(replica, *started_epoch_ms, "answer", turn),
             Event::PeerMessage { from, message, .. } => match message {
                 PeerMessage::Heartbeat {
                     list_revision,
@@ -445,6 +482,10 @@
                 }
                 PeerMessage::ReplicasWanted { revision } => self.pass_on(from, *revision, turn),
                 PeerMessage::ReplicasContent(update) => self.take_told(from, update, turn),
+                PeerMessage::ReplicaLeaving {
+                    replica,
+                    started_epoch_ms,
+                } => self.hear_leaving(replica, *started_epoch_ms, from, turn),
                 _ => {}
             },
             _ => {}
--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -32,11 +32,21 @@
     pub avoid: &'a [ReplicaId],
 }
 
+/// A replica's wish to be left alone by this node.
+#[derive(Clone, Copy, Debug)]
+struct BackOff {
+    /// The start of the replica that it holds for.
+    started_epoch_ms: u64,
+    until: Moment,
+}
+
 /// All replicas' standings.
 #[derive(Debug)]
 pub struct DispatchBook {
     zone: Arc<str>,
     standings: FastMap<ReplicaId, ReplicaStanding>,
+    /// Kept apart from the standings, since it also holds for a replica that is off the list for a while.
+    back_offs: FastMap<ReplicaId, BackOff>,
     random: SmallRng,
 }
 
@@ -46,12 +56,14 @@
         Self {
             zone,
             standings: FastMap::default(),
+            back_offs: FastMap::default(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
 
     /// Takes over the replicas that there are.
-    pub fn replace<'a>(&mut self, replicas: impl Iterator<Item = &'a ReplicaFacts>) {
+    pub fn replace<'a>(&mut self, replicas: impl Iterator<Item = &'a ReplicaFacts>, now: Moment) {
+        self.back_offs.retain(|_, back_off| !now.reached(back_off.until));
         let mut known = std::mem::take(&mut self.standings);
         for facts in replicas {
             let id = facts.record.id.clone();
@@ -61,7 +73,65 @@
         }
     }
 
-    /// The replica that should serve soonest. Paused and leaving ones are used only where no other one is left.
+    /// Notes until when a replica wants nothing from this node.
+    pub fn note_back_off(&mut self, record: &ReplicaRecord, until: Moment) {
+        let started_epoch_ms = record.started_epoch_ms;
+        let known = self.back_offs.entry(record.id.clone()).or_insert(BackOff {
+            started_epoch_ms,
+            until,
+        });
+        if known.started_epoch_ms == started_epoch_ms {
+            known.until = known.until.max(until);
+        } else if known.started_epoch_ms < started_epoch_ms {
+            *known = BackOff {
+                started_epoch_ms,
+                until,
+            };
+        }
+    }
+
+    /// Until when a replica wants nothing from this node; `None` where it takes requests.
+    pub fn back_off_until(&self, record: &ReplicaRecord, now: Moment) -> Option<Moment> {
+        let known = self.back_offs.get(&record.id)?;
+        let holds = known.started_epoch_ms == record.started_epoch_ms && !now.reached(known.until);
+        holds.then_some(known.until)
+    }
+
+    /// Replicas of a service that want nothing from this node now.
+    pub fn backing_off(&self, service: &str, now: Moment) -> Vec<ReplicaId> {
+        let records = self.standings.values().map(|standing| &standing.record);
+        records
+            .filter(|record| &*record.service == service && self.back_off_until(record, now).is_some())
+            .map(|record| record.id.clone())
+            .collect()
+    }
+
+    /// When the first replica of a service takes requests again; `None` where one does now, or there is none.
+    pub fn first_return(&self, service: &str, role: ReplicaRole, now: Moment) -> Option<Moment> {
+        let staying = self.standings.values().filter(|standing| {
+            &*standing.record.service == service
+                && standing.record.role == role
+                && standing.stop_at.is_none_or(|at| !now.reached(at))
+        });
+        let mut first: Option<Moment> = None;
+        for standing in staying {
+            let until = self.back_off_until(&standing.record, now)?;
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+        first
+    }
+
+    /// Whether a replica is leaving and gets no callers' requests any more.
+    pub fn is_stopped(&self, record: &ReplicaRecord, now: Moment) -> bool {
+        let standing = self.standings.get(&record.id);
+        standing.is_some_and(|standing| {
+            standing.record.started_epoch_ms == record.started_epoch_ms
+                && standing.stop_at.is_some_and(|at| now.reached(at))
+        })
+    }
+
+    /// The replica that should serve soonest. Paused and leaving ones are used only where no other one is left, and those
+    /// that back off never.
     pub fn choose(&mut self, ask: &DispatchAsk<'_>, now: Moment) -> Option<Arc<ReplicaRecord>> {
         let mut best: Option<((u8, u64, u32), Arc<ReplicaRecord>)> = None;
         for standing in self.standings.values() {
@@ -69,6 +139,7 @@
             let is_fit = &*record.service == ask.service
                 && record.role == ask.role
                 && !ask.avoid.contains(&record.id)
+                && self.back_off_until(record, now).is_none()
                 && standing.stop_at.is_none_or(|at| !now.reached(at));
             if !is_fit {
                 continue;
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -5,7 +5,7 @@
 use super::discovery::{ListRevision, ReplicaUpdate};
 use super::idempotency::{HandoffRecord, StoredAnswer};
 use super::slots::{EngineEnd, EngineGroup, HeldSlot, PlacementAsk, PlacementResult, RequestId};
-use crate::blackboard::{Fingerprint, Incarnation, OwnIdentity};
+use crate::blackboard::{Fingerprint, Incarnation, OwnIdentity, ReplicaId};
 use crate::prelude::*;
 
 /// What a process says of itself when a link opens.
@@ -182,6 +182,13 @@
     },
     /// The list of replicas.
     ReplicasContent(ReplicaUpdate),
+    /// A replica said in an answer that it is about to leave.
+    ReplicaLeaving {
+        /// Which.
+        replica: ReplicaId,
+        /// Its start, since a later one does not leave.
+        started_epoch_ms: u64,
+    },
     /// An engine is being moved to the other pool and takes nothing meanwhile.
     EngineBusy {
         /// Which.
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -88,6 +88,13 @@
         /// The one that was expected.
         replica: ReplicaId,
     },
+    /// A replica said in an answer that it is about to leave.
+    ReplicaLeaving {
+        /// Which.
+        replica: ReplicaId,
+        /// Its start, since a later one does not leave.
+        started_epoch_ms: u64,
+    },
     /// The VM list was read.
     VmsListed {
         /// All VMs on it.
--- a/src/controllers/slots/choice.rs
+++ b/src/controllers/slots/choice.rs
@@ -98,6 +98,7 @@
         let mut usable: Vec<&str> = engines
             .iter()
             .filter(|engine| engine.role == role && board.is_engine_usable(&engine.name, now))
+            .filter(|engine| !ask.barred.contains(&engine.name))
             .map(|engine| &*engine.name)
             .collect();
         let is_untried = |name: &&str| !ask.avoid.iter().any(|tried| **tried == **name);
--- a/src/controllers/slots/ledger/choice.rs
+++ b/src/controllers/slots/ledger/choice.rs
@@ -31,7 +31,9 @@
     /// Whether a request passes an engine over because it was tried. Where all usable ones were, none is: one that had no
     /// room may have some now, and waiting for others would be in vain.
     fn is_avoided(&self, name: &Arc<str>, ask: &PlacementAsk, board: &Blackboard, now: Moment) -> bool {
-        let is_other = |other: &Arc<str>| !ask.avoid.contains(other) && board.is_engine_usable(other, now);
+        let is_other = |other: &Arc<str>| {
+            !ask.avoid.contains(other) && !ask.barred.contains(other) && board.is_engine_usable(other, now)
+        };
         ask.avoid.contains(name) && self.decode.keys().any(is_other)
     }
 
@@ -48,7 +50,8 @@
             lease.is_suspect
                 && (lease.decode == *name || (lease.is_prefilling && lease.prefill.as_ref() == Some(name)))
         };
-        board.is_engine_usable(name, now)
+        let is_open = board.is_engine_usable(name, now) && !ask.barred.contains(name);
+        is_open
             && !self.is_avoided(name, ask, board, now)
             && !(is_suspect && self.leases.values().any(has_suspect))
     }
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -169,7 +169,7 @@
         {
             return granted;
         }
-        if !self.has_usable(board, now) {
+        if !self.has_usable(ask, board, now) {
             let notice = RefusalNotice::new(ResultCode::NoUpstream, self.group.model.to_string());
             return SlotVerdict::Refused(notice.retry_after_ms(DEFAULT_RETRY_MS));
         }
@@ -181,8 +181,8 @@
         SlotVerdict::Queued
     }
 
-    fn has_usable(&self, board: &Blackboard, now: Moment) -> bool {
-        let is_usable = |name: &Arc<str>| board.is_engine_usable(name, now);
+    fn has_usable(&self, ask: &PlacementAsk, board: &Blackboard, now: Moment) -> bool {
+        let is_usable = |name: &Arc<str>| board.is_engine_usable(name, now) && !ask.barred.contains(name);
         self.decode.keys().any(is_usable) && self.prefill.keys().any(is_usable)
     }
 
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -62,8 +62,10 @@
     pub may_skip_prefill: bool,
     /// Whether this is another try, which the workspace's retry budget must cover.
     pub is_retry: bool,
-    /// Engines that this request has failed on.
+    /// Engines that this request has failed on; they are asked again where no others are left.
     pub avoid: Vec<Arc<str>>,
+    /// Engines that want nothing from the asking VM now; they are never granted.
+    pub barred: Vec<Arc<str>>,
 }
 
 impl PlacementAsk {
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -59,6 +59,7 @@
     "connection_refused", Belief, ["reason"], "A caller's connection was closed because there are too many.";
     "dependency_lost", Belief, ["dependency", "list_revision"], "The platform's store can't be read; what is known stays in force.";
     "dependency_regained", Belief, ["dependency", "outage_ms"], "The platform's store can be read again.";
+    "controller_panicked", Belief, ["cause"], "A controller could not deal with an event, which was dropped; a fault of the program.";
     "drain_begun", Belief, ["accept_ms"], "The process was told to leave.";
     "drain_ended", Belief, ["active_requests"], "The process leaves; what is still active is cut.";
     "drain_handoff", Belief, ["active_requests"], "Outcomes of idempotency keys are handed to peers.";
@@ -66,9 +67,11 @@
     "engine_down", Belief, ["engine", "end", "down_ms"], "The owner of a service's engines passes one over after a failure that a request met.";
     "engine_ordered", Belief, ["engine", "role", "fencing_token", "list_revision"], "An engine is to move to the other pool.";
     "granted", Progress, ["request", "place", "decode", "prefill", "granted_by", "queue_ms", "list_revision"], "A generation has its engines.";
+    "grant_stale", Progress, ["request", "engine"], "A granted engine takes nothing from this VM now; the grant was given back.";
     "hedged", Progress, ["request", "replica", "after_ms"], "An idempotent call went to a second replica because the first was slow.";
     "keys_handed_off", Belief, ["records"], "Outcomes of idempotency keys were sent to peers.";
     "log_dropped", Belief, ["lines"], "Lines were dropped since the last such line.";
+    "not_granted", Failure, ["request", "place", "code", "queue_ms", "detail", "retry_after_ms"], "The owner of a service's engines refused a generation, at once or after a wait.";
     "order_given", Belief, ["engine", "role", "fencing_token", "outcome"], "An engine answered an order, or did not.";
     "orphan_cancelled", Belief, ["engine", "request", "done"], "A request that nobody will come back for was cancelled.";
     "owner_silent", Belief, ["vm"], "The owner of a service's engines did not answer; this VM chose alone.";
@@ -81,9 +84,10 @@
     "register_accepted", Belief, ["revision", "source"], "A configuration is in force.";
     "register_refused", Belief, ["revision", "faults"], "A configuration was not accepted; the last good one stays in force.";
     "reload", Belief, ["outcome"], "The settings file was read again.";
+    "replica_backs_off", Belief, ["replica", "service", "back_off_ms"], "A replica turned a request away and wants nothing from this VM for a while.";
     "replica_entry_unreadable", Belief, ["replica", "bytes"], "An entry of the replica list can't be read and names no replica.";
     "replica_gone", Belief, ["replica", "reason"], "A replica gets nothing any more.";
-    "replica_leaving", Belief, ["replica", "reason", "list_revision"], "A replica is off the list; it gets nothing new after a moment.";
+    "replica_leaving", Belief, ["replica", "reason", "source", "list_revision"], "A replica is off the list, or said that it leaves; it gets nothing new after a moment.";
     "replica_listed", Belief, ["replica", "service", "role", "address", "zone", "draining", "list_revision"], "A replica is new on the list, or its entry changed.";
     "replica_paused", Belief, ["replica", "reason", "paused_ms"], "A replica failed and is passed over where others are left.";
     "request_quarantined", Belief, ["fingerprint"], "Replicas died under a request; it is held back everywhere.";
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -217,16 +217,21 @@
         if let Some((head, body)) = progress.own_error.take() {
             return self.pass_on(&head, &body).await;
         }
-        let is_late = clock::now().reached(request.deadline);
+        let now = clock::now();
+        let is_late = now.reached(request.deadline);
+        let first_return = self
+            .context
+            .with_book(|book| book.first_return(&request.service, ReplicaRole::Plain, now));
+        let return_ms = first_return.map_or(COME_BACK_MS, |first| now.until_ms(first));
         let notice = match (progress.in_doubt, is_late) {
             (true, true) => RefusalNotice::new(ResultCode::DeadlineDuringRun, ""),
             (true, false) => RefusalNotice::new(ResultCode::UpstreamFailed, ""),
             (false, true) => RefusalNotice::new(ResultCode::DeadlineTooNear, ""),
             (false, false) if progress.sends > 0 => {
-                RefusalNotice::new(ResultCode::QueueFull, "").retry_after_ms(COME_BACK_MS)
+                RefusalNotice::new(ResultCode::QueueFull, "").retry_after_ms(return_ms)
             }
             (false, false) => RefusalNotice::new(ResultCode::NoUpstream, request.service.to_string())
-                .retry_after_ms(COME_BACK_MS),
+                .retry_after_ms(return_ms),
         };
         refuse(self.socket, request, &notice).await
     }
@@ -281,6 +286,10 @@
             lease.finish(SendOutcome::Failed);
             SendEnd::NotRun { was_sent: false }
         }
+        Err(ExchangeError::Withheld) => {
+            lease.finish(SendOutcome::Refused);
+            SendEnd::NotRun { was_sent: false }
+        }
         Err(ExchangeError::Lost { .. }) => {
             lease.finish(SendOutcome::Failed);
             SendEnd::InDoubt
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,11 +9,12 @@
 use super::metrics::GatewayMetrics;
 use super::upstream::ConnectionPool;
 use crate::blackboard::{OwnIdentity, ReplicaFacts, ReplicaId};
+use crate::clock;
 use crate::controllers::dispatch::{DispatchBook, SendBudget};
 use crate::controllers::hedging::LatencyWindow;
 use crate::controllers::slots::RequestId;
 use crate::prelude::*;
-use crate::runtime::{ControlHandle, Snapshot};
+use crate::runtime::{ControlHandle, Snapshot, lock};
 use crate::settings::GatewaySettings;
 
 /// The standings, and the list of replicas that they were last brought in line with.
@@ -100,9 +101,9 @@
     /// Works on the standings, which are first brought in line with the list of replicas.
     pub fn with_book<T>(&self, work: impl FnOnce(&mut DispatchBook) -> T) -> T {
         let replicas = self.snapshot().replicas.clone();
-        let mut state = self.book.lock().expect("no holder of this lock panics");
+        let mut state = lock(&self.book);
         if !Arc::ptr_eq(&state.replicas, &replicas) {
-            state.book.replace(replicas.values());
+            state.book.replace(replicas.values(), clock::now());
             state.replicas = replicas;
         }
         work(&mut state.book)
@@ -110,11 +111,11 @@
 
     /// Works on the budget for extra sends.
     pub fn budget(&self) -> MutexGuard<'_, SendBudget> {
-        self.budget.lock().expect("no holder of this lock panics")
+        lock(&self.budget)
     }
 
     fn with_latencies<T>(&self, service: &Arc<str>, work: impl FnOnce(&mut LatencyWindow) -> T) -> T {
-        let mut latencies = self.latencies.lock().expect("no holder of this lock panics");
+        let mut latencies = lock(&self.latencies);
         work(latencies.entry(service.clone()).or_default())
     }
 
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -109,6 +109,7 @@
         }
         Ok(_) => PrefillEnd::Failed,
         Err(ExchangeError::Unsent { .. }) => PrefillEnd::Unsent,
+        Err(ExchangeError::Withheld) => PrefillEnd::Withheld,
         Err(ExchangeError::Lost { .. }) => PrefillEnd::Failed,
         Err(ExchangeError::Deadline) => PrefillEnd::Late,
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -24,6 +24,9 @@
 /// When to come back to a VM that has no configuration yet, in milliseconds: some times what a start takes.
 const START_MS: u64 = 900;
 
+/// How long before a leaving VM takes its last requests it takes its last streams, in milliseconds: what a long one takes.
+const STREAM_ROOM_MS: u64 = 3_000;
+
 /// A request that has been read whole.
 pub struct CallerRequest {
     /// Its head, as sent.
@@ -85,7 +88,9 @@
     } else {
         AfterAnswer::Close
     };
-    let (rule, service) = match find_route(context, &head, &facts) {
+    let found = find_route(context, &head, &facts)
+        .and_then(|found| check_leaving(context, &found.0, received_at).map(|()| found));
+    let (rule, service) = match found {
         Ok(found) => found,
         Err(notice) => return refuse_unrouted(socket, &notice, after, &facts.id).await,
     };
@@ -143,6 +148,21 @@
     Ok((rule.clone(), service.clone()))
 }
 
+/// Refuses what would not be over when this VM leaves; another one takes it at once.
+fn check_leaving(context: &GatewayContext, rule: &RouteRule, now: Moment) -> Result<(), RefusalNotice> {
+    let Some(accept_until) = context.snapshot().accept_until else {
+        return Ok(());
+    };
+    let room_ms = match rule.kind {
+        RouteKind::Stream { .. } => STREAM_ROOM_MS,
+        RouteKind::Idempotent | RouteKind::RunOnce => 0,
+    };
+    if !now.after_ms(room_ms).reached(accept_until) {
+        return Ok(());
+    }
+    Err(RefusalNotice::new(ResultCode::Leaving, &*context.own.name).retry_after_ms(0))
+}
+
 /// Answers a routed request with a refusal.
 pub async fn refuse(socket: &TcpStream, request: &CallerRequest, notice: &RefusalNotice) -> AnswerEnd {
     let outcome = match notice.effect {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -3,28 +3,44 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::net::TcpListener;
+use async_std::net::{TcpListener, TcpStream};
 
 use super::GatewayContext;
 use super::caller::serve_caller;
+use crate::clock;
+use crate::transport::until;
 
 /// How long to pause when the system takes no more connections.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves callers for as long as the process lives.
+/// Time between two looks whether this VM still takes connections, in milliseconds.
+const LOOK_EVERY_MS: u64 = 250;
+
+/// Serves callers until a leaving VM takes no more requests. Whoever connects after that is turned away before it has
+/// sent anything, and goes to another VM.
 pub async fn listen_for_callers(context: Arc<GatewayContext>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => match context.admit_caller() {
-                Some(guard) => {
-                    async_std::task::spawn(serve_caller(context.clone(), stream, guard));
-                }
-                None => spdlog::warn!("event=connection_refused reason=too_many_connections"),
-            },
-            Err(error) => {
+        let accept_until = context.snapshot().accept_until;
+        let now = clock::now();
+        if accept_until.is_some_and(|until| now.reached(until)) {
+            return;
+        }
+        match until(now.after_ms(LOOK_EVERY_MS), listener.accept()).await {
+            Some(Ok((stream, _))) => admit(&context, stream),
+            Some(Err(error)) => {
                 spdlog::warn!("event=accept_failed reason=\"{error}\"");
                 async_std::task::sleep(ACCEPT_PAUSE).await;
             }
+            None => {}
+        }
+    }
+}
+
+fn admit(context: &Arc<GatewayContext>, stream: TcpStream) {
+    match context.admit_caller() {
+        Some(guard) => {
+            async_std::task::spawn(serve_caller(context.clone(), stream, guard));
         }
+        None => spdlog::warn!("event=connection_refused reason=too_many_connections"),
     }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,7 +4,7 @@
 
 use super::exchange::CallerRequest;
 use super::{GatewayContext, RequestFacts};
-use crate::blackboard::{ReplicaId, ReplicaRecord};
+use crate::blackboard::{ReplicaId, ReplicaRecord, ReplicaRole};
 use crate::clock;
 use crate::controllers::slots::{EngineEnd, PlacementAsk, PlacementGrant, RequestId};
 use crate::prelude::*;
@@ -16,6 +16,9 @@
 /// The part of the most tokens that a request is expected to generate where its caller gives no estimate, in percent.
 const EXPECTED_PERCENT: u32 = 45;
 
+/// Grants of engines that take nothing from this VM which are given back before a request goes on with one.
+const MOST_STALE_GRANTS: usize = 2;
+
 /// A request's hold on its engines.
 pub struct EnginePlace {
     context: Arc<GatewayContext>,
@@ -32,11 +35,33 @@
         context: &Arc<GatewayContext>,
         request: &CallerRequest,
         avoid: &[ReplicaId],
+    ) -> Result<Self, RefusalNotice> {
+        let mut avoid = avoid.to_vec();
+        for _ in 0..MOST_STALE_GRANTS {
+            let place = Self::ask_once(context, request, &avoid).await?;
+            let Some(stale) = place.find_withheld() else {
+                return Ok(place);
+            };
+            spdlog::info!("event=grant_stale request={} engine={stale}", request.facts.id);
+            avoid.push(stale);
+        }
+        Self::ask_once(context, request, &avoid).await
+    }
+
+    async fn ask_once(
+        context: &Arc<GatewayContext>,
+        request: &CallerRequest,
+        avoid: &[ReplicaId],
     ) -> Result<Self, RefusalNotice> {
         let id = context.next_request_id();
         let asked_at = clock::now();
-        let (hold, grant) =
-            PlacementHold::acquire(&context.control, to_ask(context, &id, request, avoid)).await?;
+        let ask = to_ask(context, &id, request, avoid);
+        let placed = PlacementHold::acquire(&context.control, ask).await;
+        let queue_ms = asked_at.until_ms(clock::now());
+        let (hold, grant) = placed.map_err(|notice| {
+            note_refusal(request, &id, &notice, queue_ms);
+            with_first_return(context, request, notice)
+        })?;
         let snapshot = context.snapshot();
         let record = |id: &ReplicaId| snapshot.replicas.get(id).map(|facts| facts.record.clone());
         let Some(decode) = record(&grant.decode) else {
@@ -46,7 +71,7 @@
                 grant.decode.to_string(),
             ));
         };
-        note_grant(context, request, &id, &grant, asked_at.until_ms(clock::now()));
+        note_grant(context, request, &id, &grant, queue_ms);
         Ok(Self {
             context: context.clone(),
             hold,
@@ -55,6 +80,17 @@
         })
     }
 
+    /// A granted engine that takes nothing from this VM: what it said came after the ask, or its owner did not hear of it.
+    fn find_withheld(&self) -> Option<ReplicaId> {
+        let now = clock::now();
+        let engines = std::iter::once(&self.decode).chain(&self.prefill);
+        self.context.with_book(|book| {
+            let mut withheld = engines
+                .filter(|record| book.back_off_until(record, now).is_some() || book.is_stopped(record, now));
+            withheld.next().map(|record| record.id.clone())
+        })
+    }
+
     /// Tells the owner that the prefill engine can take its next prompt.
     pub fn finish_prefill(&mut self, end: EngineEnd) {
         self.hold.result.prefill = end;
@@ -106,9 +142,36 @@
         may_skip_prefill: true,
         is_retry: false,
         avoid: avoid.to_vec(),
+        barred: context.with_book(|book| book.backing_off(&request.service, clock::now())),
     }
 }
 
+/// A refusal for want of engines that says when the first one takes requests of this VM again, where all back off.
+fn with_first_return(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    notice: RefusalNotice,
+) -> RefusalNotice {
+    let now = clock::now();
+    let first = context.with_book(|book| book.first_return(&request.service, ReplicaRole::Decode, now));
+    match first {
+        Some(first) if notice.code == ResultCode::NoUpstream => notice.retry_after_ms(now.until_ms(first)),
+        _ => notice,
+    }
+}
+
+/// Notes what a request that gets no engines was told, and how long it waited for that.
+fn note_refusal(request: &CallerRequest, place: &RequestId, notice: &RefusalNotice, queue_ms: u64) {
+    request.trace.record().queue_ms += queue_ms;
+    spdlog::info!(
+        "event=not_granted request={} place={place} code={} queue_ms={queue_ms} detail=\"{}\" retry_after_ms={}",
+        request.facts.id,
+        notice.code.number(),
+        notice.detail,
+        notice.retry_after_ms.unwrap_or_default()
+    );
+}
+
 /// Tokens that a request will probably generate.
 fn expected_tokens(facts: &RequestFacts) -> u32 {
     let usual = facts.output_tokens * EXPECTED_PERCENT / 100;
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -73,6 +73,10 @@
     pub is_misdirected: bool,
     /// The replica's load.
     pub load: Option<ReplicaLoad>,
+    /// Whether the replica says that it is about to leave.
+    pub is_leaving: bool,
+    /// How long the replica wants nothing more from this VM, in milliseconds; only with a refusal.
+    pub back_off_ms: Option<u64>,
 }
 
 /// Reads and writes what an adapter's platform calls things on the wire.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -137,5 +137,8 @@
             None => break,
         }
     }
+    // The replica had all the time that the request has, and its answer is not whole.
+    note_broken(request, lease, &StreamError::Deadline);
+    request.trace.end(RequestOutcome::Cut, head.status);
     writer.cut()
 }
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -140,6 +140,7 @@
             PrefillEnd::Done(_) => ("done", EngineEnd::Fine),
             PrefillEnd::Refused => ("refused", EngineEnd::Full),
             PrefillEnd::Unsent => ("unsent", EngineEnd::Unreachable),
+            PrefillEnd::Withheld => ("withheld", EngineEnd::Full),
             PrefillEnd::Failed => ("failed", EngineEnd::Failed),
             PrefillEnd::Late => ("late", EngineEnd::Failed),
         };
@@ -161,7 +162,7 @@
                 self.sends += 1;
                 None
             }
-            PrefillEnd::Unsent | PrefillEnd::Failed | PrefillEnd::Late => None,
+            PrefillEnd::Unsent | PrefillEnd::Withheld | PrefillEnd::Failed | PrefillEnd::Late => None,
         }
     }
 
@@ -225,6 +226,11 @@
                 self.sends -= 1;
                 StreamEnd::NotRun
             }
+            Err(ExchangeError::Withheld) => {
+                place.note_decode(EngineEnd::Full);
+                self.sends -= 1;
+                StreamEnd::NotRun
+            }
             Err(ExchangeError::Lost { .. }) => {
                 place.note_decode(EngineEnd::Failed);
                 StreamEnd::Broken
@@ -262,6 +268,10 @@
         }
         let mut cutter = EventCutter::default();
         loop {
+            if clock::now().reached(self.request.deadline) {
+                // A replica whose bytes never pause is not stopped by a wait that ends at the deadline.
+                return StreamEnd::Broken;
+            }
             let piece = match until(self.request.deadline, answer.read()).await {
                 Some(Ok(Some(piece))) => piece,
                 Some(Ok(None)) => {
@@ -283,6 +293,16 @@
                 None => return StreamEnd::Broken,
             };
             let events = cutter.push(&piece);
+            if cutter.is_overlong() {
+                spdlog::error!(
+                    "event=stream_broken request={} replica={} last_event={} reason=\"an event without an end\"",
+                    self.request.facts.id,
+                    place.decode.id,
+                    self.last_event.unwrap_or_default()
+                );
+                place.note_decode(EngineEnd::Failed);
+                return StreamEnd::Broken;
+            }
             if events.is_empty() {
                 continue;
             }
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -1,5 +1,8 @@
 //! Whole events in a stream of bytes.
 
+/// The longest event that is held until it is whole, in bytes: some thousand times a usual one.
+pub const LONGEST_EVENT_BYTES: usize = 256 * 1024;
+
 /// Cuts a stream of events at event borders: only whole events are given out.
 #[derive(Debug, Default)]
 pub struct EventCutter {
@@ -19,6 +22,11 @@
         }
     }
 
+    /// Whether an event goes on beyond what is held for one.
+    pub fn is_overlong(&self) -> bool {
+        self.held.len() > LONGEST_EVENT_BYTES
+    }
+
     /// What is left of an event that is not whole.
     pub fn rest(&self) -> &[u8] {
         &self.held
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::prelude::*;
 use crate::register::RouteRule;
+use crate::runtime::lock;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -121,7 +122,7 @@
 
     /// The steps so far.
     pub fn record(&self) -> MutexGuard<'_, TraceRecord> {
-        self.record.lock().expect("no holder of this lock panics")
+        lock(&self.record)
     }
 
     /// Milliseconds since the request was read.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::http::{BodyDecoder, BodyFraming, HeadLimits, ResponseHead, frame_response};
 use crate::prelude::*;
+use crate::runtime::lock;
 use crate::transport::{HttpStream, StreamError, until};
 
 /// How long connecting to a replica may take, in milliseconds: some round trips between zones and one packet that is
@@ -38,6 +39,13 @@
 /// Answers to earlier requests that are skipped in the search for our own.
 const MOST_STRAY_ANSWERS: usize = 2;
 
+/// Bytes of such answers that are skipped; a connection with more is worth less than a new one.
+const MOST_STRAY_BYTES: usize = 256 * 1024;
+
+/// The longest back-off that a replica is granted, in milliseconds. A replica that asks for more has sent a wrong figure,
+/// which must not shut it out for good.
+const LONGEST_BACK_OFF_MS: u64 = 600_000;
+
 /// Why an exchange brought no answer.
 #[derive(Debug, Snafu)]
 pub enum ExchangeError {
@@ -56,6 +64,9 @@
     /// The deadline came.
     #[snafu(display("no answer in time"))]
     Deadline,
+    /// The replica wants nothing more from this VM now, so nothing was sent.
+    #[snafu(display("the replica takes nothing from this VM now"))]
+    Withheld,
 }
 
 /// An idle connection.
@@ -76,7 +87,7 @@
     /// A connection that is still good, and carried an answer within a span.
     fn take(&self, replica: &ReplicaId, used_within_ms: u64) -> Option<HttpStream> {
         let now = clock::now();
-        let mut kept = self.kept.lock().expect("no holder of this lock panics");
+        let mut kept = lock(&self.kept);
         let streams = kept.get_mut(replica)?;
         // The one that was used last stands last.
         let is_recent = |entry: &mut KeptStream| !now.reached(entry.used_at.after_ms(used_within_ms));
@@ -95,7 +106,7 @@
         stream.shrink();
         let used_at = clock::now();
         let until = used_at.after_ms(span_ms);
-        let mut kept = self.kept.lock().expect("no holder of this lock panics");
+        let mut kept = lock(&self.kept);
         let streams = kept.entry(replica.clone()).or_default();
         if streams.len() < KEPT_EACH {
             streams.push(KeptStream {
@@ -109,7 +120,7 @@
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
         let now = clock::now();
-        let mut kept = self.kept.lock().expect("no holder of this lock panics");
+        let mut kept = lock(&self.kept);
         for streams in kept.values_mut() {
             streams.retain(|entry| !now.reached(entry.until) && entry.stream.is_quiet());
         }
@@ -204,6 +215,9 @@
     request: UpstreamRequest<'_>,
 ) -> Result<UpstreamAnswer, ExchangeError> {
     let replica = request.replica;
+    if is_withheld(context, &request) {
+        return Err(ExchangeError::Withheld);
+    }
     let kept = match request.choice {
         ConnectionChoice::Kept => context.pool.take(&replica.id, u64::MAX),
         ConnectionChoice::Proven => context.pool.take(&replica.id, PROVEN_MS),
@@ -213,6 +227,10 @@
         Some(stream) => stream,
         None => connect(&request).await?,
     };
+    // Another answer of the replica may have come while this request waited for its connection.
+    if is_withheld(context, &request) {
+        return Err(ExchangeError::Withheld);
+    }
     // The process may have been suspended since the deadline was set; nothing has left yet.
     if clock::now().reached(request.deadline) {
         return Err(ExchangeError::Unsent {
@@ -225,6 +243,40 @@
         .ok_or(ExchangeError::Deadline)?
 }
 
+/// Whether a replica has said that it wants nothing more: nothing at all for a while, or no callers' requests since it
+/// is leaving.
+fn is_withheld(context: &GatewayContext, request: &UpstreamRequest<'_>) -> bool {
+    let (record, now) = (request.replica, clock::now());
+    let is_callers = !request.request_id.is_empty();
+    context.with_book(|book| {
+        book.back_off_until(record, now).is_some() || (is_callers && book.is_stopped(record, now))
+    })
+}
+
+/// Takes what an answer says of the replica itself, whichever request it answers.
+fn note_replica(context: &GatewayContext, record: &ReplicaRecord, facts: &AnswerFacts) {
+    if facts.is_misdirected {
+        // Another replica answered, and speaks for itself.
+        return;
+    }
+    let now = clock::now();
+    if let Some(span_ms) = facts.back_off_ms {
+        let span_ms = span_ms.min(LONGEST_BACK_OFF_MS);
+        context.with_book(|book| book.note_back_off(record, now.after_ms(span_ms)));
+        spdlog::warn!(
+            "event=replica_backs_off replica={} service={} back_off_ms={span_ms}",
+            record.id,
+            record.service
+        );
+    }
+    if facts.is_leaving {
+        context.control.tell(Event::ReplicaLeaving {
+            replica: record.id.clone(),
+            started_epoch_ms: record.started_epoch_ms,
+        });
+    }
+}
+
 async fn connect(request: &UpstreamRequest<'_>) -> Result<HttpStream, ExchangeError> {
     let began_at = clock::now();
     let connect_by = request.deadline.min(began_at.after_ms(CONNECT_LIMIT_MS));
@@ -273,6 +325,7 @@
     };
     for _ in 0..=MOST_STRAY_ANSWERS {
         let facts = context.protocol.read_answer(&head);
+        note_replica(context, request.replica, &facts);
         let framing = frame_response(&head, request.method).map_err(|error| lost(error.into()))?;
         let mut decoder = BodyDecoder::new(framing);
         let is_stray = !request.request_id.is_empty()
@@ -294,7 +347,10 @@
             });
         }
         // The late answer to an earlier request stands where ours is due; it belongs to nobody here.
-        while stream.read_body(&mut decoder).await.map_err(lost)?.is_some() {}
+        stream
+            .read_whole_body(&mut decoder, MOST_STRAY_BYTES)
+            .await
+            .map_err(lost)?;
         if framing == BodyFraming::UntilClose {
             break;
         }
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -49,6 +49,7 @@
         Err(ExchangeError::Unsent { .. }) => "unsent",
         Err(ExchangeError::Lost { .. }) => "lost",
         Err(ExchangeError::Deadline) => "deadline",
+        Err(ExchangeError::Withheld) => "withheld",
     }
 }
 
@@ -60,6 +61,8 @@
     Refused,
     /// No byte of the request left.
     Unsent,
+    /// The engine wants nothing from this VM now.
+    Withheld,
     /// The engine broke off, or answered with a failure.
     Failed,
     /// The engine did not answer in time.
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -139,7 +139,7 @@
                 self.step_after(2, buffer)
             }
             ChunkState::Trailer(seen) => {
-                let Some(line) = find_line(buffer, MOST_TRAILER_BYTES - seen)? else {
+                let Some(line) = find_line(buffer, MOST_TRAILER_BYTES.saturating_sub(seen))? else {
                     return Ok(BodyStep::More { used: 0 });
                 };
                 let used = line + 2;
--- a/src/peers/convert/mod.rs
+++ b/src/peers/convert/mod.rs
@@ -17,8 +17,8 @@
 use crate::controllers::slots::{HeldSlot, MemoryLoad, PlacementResult};
 use crate::peers::wire::{
     ClearedFrame, EngineBusyFrame, FrameBody, HandoffFrame, HeartbeatFrame, IntroductionFrame, PeerFrame,
-    RegisterContentFrame, RegisterWantedFrame, ReplicasWantedFrame, SlotHeldFrame, StrikeFrame,
-    VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
+    RegisterContentFrame, RegisterWantedFrame, ReplicaLeavingFrame, ReplicasWantedFrame, SlotHeldFrame,
+    StrikeFrame, VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
 };
 use crate::prelude::*;
 
@@ -62,6 +62,13 @@
             FrameBody::ReplicasWanted(ReplicasWantedFrame { revision: *revision })
         }
         PeerMessage::ReplicasContent(update) => FrameBody::ReplicasContent(to_replicas_frame(update)),
+        PeerMessage::ReplicaLeaving {
+            replica,
+            started_epoch_ms,
+        } => FrameBody::ReplicaLeaving(ReplicaLeavingFrame {
+            replica: replica.to_string(),
+            started_epoch_ms: *started_epoch_ms,
+        }),
         PeerMessage::EngineBusy {
             engine,
             fencing_token,
@@ -169,6 +176,10 @@
             revision: frame.revision,
         }),
         FrameBody::ReplicasContent(frame) => to_replica_update(frame),
+        FrameBody::ReplicaLeaving(frame) => Ok(PeerMessage::ReplicaLeaving {
+            replica: frame.replica.into(),
+            started_epoch_ms: frame.started_epoch_ms,
+        }),
         FrameBody::EngineBusy(frame) => Ok(PeerMessage::EngineBusy {
             engine: frame.engine.into(),
             fencing_token: frame.fencing_token,
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -8,7 +8,7 @@
 use super::link;
 use crate::controllers::message::{PeerMessage, VmIntroduction};
 use crate::prelude::*;
-use crate::runtime::ControlHandle;
+use crate::runtime::{ControlHandle, lock};
 use crate::settings::SharedKey;
 
 /// Messages that wait on one link; more are dropped, and their senders' deadlines deal with it.
@@ -82,7 +82,7 @@
     }
 
     fn lock_links(&self) -> std::sync::MutexGuard<'_, FastMap<VmAddress, LinkHandle>> {
-        self.links.lock().expect("no holder of this lock panics")
+        lock(&self.links)
     }
 
     /// How many links are open or opening.
--- a/src/peers/wire/mod.rs
+++ b/src/peers/wire/mod.rs
@@ -13,8 +13,8 @@
     VmsKnownFrame, VmsWantedFrame,
 };
 pub use replicas::{
-    EngineBusyFrame, RegisterContentFrame, RegisterWantedFrame, ReplicaFrame, ReplicasContentFrame,
-    ReplicasWantedFrame,
+    EngineBusyFrame, RegisterContentFrame, RegisterWantedFrame, ReplicaFrame, ReplicaLeavingFrame,
+    ReplicasContentFrame, ReplicasWantedFrame,
 };
 pub use slots::{GroupFrame, RefusalFrame, SlotAnswerFrame, SlotAskFrame, SlotHeldFrame, SlotReleaseFrame};
 
@@ -24,7 +24,7 @@
     /// Its content.
     #[prost(
         oneof = "FrameBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: Option<FrameBody>,
 }
@@ -98,4 +98,7 @@
     /// All VMs are wanted.
     #[prost(message, tag = "22")]
     VmsWanted(VmsWantedFrame),
+    /// A replica is about to leave.
+    #[prost(message, tag = "23")]
+    ReplicaLeaving(ReplicaLeavingFrame),
 }
--- a/src/peers/wire/replicas.rs
+++ b/src/peers/wire/replicas.rs
@@ -16,6 +16,17 @@
     pub span_ms: u64,
 }
 
+/// A replica is about to leave.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReplicaLeavingFrame {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+    /// When it started, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub started_epoch_ms: u64,
+}
+
 /// The list of replicas is wanted.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReplicasWantedFrame {
--- a/src/peers/wire/slots.rs
+++ b/src/peers/wire/slots.rs
@@ -64,6 +64,9 @@
     /// The availability zone of the VM that serves it.
     #[prost(string, tag = "16")]
     pub zone: String,
+    /// Engines that want nothing from the asking VM now.
+    #[prost(string, repeated, tag = "17")]
+    pub barred: Vec<String>,
 }
 
 /// A refusal.
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -27,10 +27,17 @@
 const NOT_RUN: &str = "X-Not-Executed";
 /// Running, waiting, slots and, at times, the pace in percent of the usual, with commas between them.
 const LOAD: &str = "X-Server-Load";
+/// Set to 1 by a replica that is about to leave; what it has begun goes on.
+const LEAVING: &str = "Server-Leaving";
+/// Seconds, at times with a fraction, for which a replica wants nothing from the VM that it turned away.
+const BACK_OFF: &str = "Retry-After";
 
 /// The status with which a replica answers what was meant for another one.
 const MISDIRECTED_STATUS: u16 = 421;
 
+/// The status with which a replica turns a request away.
+const TURNED_AWAY_STATUS: u16 = 503;
+
 /// Headers that are ours to set: what a caller sends under these names is dropped.
 const OWN_HEADERS: [&str; 11] = [
     DEADLINE_LEFT,
@@ -105,6 +112,12 @@
             is_not_run: head.headers.contains(NOT_RUN) || is_misdirected,
             is_misdirected,
             load: head.headers.text(LOAD).and_then(read_load),
+            is_leaving: head.headers.text(LEAVING).is_some_and(|text| text.trim() == "1"),
+            back_off_ms: head
+                .headers
+                .text(BACK_OFF)
+                .filter(|_| head.status == TURNED_AWAY_STATUS)
+                .and_then(read_seconds),
         }
     }
 
@@ -183,6 +196,12 @@
         || (!is_name(name, "host") && head.headers.has_token("connection", name))
 }
 
+/// A span in seconds, as milliseconds; `None` for what is no such span, as a date.
+fn read_seconds(text: &str) -> Option<u64> {
+    let span_s: f64 = text.trim().parse().ok()?;
+    (span_s.is_finite() && span_s > 0.0).then_some((span_s * 1_000.0).ceil() as u64)
+}
+
 fn read_load(text: &str) -> Option<ReplicaLoad> {
     let mut figures = text.split(',').map(|figure| figure.trim().parse().ok());
     Some(ReplicaLoad {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,6 +24,9 @@
 /// The longest body of an answer, in bytes: a page of a megabyte, and as much again for its encoding.
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
+/// The most pages of one range: a hundred times the replicas of the two-year size.
+const MOST_PAGES: usize = 140;
+
 /// Why the store gave no answer of use.
 #[derive(Debug, Snafu)]
 pub enum StoreError {
@@ -137,7 +140,7 @@
     /// that changes made meanwhile are seen by a watch from there.
     pub async fn read_range(&mut self, prefix: &str) -> Result<StoreReading, StoreError> {
         let mut whole: Option<StoreReading> = None;
-        loop {
+        for _ in 0..MOST_PAGES {
             let last = whole.as_ref().and_then(|reading| reading.items.last());
             let after = last
                 .map(|item| format!("&after={}", item.key))
@@ -156,6 +159,9 @@
                 return Ok(whole.unwrap_or_else(|| unreachable!("a page was read")));
             }
         }
+        Err(StoreError::Unreadable {
+            reason: format!("a range of more than {MOST_PAGES} pages"),
+        })
     }
 
     /// Waits for changes after a state.
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: the only one that touches the board.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -9,6 +10,7 @@
 
 use super::Snapshot;
 use super::clock_watch::ClockWatch;
+use super::lock;
 use crate::clock;
 use crate::controllers::message::{KeyCall, PeerMessage};
 use crate::controllers::readers::reads_store;
@@ -22,6 +24,9 @@
 /// How often the view is renewed even if nothing was reported changed, in milliseconds.
 const PUBLISH_EVERY_MS: u64 = 1_000;
 
+/// How much of an event that a controller can't deal with is logged, in characters.
+const PANIC_CAUSE_CHARS: usize = 200;
+
 /// What the control thread asks of the traffic side.
 #[derive(Debug)]
 pub enum ControlOutput {
@@ -115,7 +120,7 @@
     }
 
     fn lock_waiters(&self) -> std::sync::MutexGuard<'_, FastMap<ReplyTicket, oneshot::Sender<Reply>>> {
-        self.waiters.lock().expect("no holder of this lock panics")
+        lock(&self.waiters)
     }
 
     /// The present view of the board.
@@ -145,9 +150,7 @@
 
 impl Drop for WaiterGuard {
     fn drop(&mut self) {
-        if let Ok(mut waiters) = self.waiters.lock() {
-            waiters.remove(&self.ticket);
-        }
+        lock(&self.waiters).remove(&self.ticket);
     }
 }
 
@@ -204,7 +207,19 @@
     fn handle(&mut self, event: &Event) {
         let now = clock::now();
         let mut is_changed = false;
-        for action in self.core.handle(event, now) {
+        // One event that a controller can't deal with must not end the control of this node.
+        let handled = std::panic::catch_unwind(AssertUnwindSafe(|| self.core.handle(event, now)));
+        let Ok(actions) = handled else {
+            spdlog::error!(
+                "event=controller_panicked cause={}",
+                format!("{event:?}")
+                    .chars()
+                    .take(PANIC_CAUSE_CHARS)
+                    .collect::<String>()
+            );
+            return;
+        };
+        for action in actions {
             is_changed |= matches!(action, Action::Publish);
             self.carry_out(action);
         }
@@ -234,11 +249,7 @@
     }
 
     fn reply(&self, ticket: ReplyTicket, reply: Reply) {
-        let waiter = self
-            .waiters
-            .lock()
-            .ok()
-            .and_then(|mut waiters| waiters.remove(&ticket));
+        let waiter = lock(&self.waiters).remove(&ticket);
         if let Some(waiter) = waiter {
             // A waiter that went away gives back what it was granted by its own guard.
             let _ = waiter.send(reply);
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -34,6 +34,10 @@
 /// How long before it would be killed a leaving process ends by itself, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 900;
 
+/// How long before that it takes its last requests, in milliseconds: a plain call and a second try of it are answered
+/// within it.
+const LAST_REQUEST_MS: u64 = 1_000;
+
 /// How long the first configuration that is read is kept back, in milliseconds: the platform's store is never stale.
 const LINEARIZABLE_WAIT_MS: u64 = 0;
 
@@ -144,7 +148,8 @@
     let linger_ms = promises.resolve_keep_ms * LINGER_FACTOR;
     let exit_ms = promises.leave_within_ms.saturating_sub(EXIT_MARGIN_MS);
     let (reload_context, read_settings) = (context.clone(), adapter.read_settings);
-    handle_signals(control.clone(), linger_ms.min(exit_ms), exit_ms, move || {
+    let accept_ms = linger_ms.min(exit_ms.saturating_sub(LAST_REQUEST_MS));
+    handle_signals(control.clone(), accept_ms, exit_ms, move || {
         reload_settings(&reload_context, read_settings, true);
     })?;
     async_std::task::spawn(watch_settings(context.clone(), read_settings));
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -3,6 +3,7 @@
 mod clock_watch;
 mod control;
 mod gateway_node;
+mod lock;
 mod node;
 mod placement_hold;
 mod signals;
@@ -10,6 +11,7 @@
 
 pub use control::{ControlHandle, ControlOutput, RequestGuard};
 pub use gateway_node::{GatewayAdapter, SettingsReader, run_gateway};
+pub use lock::lock;
 pub use node::{NodeError, run_node};
 pub use placement_hold::PlacementHold;
 pub use snapshot::Snapshot;
--- a/src/traffic/generate/placement.rs
+++ b/src/traffic/generate/placement.rs
@@ -45,6 +45,7 @@
             deadline: work.deadline,
             may_skip_prefill: false,
             is_retry,
+            barred: Vec::new(),
             avoid: avoid.to_vec(),
         };
         let asked_at = clock::now();
--- a/src/transport/http_stream.rs
+++ b/src/transport/http_stream.rs
@@ -16,6 +16,9 @@
 /// Bytes asked of the socket in one read; several events of a stream, or a usual request, fit.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Interim answers that are skipped before the one that counts; a server has use for one or two.
+const MOST_INTERIM_ANSWERS: usize = 8;
+
 /// Why a connection brought no message.
 #[derive(Debug, Snafu)]
 pub enum StreamError {
@@ -144,13 +147,18 @@
 
     /// Reads an answer's head, past interim answers.
     pub async fn read_response(&mut self, limits: HeadLimits) -> Result<ResponseHead, StreamError> {
+        let mut interim_answers = 0;
         loop {
             if let Some((head, used)) = parse_response(self.buffered(), limits)? {
                 self.consume(used);
-                if head.is_interim() {
-                    continue;
+                if !head.is_interim() {
+                    return Ok(head);
                 }
-                return Ok(head);
+                interim_answers += 1;
+                if interim_answers > MOST_INTERIM_ANSWERS {
+                    return Err(HttpError::HeadTooLarge.into());
+                }
+                continue;
             }
             self.fill_or_close().await?;
         }
--- /dev/null
+++ b/tests/back_off.rs
@@ -0,0 +1,134 @@
+//! Replicas that want nothing from this node for a while, and replicas that say that they leave: the decisions alone.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dotterelspan::blackboard::{Blackboard, OwnIdentity, ReplicaFacts, ReplicaRecord, ReplicaRole};
+use dotterelspan::clock::Moment;
+use dotterelspan::controllers::discovery::{DiscoveryController, ReplicaUpdate};
+use dotterelspan::controllers::dispatch::{DispatchAsk, DispatchBook};
+use dotterelspan::controllers::{ControlCore, Event};
+
+const ASK: DispatchAsk<'static> = DispatchAsk {
+    service: "desk",
+    role: ReplicaRole::Plain,
+    avoid: &[],
+};
+
+fn record(id: &str, started_epoch_ms: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.into(),
+        started_epoch_ms,
+        service: "desk".into(),
+        role: ReplicaRole::Plain,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "a".into(),
+        slots: 4,
+        is_draining: false,
+    }
+}
+
+fn facts(id: &str, started_epoch_ms: u64) -> ReplicaFacts {
+    ReplicaFacts {
+        record: Arc::new(record(id, started_epoch_ms)),
+        stop_at: None,
+        is_listed: true,
+    }
+}
+
+fn book(replicas: &[ReplicaFacts]) -> DispatchBook {
+    let mut book = DispatchBook::new("a".into(), 1);
+    book.replace(replicas.iter(), Moment(0));
+    book
+}
+
+#[test]
+fn a_replica_is_left_alone_until_its_back_off_ends() {
+    let replicas = [facts("i-1", 1), facts("i-2", 1)];
+    let mut book = book(&replicas);
+    book.note_back_off(&replicas[0].record, Moment(1_000));
+    // A shorter one that comes later takes nothing back.
+    book.note_back_off(&replicas[0].record, Moment(500));
+    for at in 0..1_000 {
+        let chosen = book.choose(&ASK, Moment(at)).expect("the other one");
+        assert_eq!(&*chosen.id, "i-2", "at {at}");
+    }
+    assert_eq!(book.first_return("desk", ReplicaRole::Plain, Moment(10)), None);
+    book.note_back_off(&replicas[1].record, Moment(700));
+    assert!(book.choose(&ASK, Moment(10)).is_none());
+    assert_eq!(
+        book.first_return("desk", ReplicaRole::Plain, Moment(10)),
+        Some(Moment(700))
+    );
+    assert!(book.choose(&ASK, Moment(700)).is_some());
+}
+
+#[test]
+fn a_back_off_outlasts_a_gap_in_the_list_and_not_a_restart() {
+    let replicas = [facts("i-1", 1)];
+    let mut book = book(&replicas);
+    book.note_back_off(&replicas[0].record, Moment(1_000));
+    book.replace([].iter(), Moment(100));
+    book.replace(replicas.iter(), Moment(200));
+    assert!(book.choose(&ASK, Moment(300)).is_none());
+    book.replace([facts("i-1", 2)].iter(), Moment(400));
+    assert!(book.choose(&ASK, Moment(500)).is_some());
+}
+
+fn core() -> ControlCore {
+    let own = OwnIdentity {
+        name: "vm-1".into(),
+        zone: "a".into(),
+        caller_address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+        incarnation: 1,
+        started_epoch_ms: 1,
+        millicores: 0,
+    };
+    ControlCore::new(
+        Blackboard::new(own),
+        vec![Box::new(DiscoveryController::default())],
+    )
+}
+
+fn listed(record: ReplicaRecord, revision: u64) -> Event {
+    Event::ReplicasRead {
+        update: ReplicaUpdate {
+            revision,
+            since: revision - 1,
+            is_whole: revision == 1,
+            present: vec![record],
+            removed: Vec::new(),
+        },
+        store_revision: revision,
+    }
+}
+
+#[test]
+fn a_replicas_own_word_that_it_leaves_outlasts_its_entry() {
+    let mut core = core();
+    let stop_of = |core: &ControlCore| core.board.replicas.get("i-1").and_then(|facts| facts.stop_at);
+    core.handle(&listed(record("i-1", 7), 1), Moment(1_000));
+    assert_eq!(stop_of(&core), None);
+    let leaving = Event::ReplicaLeaving {
+        replica: "i-1".into(),
+        started_epoch_ms: 7,
+    };
+    core.handle(&leaving, Moment(2_000));
+    let stop_at = stop_of(&core).expect("it leaves");
+    assert!(stop_at <= Moment(4_000), "within the shortest bound of 2 s");
+    // Neither a later answer nor an entry that does not say so yet moves the moment.
+    core.handle(&leaving, Moment(3_000));
+    let other_slots = ReplicaRecord {
+        slots: 5,
+        ..record("i-1", 7)
+    };
+    core.handle(&listed(other_slots, 2), Moment(3_500));
+    assert_eq!(stop_of(&core), Some(stop_at));
+    // The next start of the replica is another one.
+    core.handle(&listed(record("i-1", 8), 3), Moment(5_000));
+    assert_eq!(stop_of(&core), None);
+    // A late word of the earlier start does not hold for it.
+    core.handle(&leaving, Moment(5_100));
+    assert_eq!(stop_of(&core), None);
+}
--- /dev/null
+++ b/tests/control_thread.rs
@@ -0,0 +1,68 @@
+//! The control thread outlives what a controller can't deal with.
+
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use dotterelspan::blackboard::{Blackboard, OwnIdentity};
+use dotterelspan::clock::Moment;
+use dotterelspan::controllers::{Action, ControlCore, Controller, Event, Turn};
+use dotterelspan::runtime::{ControlHandle, ControlOutput, lock};
+
+/// Panics over one kind of event and ends the process over another.
+struct FragileController;
+
+impl Controller for FragileController {
+    fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
+        match event {
+            Event::ListReachable { is_reachable: false } => panic!("an event that nobody thought of"),
+            Event::ListReachable { is_reachable: true } => turn.actions.push(Action::Exit),
+            _ => {}
+        }
+    }
+
+    fn wake_at(&self, _board: &Blackboard, _now: Moment) -> Option<Moment> {
+        None
+    }
+}
+
+fn identity() -> OwnIdentity {
+    OwnIdentity {
+        name: "vm-1".into(),
+        zone: "a".into(),
+        caller_address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+        incarnation: 1,
+        started_epoch_ms: 1,
+        millicores: 0,
+    }
+}
+
+#[test]
+fn a_controller_that_panics_does_not_end_the_control_of_a_node() {
+    let core = ControlCore::new(Blackboard::new(identity()), vec![Box::new(FragileController)]);
+    let (sender, receiver) = channel();
+    let control = ControlHandle::start(core, move |output| {
+        // The test may be over.
+        let _ = sender.send(matches!(output, ControlOutput::Exit));
+    })
+    .expect("a thread can be started");
+    control.tell(Event::ListReachable { is_reachable: false });
+    control.tell(Event::ListReachable { is_reachable: true });
+    assert_eq!(receiver.recv_timeout(Duration::from_secs(5)), Ok(true));
+}
+
+#[test]
+fn a_task_that_panics_takes_no_lock_and_no_other_task_with_it() {
+    let guarded = std::sync::Arc::new(std::sync::Mutex::new(7));
+    for _ in 0..32 {
+        let guarded = guarded.clone();
+        async_std::task::spawn(async move {
+            let _held = lock(&guarded);
+            panic!("a task that nobody thought of");
+        });
+    }
+    let next = async_std::task::spawn(async { 7 });
+    let value = async_std::task::block_on(async_std::future::timeout(Duration::from_secs(5), next));
+    assert_eq!(value, Ok(7));
+    assert_eq!(*lock(&guarded), 7);
+}
--- a/tests/http_codec.rs
+++ b/tests/http_codec.rs
@@ -155,6 +155,18 @@
     }
 }
 
+#[test]
+fn trailers_without_an_end_are_refused_whatever_their_lines_add_up_to() {
+    // A line may end just at the most bytes, or a few before or behind it.
+    for first in 4_080..4_110_usize {
+        let mut body = b"0\r\n".to_vec();
+        body.extend_from_slice(&vec![b'a'; first]);
+        body.extend_from_slice(b"\r\n");
+        body.extend_from_slice(&b"X-Line: a\r\n".repeat(1_000));
+        assert!(decode_all(&body, 64).is_err(), "a first line of {first} bytes");
+    }
+}
+
 #[test]
 fn an_answer_without_a_length_ends_only_with_its_connection() {
     let (head, _) = parse_response(b"HTTP/1.1 200 OK\r\n\r\n", LIMITS)
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -79,22 +79,38 @@
         SocketAddr::from((self.ip, 8720))
     }
 
-    fn control(&self) -> SocketAddr {
+    pub fn control(&self) -> SocketAddr {
         SocketAddr::from((self.ip, 8724))
     }
 
+    pub fn readiness_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, 8722))
+    }
+
+    pub fn directory_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, 8728))
+    }
+
+    /// The most memory that the process has had at once, in kilobytes.
+    pub fn memory_kb(&self) -> u64 {
+        let id = self.child.as_ref().map(Child::id).expect("a running node");
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a running process");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let text = line
+            .and_then(|line| line.trim().strip_suffix("kB"))
+            .expect("a figure");
+        text.trim().parse().expect("a number")
+    }
+
     /// The status of the readiness check; zero without an answer.
     pub fn readiness(&self) -> u16 {
-        let answer = exchange(SocketAddr::from((self.ip, 8722)), &question("/readiness"));
+        let answer = exchange(self.readiness_address(), &question("/readiness"));
         answer.map_or(0, |answer| answer.status())
     }
 
     /// What the directory answers.
     pub fn directory(&self) -> String {
-        let answer = exchange(
-            SocketAddr::from((self.ip, 8728)),
-            &question("/resolve?name=a&zone=a"),
-        );
+        let answer = exchange(self.directory_address(), &question("/resolve?name=a&zone=a"));
         answer.map_or_else(String::new, |answer| answer.text())
     }
 
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -7,6 +7,7 @@
 
 use serde_json::json;
 
+use crate::faults::{EndlessBytes, TruncatedBody, send_endless, send_truncated};
 use crate::store::StandInStore;
 use crate::wire::{Message, read_request, write_answer};
 
@@ -31,8 +32,29 @@
     Slow,
     /// It runs the request and never answers.
     Silent,
+    /// It answers, and says that it is about to leave.
+    Leaving,
+    /// It turns requests away and wants nothing for [`BACK_OFF_S`].
+    BacksOff,
+    /// It answers, and some time later sends the same answer again.
+    AnswersTwice,
+    /// It sends an event now and then, each within the route's longest pause.
+    SlowEvents,
+    /// It sends bytes without an end.
+    Endless(EndlessBytes),
+    /// It breaks an answer off halfway.
+    Truncates(TruncatedBody),
 }
 
+/// How long a replica that backs off wants nothing, in seconds.
+pub const BACK_OFF_S: u64 = 3;
+
+/// How much later the second copy of an answer comes.
+const SECOND_COPY_AFTER: Duration = Duration::from_millis(60);
+
+/// The pause between slow events: long, and within the two seconds that the test route allows.
+const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(900);
+
 /// Events of a whole stream.
 pub const STREAM_EVENTS: u64 = 5;
 
@@ -77,8 +99,17 @@
     }
 
     pub fn publish(&self, store: &StandInStore, service: &str, phase: Option<&str>, state: &str) {
+        self.write_entry(store, service, phase, state, 1);
+    }
+
+    /// Writes the entry of a later start under the same id.
+    pub fn publish_start(&self, store: &StandInStore, service: &str, phase: Option<&str>, born: u64) {
+        self.write_entry(store, service, phase, "ready", born);
+    }
+
+    fn write_entry(&self, store: &StandInStore, service: &str, phase: Option<&str>, state: &str, born: u64) {
         let mut entry = json!({
-            "service": service, "address": self.address, "zone": "a", "slots": 4, "state": state, "born": 1,
+            "service": service, "address": self.address, "zone": "a", "slots": 4, "state": state, "born": born,
         });
         if let Some(phase) = phase {
             entry["phase"] = phase.into();
@@ -127,7 +158,10 @@
     fn answer(&self, stream: &mut TcpStream, request: &Message) -> bool {
         let mood = *self.mood.lock().expect("no holder panics");
         let id = request.header("X-Request-Id").unwrap_or_default();
-        if !matches!(mood, ReplicaMood::NotRun | ReplicaMood::Misdirected) {
+        if !matches!(
+            mood,
+            ReplicaMood::NotRun | ReplicaMood::Misdirected | ReplicaMood::BacksOff
+        ) {
             self.runs.lock().expect("no holder panics").push(id.to_owned());
         }
         let signed = [
@@ -148,28 +182,57 @@
                 b"for another",
             ),
             ReplicaMood::Breaks => false,
+            ReplicaMood::BacksOff => {
+                let span_s = BACK_OFF_S.to_string();
+                let lines = [
+                    ("X-Request-Id", id),
+                    ("X-Not-Executed", "1"),
+                    ("Retry-After", &span_s),
+                ];
+                write_answer(stream, 503, &lines, b"")
+            }
+            ReplicaMood::Endless(kind) => send_endless(stream, id, kind),
+            ReplicaMood::Truncates(kind) => send_truncated(stream, id, kind),
             ReplicaMood::Silent => {
                 std::thread::sleep(crate::wire::LIMIT);
                 false
             }
             _ if request.header("X-Serving-Phase") == Some("prefill") => {
                 let body = json!({ "kvHandle": format!("h-{id}") }).to_string();
-                write_answer(stream, 200, &signed, body.as_bytes())
+                let lines = [&signed[..], leaving_line(mood)].concat();
+                write_answer(stream, 200, &lines, body.as_bytes())
             }
             _ if request.header("X-Kv-Source").is_some() || request.path().starts_with("/stream") => {
                 send_stream(stream, id, mood)
             }
             _ => {
                 let body = [self.id.as_bytes(), b" ", &request.body].concat();
-                write_answer(stream, 200, &signed, &body)
+                let lines = [&signed[..], leaving_line(mood)].concat();
+                if mood == ReplicaMood::AnswersTwice {
+                    let is_sent = write_answer(stream, 200, &lines, &body);
+                    std::thread::sleep(SECOND_COPY_AFTER);
+                    return is_sent && write_answer(stream, 200, &lines, &body);
+                }
+                write_answer(stream, 200, &lines, &body)
             }
         }
     }
 }
 
+fn leaving_line(mood: ReplicaMood) -> &'static [(&'static str, &'static str)] {
+    match mood {
+        ReplicaMood::Leaving => &[("Server-Leaving", "1")],
+        _ => &[],
+    }
+}
+
 fn send_stream(stream: &mut TcpStream, id: &str, mood: ReplicaMood) -> bool {
+    let leaving = match mood {
+        ReplicaMood::Leaving => "Server-Leaving: 1\r\n",
+        _ => "",
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\n{leaving}Transfer-Encoding: chunked\r\n\r\n"
     );
     let mut is_sent = stream.write_all(head.as_bytes()).is_ok();
     for number in 1..=STREAM_EVENTS {
@@ -179,6 +242,9 @@
         if mood == ReplicaMood::Slow {
             std::thread::sleep(Duration::from_millis(150));
         }
+        if mood == ReplicaMood::SlowEvents {
+            std::thread::sleep(SLOW_EVENT_PAUSE);
+        }
         let event = format!("id: {number}\ndata: token\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         is_sent &= stream.write_all(chunk.as_bytes()).is_ok();
--- /dev/null
+++ b/tests/platform/stories.rs
@@ -0,0 +1,278 @@
+//! What went wrong at operators of similar systems, tried on real processes.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::faults::{EndlessBytes, TruncatedBody};
+use crate::node::{GatewayNode, publish_config, wait_until};
+use crate::replica::{ReplicaMood, STREAM_EVENTS, StandInReplica};
+use crate::store::{StandInStore, StoreMood};
+use crate::wire::{Message, exchange, read_answer, request};
+
+fn start_desk(moods: [ReplicaMood; 2]) -> (StandInStore, GatewayNode, [StandInReplica; 2]) {
+    let store = StandInStore::start();
+    publish_config(&store, 1);
+    let [first, second] = moods;
+    let replicas = [
+        StandInReplica::start(&store, "i-1", "desk", None, first),
+        StandInReplica::start(&store, "i-2", "desk", None, second),
+    ];
+    let node = GatewayNode::start(&store, "vm-1", &[]);
+    node.wait_ready();
+    (store, node, replicas)
+}
+
+fn start_engines(store: &StandInStore, decode: ReplicaMood) -> [StandInReplica; 2] {
+    [("i-p1", "prefill", ReplicaMood::Well), ("i-d1", "decode", decode)]
+        .map(|(id, phase, mood)| StandInReplica::start(store, id, "llm", Some(phase), mood))
+}
+
+fn call(path: &str, id: &str) -> String {
+    request("POST", "shop.example", path, id, "X-Token-Count: 300,40\r\n", id)
+}
+
+fn event_ids(answer: &Message) -> Vec<u64> {
+    let text = answer.text();
+    text.lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+        .collect()
+}
+
+/// A late second copy of an answer reaches nobody, whether it comes before the next request on its connection, after it, or
+/// between the two.
+#[test]
+fn a_second_copy_of_an_answer_reaches_nobody() {
+    let (_store, node, _replicas) = start_desk([ReplicaMood::AnswersTwice; 2]);
+    let callers: Vec<_> = (0..4_u64)
+        .map(|caller| {
+            let address = node.callers();
+            std::thread::spawn(move || {
+                let mut stream = TcpStream::connect(address).expect("a connection");
+                for number in 0..30_u64 {
+                    let id = format!("q-{caller}-{number}");
+                    let path = if number.is_multiple_of(2) {
+                        "/read"
+                    } else {
+                        "/book"
+                    };
+                    std::io::Write::write_all(&mut stream, call(path, &id).as_bytes())
+                        .expect("an open connection");
+                    let answer = read_answer(&mut stream).expect("an answer");
+                    let is_own = answer.text().ends_with(&format!(" {id}"));
+                    assert!(answer.status() != 200 || is_own, "{id}: {}", answer.text());
+                    assert_eq!(answer.header("X-Request-Id").unwrap_or(&id), id);
+                    std::thread::sleep(Duration::from_millis(7 * (number % 13)));
+                }
+            })
+        })
+        .collect();
+    callers
+        .into_iter()
+        .for_each(|caller| caller.join().expect("own answers only"));
+}
+
+/// Requests that a leaving node has read are answered; those that cross its close were not read.
+#[test]
+fn a_planned_stop_under_load_cuts_nothing() {
+    let (_store, mut node, replicas) = start_desk([ReplicaMood::Well; 2]);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..8)
+        .map(|caller| {
+            let (address, is_over) = (node.callers(), is_over.clone());
+            std::thread::spawn(move || {
+                let mut kept: Option<TcpStream> = None;
+                let mut cut = Vec::new();
+                for number in 0.. {
+                    if is_over.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let id = format!("q-{caller}-{number}");
+                    // Every second caller opens a connection for each request.
+                    let used = kept.take().or_else(|| TcpStream::connect(address).ok());
+                    let Some(mut stream) = used else { break };
+                    let is_written =
+                        std::io::Write::write_all(&mut stream, call("/book", &id).as_bytes()).is_ok();
+                    match read_answer(&mut stream).filter(|answer| answer.is_whole) {
+                        Some(answer) => {
+                            let closes = answer.header("Connection") == Some("close");
+                            kept = Some(stream).filter(|_| !closes && caller % 2 == 0);
+                        }
+                        None if is_written => cut.push(id),
+                        None => {}
+                    }
+                }
+                cut
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(400));
+    node.signal("TERM");
+    wait_until("the process has left", || node.has_left());
+    is_over.store(true, Ordering::Relaxed);
+    let cut: Vec<String> = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().expect("a caller's thread"))
+        .collect();
+    let was_run = |id: &&String| replicas.iter().any(|replica| replica.runs(id) > 0);
+    let lost: Vec<_> = cut.iter().filter(was_run).collect();
+    assert!(lost.is_empty(), "ran and got no answer: {lost:?} {}", node.log());
+}
+
+#[test]
+fn a_slow_stream_is_not_cut() {
+    let store = StandInStore::start();
+    publish_config(&store, 1);
+    let _engines = start_engines(&store, ReplicaMood::SlowEvents);
+    let node = GatewayNode::start(&store, "vm-1", &[]);
+    node.wait_ready();
+    let answer = node.ask(&call("/stream", "q-1"));
+    assert!(answer.is_whole, "{}", node.log());
+    assert_eq!(event_ids(&answer), (1..=STREAM_EVENTS).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_stream_that_only_trickles_ends() {
+    let store = StandInStore::start();
+    publish_config(&store, 1);
+    let _engines = start_engines(&store, ReplicaMood::Endless(EndlessBytes::TricklingEvent));
+    let node = GatewayNode::start(&store, "vm-1", &[]);
+    node.wait_ready();
+    let began = Instant::now();
+    let answer = exchange(
+        node.callers(),
+        &call("/stream", "q-1").replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: 2000"),
+    );
+    assert!(
+        began.elapsed() < Duration::from_millis(2_500),
+        "{:?}",
+        began.elapsed()
+    );
+    assert!(
+        answer.is_none_or(|answer| answer.status() != 200 || !answer.is_whole),
+        "{}",
+        node.log()
+    );
+}
+
+#[test]
+fn malformed_input_on_any_side_ends_no_process() {
+    let (store, mut node, _replicas) = start_desk([ReplicaMood::Well; 2]);
+    let entries = [
+        "",
+        "{",
+        "[]",
+        "null",
+        "\"x\"",
+        "{\"service\": 1}",
+        "{\"service\":\"desk\",\"address\":\"nowhere\",\"zone\":\"a\",\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"slots\":-1,\"state\":\"ready\"}",
+        "{\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"slots\":0,\"state\":\"odd\"}",
+    ];
+    for (number, entry) in entries.iter().enumerate() {
+        store.put(&format!("servers/bad-{number}"), entry);
+    }
+    for config in [
+        "",
+        "{}",
+        "{\"version\": 2}",
+        "{\"version\": -1}",
+        "{\"version\": 3, \"routes\": 7}",
+        "[[[[",
+    ] {
+        store.put("op/config", config);
+    }
+    let ports = [
+        node.callers(),
+        node.control(),
+        node.readiness_address(),
+        node.directory_address(),
+    ];
+    for address in ports {
+        for bytes in [
+            &b"\0\0\0\x01\xff"[..],
+            b"\r\n\r\n",
+            b"GET",
+            b"POST /read HTTP/9.9\r\n\r\n",
+            &[0xff; 5000],
+        ] {
+            let mut stream = TcpStream::connect(address).expect("a connection");
+            let _ = std::io::Write::write_all(&mut stream, bytes);
+        }
+    }
+    wait_until("it still serves", || {
+        exchange(node.callers(), &call("/read", "q-1")).is_some_and(|answer| answer.status() == 200)
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(!node.log().contains("panicked"), "{}", node.log());
+    assert!(!node.has_left(), "{}", node.log());
+}
+
+/// A replica whose entry lapses, or a store that is away, ends no work that is under way, and starts none again.
+#[test]
+fn work_under_way_goes_on_while_its_replica_is_only_silent() {
+    let store = StandInStore::start();
+    publish_config(&store, 1);
+    let engines = start_engines(&store, ReplicaMood::SlowEvents);
+    let node = GatewayNode::start(&store, "vm-1", &[]);
+    node.wait_ready();
+    let address = node.callers();
+    let running = std::thread::spawn(move || exchange(address, &call("/stream", "q-1")));
+    wait_until("it has begun", || !engines[1].seen("q-1").is_empty());
+    store.set_mood(StoreMood::Lost);
+    std::thread::sleep(Duration::from_millis(500));
+    store.set_mood(StoreMood::Well);
+    for engine in &engines {
+        store.remove(&format!("servers/{}", engine.id));
+    }
+    let answer = running.join().expect("the caller's thread").expect("an answer");
+    assert!(answer.is_whole, "{}", node.log());
+    assert_eq!(event_ids(&answer), (1..=STREAM_EVENTS).collect::<Vec<_>>());
+    assert_eq!(engines[1].runs("q-1"), 1);
+}
+
+/// A VM that freezes owns engines, and other VMs' streams; neither is started again or given up.
+#[test]
+fn work_under_way_goes_on_while_a_vm_is_only_silent() {
+    for (frozen, asked) in [(0, 1), (1, 0)] {
+        let store = StandInStore::start();
+        publish_config(&store, 1);
+        let engines = start_engines(&store, ReplicaMood::SlowEvents);
+        let first = GatewayNode::start(&store, "vm-1", &[]);
+        let second = GatewayNode::start(&store, "vm-2", &[&first]);
+        let nodes = [first, second];
+        nodes.iter().for_each(GatewayNode::wait_ready);
+        let id = format!("q-{asked}");
+        let (address, text) = (nodes[asked].callers(), call("/stream", &id));
+        let running = std::thread::spawn(move || exchange(address, &text));
+        wait_until("it has begun", || !engines[1].seen(&id).is_empty());
+        nodes[frozen].signal("STOP");
+        std::thread::sleep(Duration::from_millis(1_500));
+        nodes[frozen].signal("CONT");
+        let answer = running.join().expect("the caller's thread").expect("an answer");
+        assert!(answer.is_whole, "{}", nodes[asked].log());
+        assert_eq!(event_ids(&answer), (1..=STREAM_EVENTS).collect::<Vec<_>>());
+        assert_eq!(engines[1].runs(&id), 1);
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_never_looks_whole() {
+    for kind in TruncatedBody::ALL {
+        let (_store, node, _replicas) = start_desk([ReplicaMood::Truncates(kind); 2]);
+        for path in ["/read", "/book"] {
+            let answer = exchange(node.callers(), &call(path, "q-1"));
+            let looks_whole = answer.is_some_and(|answer| answer.status() == 200 && answer.is_whole);
+            assert!(!looks_whole, "{kind:?} {path}: {}", node.log());
+        }
+        let store = StandInStore::start();
+        publish_config(&store, 1);
+        let _engines = start_engines(&store, ReplicaMood::Truncates(kind));
+        let node = GatewayNode::start(&store, "vm-1", &[]);
+        node.wait_ready();
+        let answer = exchange(node.callers(), &call("/stream", "q-2"));
+        let looks_whole = answer.is_some_and(|answer| answer.status() == 200 && answer.is_whole);
+        assert!(!looks_whole, "{kind:?} stream: {}", node.log());
+    }
+}
--- a/tests/properties/slots.rs
+++ b/tests/properties/slots.rs
@@ -92,6 +92,7 @@
         deadline: Moment(1_000_000_000),
         is_retry: false,
         avoid: Vec::new(),
+        barred: Vec::new(),
     }
 }
 
