Resume a broken stream by the clock of its next event

Cause: a stream that broke asked for another engine as a new request does, with the wait for a first event counted from its arrival and all its tokens still to come. Change: the ask of a stream that has begun counts from its last event, lacks what was generated, and goes first.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -92,6 +92,14 @@
         self.control.snapshot()
     }
 
+    /// Tokens in one event of a service's streams.
+    pub fn event_tokens(&self, service: &str) -> u64 {
+        let snapshot = self.snapshot();
+        let rule = snapshot.register.services.get(service);
+        let engine = rule.and_then(|rule| rule.engine.as_ref());
+        engine.map_or(1, |engine| u64::from(engine.event_tokens))
+    }
+
     /// An id that no other attempt of any process has.
     pub fn next_request_id(&self) -> RequestId {
         let serial = self.next_request.fetch_add(1, Ordering::Relaxed);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -99,10 +99,7 @@
 
     /// Notes the engine's pace over the events of a whole answer.
     pub fn note_pace(&mut self, events: u64, span_ms: u64) {
-        let snapshot = self.context.snapshot();
-        let service = snapshot.register.services.get(&self.decode.service);
-        let engine = service.and_then(|rule| rule.engine.as_ref());
-        let event_tokens = engine.map_or(1, |engine| u64::from(engine.event_tokens));
+        let event_tokens = self.context.event_tokens(&self.decode.service);
         let tokens = events.saturating_sub(1) * event_tokens;
         self.hold.result.pace_us = (span_ms * 1_000).checked_div(tokens).unwrap_or_default();
     }
@@ -125,7 +122,7 @@
     avoid: &[ReplicaId],
 ) -> PlacementAsk {
     let (facts, rule) = (&request.facts, &request.rule);
-    PlacementAsk {
+    let fresh = PlacementAsk {
         request: id.clone(),
         workspace: ROUTED_WORKSPACE.into(),
         model: request.service.clone(),
@@ -143,6 +140,37 @@
         is_retry: false,
         avoid: avoid.to_vec(),
         barred: context.with_book(|book| book.backing_off(&request.service, clock::now())),
+    };
+    let (events, last_event_at) = {
+        let record = request.trace.record();
+        (record.events, record.last_event_at)
+    };
+    match last_event_at {
+        Some(last_event_at) => to_resumed(fresh, context, request, events, last_event_at),
+        None => fresh,
+    }
+}
+
+/// What a stream still needs that has come to an event: its caller waits for the next one, not for the first, what was
+/// generated belongs to the prompt, and whoever has begun goes before whoever has not.
+fn to_resumed(
+    fresh: PlacementAsk,
+    context: &GatewayContext,
+    request: &CallerRequest,
+    events: u64,
+    last_event_at: Moment,
+) -> PlacementAsk {
+    let rule = &request.rule;
+    let done_tokens = events.saturating_mul(context.event_tokens(&request.service));
+    let done_tokens = u32::try_from(done_tokens).unwrap_or(u32::MAX);
+    PlacementAsk {
+        priority: 0,
+        prompt_tokens: fresh.prompt_tokens.saturating_add(done_tokens),
+        max_tokens: fresh.max_tokens.saturating_sub(done_tokens).max(1),
+        expected_tokens: fresh.expected_tokens.saturating_sub(done_tokens).max(1),
+        first_token_by: last_event_at.after_ms(rule.gap_objective_ms),
+        give_up_at: last_event_at.after_ms(rule.patience_ms()),
+        ..fresh
     }
 }
 
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -186,3 +186,19 @@
         );
     }
 }
+
+/// The stream breaks later than its caller would have waited for the first event, and its caller waits for the next one.
+#[test]
+fn a_stream_that_breaks_late_goes_on_at_another_engine() {
+    let engines = start();
+    engines.decodes[0].set_mood(ReplicaMood::BreaksSlowStream);
+    // The engines are alike, so the first by name begins.
+    let text = generation("q-1").replace("POST /stream", "POST /stream/resume");
+    let answer = engines.node.ask(&text);
+    assert!(answer.is_whole, "{}", engines.node.log());
+    let expected: Vec<u64> = (1..=STREAM_EVENTS).collect();
+    assert_eq!(event_ids(&answer), expected, "{answer:?}");
+    wait_until("the log tells", || {
+        engines.node.log().contains("event=resumed request=q-1")
+    });
+}
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -191,6 +191,10 @@
     };
     let mut stream = route("talk", "/stream", "streaming", "llm");
     stream["targetGapMs"] = 2000.into();
+    let mut resumable = route("resume", "/stream/resume", "streaming", "llm");
+    resumable["targetGapMs"] = 100.into();
+    resumable["targetLatencyMs"] = 300.into();
+    resumable["resumable"] = true.into();
     let document = json!({
         "version": version,
         "routes": [
@@ -198,6 +202,7 @@
             route("book", "/book", "once", "desk"),
             route("empty", "/empty", "safe", "nobody"),
             stream,
+            resumable,
         ],
         "services": [
             { "name": "desk" }, { "name": "nobody" },
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -40,6 +40,8 @@
     AnswersTwice,
     /// It sends an event now and then, each within the route's longest pause.
     SlowEvents,
+    /// It sends three events as slowly as that and closes the connection.
+    BreaksSlowStream,
     /// It sends bytes without an end.
     Endless(EndlessBytes),
     /// It breaks an answer off halfway.
@@ -203,7 +205,9 @@
                 write_answer(stream, 200, &lines, body.as_bytes())
             }
             _ if request.header("X-Kv-Source").is_some() || request.path().starts_with("/stream") => {
-                send_stream(stream, id, mood)
+                let sent_before = request.header("Last-Event-Id");
+                let first = sent_before.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
+                send_stream(stream, id, mood, first)
             }
             _ => {
                 let body = [self.id.as_bytes(), b" ", &request.body].concat();
@@ -226,7 +230,7 @@
     }
 }
 
-fn send_stream(stream: &mut TcpStream, id: &str, mood: ReplicaMood) -> bool {
+fn send_stream(stream: &mut TcpStream, id: &str, mood: ReplicaMood, first: u64) -> bool {
     let leaving = match mood {
         ReplicaMood::Leaving => "Server-Leaving: 1\r\n",
         _ => "",
@@ -235,14 +239,17 @@
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\n{leaving}Transfer-Encoding: chunked\r\n\r\n"
     );
     let mut is_sent = stream.write_all(head.as_bytes()).is_ok();
-    for number in 1..=STREAM_EVENTS {
+    for number in first..=STREAM_EVENTS {
         if mood == ReplicaMood::BreaksStream && number > 2 {
             return false;
         }
         if mood == ReplicaMood::Slow {
             std::thread::sleep(Duration::from_millis(150));
         }
-        if mood == ReplicaMood::SlowEvents {
+        if mood == ReplicaMood::BreaksSlowStream && number > 3 {
+            return false;
+        }
+        if matches!(mood, ReplicaMood::SlowEvents | ReplicaMood::BreaksSlowStream) {
             std::thread::sleep(SLOW_EVENT_PAUSE);
         }
         let event = format!("id: {number}\ndata: token\n\n");
