Refuse at once in a crowd what can't be in time, give long prompts their time, and forgive an engine one failure

Change: in a crowd (two requests without room within a second) whoever can't be in time by the forecast is refused on arrival, and at once where a forecast was wrong, with a time to come back in the later half of a third of the time left, spread. A prefill's limit follows the prompt's size and the times of slow prefills. An engine is passed over from the second failure in a row on, or when it can't be reached; a request that was given up shows nothing.

--- a/src/controllers/hedging.rs
+++ b/src/controllers/hedging.rs
@@ -23,26 +23,33 @@
 /// The latencies of the latest calls of one operation.
 #[derive(Clone, Debug, Default)]
 pub struct LatencyWindow {
-    latest_ms: VecDeque<u64>,
+    latest: VecDeque<u64>,
 }
 
 impl LatencyWindow {
-    /// Notes an answered call.
-    pub fn note(&mut self, elapsed_ms: u64) {
-        if self.latest_ms.len() == WINDOW_CALLS {
-            self.latest_ms.pop_front();
+    /// Notes how long a call took, in whichever unit the window is kept.
+    pub fn note(&mut self, elapsed: u64) {
+        if self.latest.len() == WINDOW_CALLS {
+            self.latest.pop_front();
         }
-        self.latest_ms.push_back(elapsed_ms);
+        self.latest.push_back(elapsed);
     }
 
     /// How long to wait for the first answer before a second replica is asked, in milliseconds.
     pub fn hedge_delay_ms(&self) -> u64 {
-        if self.latest_ms.len() < FEWEST_CALLS {
-            return FIRST_DELAY_MS;
+        self.slow().map_or(FIRST_DELAY_MS, |slow_ms| {
+            (slow_ms * MARGIN_PERCENT / 100).max(SHORTEST_DELAY_MS)
+        })
+    }
+
+    /// The figure of a slow call; `None` while too few are known.
+    pub fn slow(&self) -> Option<u64> {
+        if self.latest.len() < FEWEST_CALLS {
+            return None;
         }
-        let mut sorted: Vec<u64> = self.latest_ms.iter().copied().collect();
+        let mut sorted: Vec<u64> = self.latest.iter().copied().collect();
         sorted.sort_unstable();
         let rank = (sorted.len() * SLOW_PERCENTILE).div_ceil(100) - 1;
-        (sorted[rank] * MARGIN_PERCENT / 100).max(SHORTEST_DELAY_MS)
+        Some(sorted[rank])
     }
 }
--- a/src/controllers/slots/ledger/estimate.rs
+++ b/src/controllers/slots/ledger/estimate.rs
@@ -17,7 +17,7 @@
 
     /// How long a request with some others ahead of it will probably wait for its slots, in milliseconds: until as many
     /// generations have ended, or until the prefill engines have run what waits for them.
-    fn expected_wait_ms(&self, ahead: usize, now: Moment) -> u64 {
+    pub(super) fn expected_wait_ms(&self, ahead: usize, now: Moment) -> u64 {
         let waiting: u64 = self
             .prefill
             .values()
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -1,10 +1,12 @@
 //! The owner's side: counts the slots of one group of engines exactly and serves its queue.
 
+mod admission;
 mod choice;
 mod estimate;
 
 use std::sync::Arc;
 
+use admission::{CrowdGauge, spread_return_ms};
 use choice::PrefillChoice;
 
 use super::queue::{QUEUE_LIMIT, WaitingQueue};
@@ -74,6 +76,7 @@
     queue: WaitingQueue,
     /// The time from a prefill's end to the first token, in milliseconds.
     handover_ms: u64,
+    crowd: CrowdGauge,
 }
 
 impl GroupLedger {
@@ -89,6 +92,7 @@
             held_by_workspace: FastMap::default(),
             queue: WaitingQueue::default(),
             handover_ms: 0,
+            crowd: CrowdGauge::default(),
         }
     }
 
@@ -175,7 +179,10 @@
         }
         if self.queue.len() >= QUEUE_LIMIT {
             let notice = RefusalNotice::new(ResultCode::QueueFull, format!("{ahead} requests wait"));
-            return SlotVerdict::Refused(notice.retry_after_ms(self.retry_ms(ahead, now)));
+            return SlotVerdict::Refused(notice.retry_after_ms(spread_return_ms(ask, 0, now)));
+        }
+        if let Some(refusal) = self.refuse_crowded(ask, ahead, now) {
+            return SlotVerdict::Refused(refusal);
         }
         self.queue.push(ask.clone(), holder);
         SlotVerdict::Queued
@@ -374,20 +381,16 @@
 
     fn give_up_late(&mut self, now: Moment) -> Vec<LedgerGrant> {
         let mut queue = std::mem::take(&mut self.queue);
-        let late = queue.take_where(|waiting| {
-            let ask = &waiting.ask;
-            now.until_ms(ask.deadline) < self.service_ms(ask)
-                || now.after_ms(self.first_token_ms(ask)) > ask.give_up_at
-        });
+        let late = queue.take_where(|waiting| self.is_over(&waiting.ask, now));
         self.queue = queue;
-        let retry_ms = self.retry_ms(self.queue.len(), now);
+        let wait_ms = self.expected_wait_ms(self.queue.len(), now);
         late.into_iter()
             .map(|waiting| LedgerGrant {
                 holder: waiting.holder,
-                request: waiting.ask.request,
+                request: waiting.ask.request.clone(),
                 verdict: SlotVerdict::Refused(
                     RefusalNotice::new(ResultCode::QueueTimeout, self.group.model.to_string())
-                        .retry_after_ms(retry_ms),
+                        .retry_after_ms(spread_return_ms(&waiting.ask, wait_ms, now)),
                 ),
             })
             .collect()
--- a/src/controllers/slots/owner.rs
+++ b/src/controllers/slots/owner.rs
@@ -7,7 +7,11 @@
 use crate::controllers::message::{PeerMessage, SlotVerdict};
 use crate::prelude::*;
 
-/// How long an engine is passed over after its first failure, in milliseconds.
+/// Failures in a row, without a request that an engine served meanwhile, from which on it is passed over. A single one may
+/// be its request's or its connection's, and all engines together may have no room to do without one.
+const FAILURES_TO_DOWN: u32 = 2;
+
+/// How long an engine is passed over at first, in milliseconds.
 const FIRST_DOWN_MS: u64 = 500;
 
 /// The longest time for which an engine is passed over after failures, in milliseconds.
@@ -37,9 +41,10 @@
             } => {
                 let ledger = self.ledgers.get_mut(group)?;
                 if let Some(engines) = ledger.release(request, *result, turn.now) {
-                    note_engine(&engines.decode, result.decode, turn);
+                    // A request that was given up shows nothing of its engines.
+                    note_engine(&engines.decode, result.decode, result.pace_us > 0, turn);
                     if let Some(prefill) = &engines.prefill {
-                        note_engine(prefill, result.prefill, turn);
+                        note_engine(prefill, result.prefill, result.handover_ms > 0, turn);
                     }
                 }
                 Some(group.clone())
@@ -129,20 +134,23 @@
     }
 }
 
-/// Passes over an engine that failed, for longer after each further failure.
-fn note_engine(name: &Arc<str>, end: EngineEnd, turn: &mut Turn<'_>) {
+/// Passes over an engine that can't be reached, or failed several times in a row, for longer after each further failure.
+/// `has_served` says whether the request shows that the engine works.
+fn note_engine(name: &Arc<str>, end: EngineEnd, has_served: bool, turn: &mut Turn<'_>) {
     let now = turn.now;
     let facts = turn.board.upstream_mut(name);
     match end {
-        EngineEnd::Fine => facts.failures = 0,
-        EngineEnd::Full => {}
-        EngineEnd::Failed | EngineEnd::Unreachable => {
-            let span_ms = (FIRST_DOWN_MS << facts.failures.min(8)).min(LONGEST_DOWN_MS);
-            facts.failures += 1;
-            facts.down_until = Some(now.after_ms(span_ms));
-            turn.log(format!(
-                "event=engine_down engine={name} end={end:?} down_ms={span_ms}"
-            ));
-        }
+        EngineEnd::Fine if has_served => facts.failures = 0,
+        EngineEnd::Fine | EngineEnd::Full => return,
+        EngineEnd::Failed => facts.failures += 1,
+        EngineEnd::Unreachable => facts.failures = (facts.failures + 1).max(FAILURES_TO_DOWN),
     }
+    let Some(further) = facts.failures.checked_sub(FAILURES_TO_DOWN) else {
+        return;
+    };
+    let span_ms = (FIRST_DOWN_MS << further.min(8)).min(LONGEST_DOWN_MS);
+    facts.down_until = Some(now.after_ms(span_ms));
+    turn.log(format!(
+        "event=engine_down engine={name} end={end:?} down_ms={span_ms}"
+    ));
 }
--- a/src/controllers/slots/queue.rs
+++ b/src/controllers/slots/queue.rs
@@ -78,10 +78,8 @@
         self.waiting.extract_if(.., |waiting| is_over(waiting)).collect()
     }
 
-    /// Puts the requests into the order in which they are to be served.
-    ///
-    /// While none is late the oldest comes first. Once some are, there is more work than slots: the newest of the
-    /// others comes first, since the oldest would only just miss its target after waiting for it.
+    /// Puts the requests into the order in which they are to be served: the oldest first, but those that are late behind
+    /// the others. Whoever may wait was forecast to be in time, which holds only if nobody overtakes it.
     pub fn sort(
         &mut self,
         held_by_workspace: &FastMap<Arc<str>, u32>,
@@ -90,19 +88,12 @@
         for waiting in &mut self.waiting {
             waiting.is_late = is_late(waiting);
         }
-        let is_overloaded = self.waiting.iter().any(|waiting| waiting.is_late);
         self.waiting.sort_by_key(|waiting| {
             let held = held_by_workspace
                 .get(&waiting.ask.workspace)
                 .copied()
                 .unwrap_or(0);
-            let takes_newest = is_overloaded && !waiting.is_late;
-            let order = if takes_newest {
-                u64::MAX - waiting.order
-            } else {
-                waiting.order
-            };
-            (waiting.ask.priority, waiting.is_late, held, order)
+            (waiting.ask.priority, waiting.is_late, held, waiting.order)
         });
     }
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -39,6 +39,8 @@
     book: Mutex<BookState>,
     budget: Mutex<SendBudget>,
     latencies: Mutex<FastMap<Arc<str>, LatencyWindow>>,
+    /// Times of prefills by service, in microseconds for each token.
+    prefill_paces: Mutex<FastMap<Arc<str>, LatencyWindow>>,
     callers: AtomicUsize,
     next_request: AtomicU64,
 }
@@ -72,6 +74,7 @@
             book: Mutex::new(book),
             budget: Mutex::new(budget),
             latencies: Mutex::default(),
+            prefill_paces: Mutex::default(),
             callers: AtomicUsize::default(),
             next_request: AtomicU64::default(),
         })
@@ -137,6 +140,20 @@
         self.with_latencies(service, |window| window.hedge_delay_ms())
     }
 
+    /// Notes how long an engine took for a prompt.
+    pub fn note_prefill(&self, service: &Arc<str>, tokens: u32, elapsed_ms: u64) {
+        if let Some(pace_us) = (elapsed_ms * 1_000).checked_div(u64::from(tokens)) {
+            let mut paces = lock(&self.prefill_paces);
+            paces.entry(service.clone()).or_default().note(pace_us);
+        }
+    }
+
+    /// How long a slow engine takes for a prompt, in milliseconds; `None` while that is not known.
+    pub fn slow_prefill_ms(&self, service: &Arc<str>, tokens: u32) -> Option<u64> {
+        let pace_us = lock(&self.prefill_paces).get(service)?.slow()?;
+        Some(pace_us * u64::from(tokens) / 1_000)
+    }
+
     /// Counts a caller's connection, unless there are too many.
     pub fn admit_caller(self: &Arc<Self>) -> Option<CallerGuard> {
         /// The part of the sockets that callers may use, in percent; a request may need two upstream connections.
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -20,10 +20,14 @@
 use crate::prelude::*;
 use crate::transport::until;
 
-/// The share of the latency objective within which a prefill engine must have run a prompt, in percent; a decode engine
-/// that runs it itself still meets the objective after that.
+/// The share of the latency objective within which a prefill engine must have run a prompt of usual size, in percent; a
+/// decode engine that runs it itself still meets the objective after that.
 const PREFILL_PERCENT: u64 = 60;
 
+/// How much longer than a slow engine takes for a prompt of its size a prefill may take, in percent. A long prompt that is
+/// given up just before it is done would be run once more, at half the speed.
+const PREFILL_MARGIN_PERCENT: u64 = 150;
+
 /// Serves a generation.
 pub async fn serve_stream(
     context: &Arc<GatewayContext>,
@@ -129,12 +133,24 @@
         is_covered
     }
 
+    /// How long the prompt may take at a prefill engine, in milliseconds.
+    fn prefill_limit_ms(&self) -> u64 {
+        let request = self.request;
+        let usual_ms = request.rule.latency_objective_ms * PREFILL_PERCENT / 100;
+        let tokens = request.facts.prompt_tokens;
+        let slow_ms = self.context.slow_prefill_ms(&request.service, tokens);
+        let by_size_ms = slow_ms.map_or(0, |slow_ms| slow_ms * PREFILL_MARGIN_PERCENT / 100);
+        usual_ms.max(by_size_ms)
+    }
+
     /// Has the prompt run; without a ticket the decode engine runs it itself.
     async fn prefill(&mut self, place: &mut EnginePlace) -> Option<TicketLease> {
         let replica = place.prefill.clone()?;
         let began_at = clock::now();
-        let span_ms = self.request.rule.latency_objective_ms * PREFILL_PERCENT / 100;
-        let deadline = self.request.deadline.min(began_at.after_ms(span_ms));
+        let deadline = self
+            .request
+            .deadline
+            .min(began_at.after_ms(self.prefill_limit_ms()));
         let end = run_prefill(self.context, self.request, &replica, deadline).await;
         let (word, engine_end) = match &end {
             PrefillEnd::Done(_) => ("done", EngineEnd::Fine),
@@ -155,6 +171,11 @@
         let elapsed_ms = began_at.until_ms(clock::now());
         self.request.trace.record().prefill_ms = elapsed_ms;
         self.context.metrics.note_prefill(elapsed_ms);
+        if engine_end == EngineEnd::Fine {
+            let tokens = self.request.facts.prompt_tokens;
+            self.context
+                .note_prefill(&self.request.service, tokens, elapsed_ms);
+        }
         place.finish_prefill(engine_end);
         match end {
             PrefillEnd::Done(ticket) => Some(ticket),
--- a/src/peers/wire/slots.rs
+++ b/src/peers/wire/slots.rs
@@ -67,6 +67,9 @@
     /// Engines that want nothing from the asking VM now.
     #[prost(string, repeated, tag = "17")]
     pub barred: Vec<String>,
+    /// Whether its caller has a part of the answer already.
+    #[prost(bool, tag = "18")]
+    pub has_begun: bool,
 }
 
 /// A refusal.
--- a/src/traffic/generate/placement.rs
+++ b/src/traffic/generate/placement.rs
@@ -46,6 +46,7 @@
             may_skip_prefill: false,
             is_retry,
             barred: Vec::new(),
+            has_begun: false,
             avoid: avoid.to_vec(),
         };
         let asked_at = clock::now();
--- /dev/null
+++ b/tests/crest.rs
@@ -0,0 +1,415 @@
+//! The crest of a burst, played against the owner's ledger without a network: how many callers are served in time, late or
+//! not at all, and how long those wait who are refused.
+
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dotterelspan::blackboard::{OwnIdentity, ReplicaFacts, ReplicaId, ReplicaRecord, ReplicaRole};
+use dotterelspan::controllers::message::SlotVerdict;
+use dotterelspan::controllers::slots::{EngineEnd, EngineGroup, GroupLedger, PlacementAsk, PlacementResult};
+use dotterelspan::prelude::*;
+use dotterelspan::register::{CallerLimits, EngineTraits, RouteTable, ServiceRule};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Figures of the users' large deployment: tokens of an engine's memory, its places, microseconds for a token, prompt
+/// tokens that a prefill engine runs in a millisecond.
+const MEMORY_TOKENS: u32 = 29_561;
+const PLACES: u32 = 12;
+const TOKEN_US: u64 = 4_000;
+const PROMPT_TOKENS_PER_MS: u64 = 33;
+
+/// Prompts from which on a tenth is larger.
+const LARGE_TOKENS: u32 = 4_800;
+
+/// The users' objective for the first event, and how long their callers wait for it and for all, in milliseconds.
+const OBJECTIVE_MS: u64 = 900;
+const PATIENCE_MS: u64 = 3_600;
+const DEADLINE_MS: u64 = 14_000;
+
+/// Time from a prefill's end to the first event, in milliseconds.
+const HANDOVER_MS: u64 = 90;
+
+/// The spans of a day, in milliseconds: calm, then a burst, then calm again until all callers are back.
+const BURST_FROM_MS: u64 = 6_000;
+const BURST_TO_MS: u64 = 12_000;
+const DAY_MS: u64 = 30_000;
+
+/// The load outside of the burst, as a part of what the engines can do.
+const CALM_PERCENT: u64 = 50;
+
+/// A deployment and its load.
+#[derive(Clone, Copy, Debug)]
+struct CrestPlan {
+    decodes: usize,
+    prefills: usize,
+    /// Decode engines that are gone from the beginning of the burst on.
+    lost: usize,
+    /// The load of the burst, as a part of what all engines can do.
+    burst_percent: u64,
+    seed: u64,
+}
+
+/// What callers got that came during the burst.
+#[derive(Clone, Copy, Debug, Default)]
+struct CrestResult {
+    asked: usize,
+    in_time: usize,
+    late: usize,
+    refused: usize,
+    /// Refused without a wait.
+    refused_on_arrival: usize,
+    /// How long the refused ones waited, the longest of 99 in 100, in milliseconds.
+    refusal_wait_p99_ms: u64,
+    /// How long a refused one waited beyond the moment at which it could not be in time any more, in milliseconds.
+    longest_held_ms: u64,
+    /// The shortest and the longest time to come back.
+    returns_ms: (u64, u64),
+    /// How many of those with the largest prompts came, and were served.
+    large: (usize, usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrive(usize),
+    PromptDone(usize),
+    Done(usize),
+    Serve,
+}
+
+#[derive(Clone, Debug)]
+struct Caller {
+    ask: PlacementAsk,
+    tokens: u64,
+    asked_at: Moment,
+    decode: Option<Arc<str>>,
+}
+
+struct CrestDay {
+    plan: CrestPlan,
+    random: StdRng,
+    board: Blackboard,
+    ledger: GroupLedger,
+    steps: BinaryHeap<std::cmp::Reverse<(u64, Step)>>,
+    callers: Vec<Caller>,
+    /// When each prefill engine is free.
+    prefill_free: FastMap<Arc<str>, u64>,
+    result: CrestResult,
+    refusal_waits: Vec<u64>,
+}
+
+fn engine(index: usize, role: ReplicaRole) -> (ReplicaId, ReplicaFacts) {
+    let id: ReplicaId = format!("{}-{index}", role.as_str()).into();
+    let record = ReplicaRecord {
+        id: id.clone(),
+        started_epoch_ms: 1,
+        service: "m".into(),
+        role,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "a".into(),
+        slots: PLACES,
+        is_draining: false,
+    };
+    let facts = ReplicaFacts {
+        record: Arc::new(record),
+        stop_at: None,
+        is_listed: true,
+    };
+    (id, facts)
+}
+
+fn board(plan: &CrestPlan) -> Blackboard {
+    let own = OwnIdentity {
+        name: "vm-1".into(),
+        zone: "a".into(),
+        caller_address: "c".into(),
+        peer_address: "p".into(),
+        incarnation: 1,
+        started_epoch_ms: 1,
+        millicores: 0,
+    };
+    let mut board = Blackboard::new(own);
+    let service = ServiceRule {
+        name: "m".into(),
+        most_connections: u32::MAX,
+        engine: Some(EngineTraits {
+            memory_tokens: MEMORY_TOKENS,
+            event_tokens: 12,
+            prefill_keep_ms: 500,
+            role_switch_ms: 0,
+        }),
+    };
+    let routes = RouteTable::new(std::iter::empty());
+    let register = Register::of_routes(routes, std::iter::once(service), CallerLimits::default());
+    board.register.revision = 1;
+    board.register.register = Arc::new(register);
+    let decodes = (0..plan.decodes).map(|index| engine(index, ReplicaRole::Decode));
+    let prefills = (0..plan.prefills).map(|index| engine(index, ReplicaRole::Prefill));
+    board.replicas = Arc::new(decodes.chain(prefills).collect());
+    board
+}
+
+impl CrestDay {
+    fn new(plan: CrestPlan) -> Self {
+        let mut day = Self {
+            plan,
+            random: StdRng::seed_from_u64(plan.seed),
+            board: board(&plan),
+            ledger: GroupLedger::new(&EngineGroup::new(&"m".into(), 0)),
+            steps: BinaryHeap::new(),
+            callers: Vec::new(),
+            prefill_free: FastMap::default(),
+            result: CrestResult::default(),
+            refusal_waits: Vec::new(),
+        };
+        day.draw_callers();
+        day
+    }
+
+    /// Streams in a second that the decode engines can hold, from mean sizes and times.
+    fn capacity_per_s(&self) -> f64 {
+        let (prompt, generated) = (3_200.0, 860.0);
+        let held_at_once = f64::from(MEMORY_TOKENS) / (prompt + generated);
+        let span_s = (generated * TOKEN_US as f64 / 1_000_000.0) + HANDOVER_MS as f64 / 1_000.0;
+        self.plan.decodes as f64 * held_at_once / span_s
+    }
+
+    fn draw_callers(&mut self) {
+        let capacity = self.capacity_per_s();
+        let mut at_ms = 0.0;
+        while at_ms < DAY_MS as f64 {
+            let is_burst = (BURST_FROM_MS..BURST_TO_MS).contains(&(at_ms as u64));
+            let percent = if is_burst {
+                self.plan.burst_percent
+            } else {
+                CALM_PERCENT
+            };
+            let rate = capacity * percent as f64 / 100.0;
+            at_ms += -self.random.random::<f64>().max(1e-9).ln() * 1_000.0 / rate;
+            let caller = self.draw_caller(at_ms as u64);
+            self.push_caller(caller, at_ms as u64);
+        }
+        for at_ms in (0..DAY_MS + 20_000).step_by(50) {
+            self.steps.push(std::cmp::Reverse((at_ms, Step::Serve)));
+        }
+    }
+
+    fn draw_caller(&mut self, at_ms: u64) -> Caller {
+        let random = &mut self.random;
+        let prompt_tokens = random.random_range(1_200..5_200);
+        let tokens = random.random_range(200..1_520_u32);
+        // Callers' estimates are right at the median and off by up to a half.
+        let estimate = f64::from(tokens) * random.random_range(0.5..1.5);
+        let asked_at = Moment(at_ms);
+        let ask = PlacementAsk {
+            request: "".into(),
+            workspace: "w".into(),
+            model: "m".into(),
+            zone: "a".into(),
+            priority: 1,
+            fingerprint: 0,
+            prompt_tokens,
+            max_tokens: 2_040,
+            expected_tokens: estimate as u32,
+            first_token_by: asked_at.after_ms(OBJECTIVE_MS),
+            give_up_at: asked_at.after_ms(PATIENCE_MS),
+            prefix: Vec::new(),
+            deadline: asked_at.after_ms(DEADLINE_MS),
+            has_begun: false,
+            may_skip_prefill: true,
+            is_retry: false,
+            avoid: Vec::new(),
+            barred: Vec::new(),
+        };
+        Caller {
+            ask,
+            tokens: u64::from(tokens),
+            asked_at,
+            decode: None,
+        }
+    }
+
+    fn push_caller(&mut self, mut caller: Caller, at_ms: u64) {
+        let index = self.callers.len();
+        caller.ask.request = format!("r-{index}").into();
+        self.callers.push(caller);
+        self.steps.push(std::cmp::Reverse((at_ms, Step::Arrive(index))));
+    }
+
+    fn play(mut self) -> CrestResult {
+        let mut is_lost = false;
+        while let Some(std::cmp::Reverse((at_ms, step))) = self.steps.pop() {
+            let now = Moment(at_ms);
+            if at_ms >= BURST_FROM_MS && !is_lost {
+                is_lost = true;
+                let gone: Vec<ReplicaId> = (0..self.plan.lost)
+                    .map(|index| format!("decode-{index}").into())
+                    .collect();
+                Arc::make_mut(&mut self.board.replicas).retain(|id, _| !gone.contains(id));
+            }
+            match step {
+                Step::Arrive(index) => {
+                    let ask = self.callers[index].ask.clone();
+                    let verdict = self.ledger.ask(&ask, None, &self.board, 96, now);
+                    self.take(index, verdict, now);
+                }
+                Step::PromptDone(index) => {
+                    let request = self.callers[index].ask.request.clone();
+                    self.ledger.prefill_done(&request, EngineEnd::Fine, now);
+                    self.serve(now);
+                }
+                Step::Done(index) => {
+                    let result = PlacementResult {
+                        pace_us: TOKEN_US,
+                        handover_ms: HANDOVER_MS,
+                        ..PlacementResult::default()
+                    };
+                    let request = self.callers[index].ask.request.clone();
+                    self.ledger.release(&request, result, now);
+                    self.serve(now);
+                }
+                Step::Serve => self.serve(now),
+            }
+        }
+        self.refusal_waits.sort_unstable();
+        let rank = (self.refusal_waits.len() * 99).div_ceil(100).saturating_sub(1);
+        self.result.refusal_wait_p99_ms = self.refusal_waits.get(rank).copied().unwrap_or(0);
+        self.result
+    }
+
+    fn serve(&mut self, now: Moment) {
+        for grant in self.ledger.serve_queue(&self.board, 96, now) {
+            let index = grant.request[2..].parse().expect("a caller's number");
+            self.take(index, grant.verdict, now);
+        }
+    }
+
+    fn take(&mut self, index: usize, verdict: SlotVerdict, now: Moment) {
+        let caller = self.callers[index].clone();
+        let is_burst = (BURST_FROM_MS..BURST_TO_MS).contains(&caller.asked_at.0);
+        match verdict {
+            SlotVerdict::Queued => return,
+            SlotVerdict::Granted { decode, prefill } => {
+                let prompt_ms = u64::from(caller.ask.prompt_tokens) / PROMPT_TOKENS_PER_MS;
+                let begins_ms = match &prefill {
+                    Some(prefill) => {
+                        let free = self.prefill_free.entry(prefill.clone()).or_default();
+                        *free = (*free).max(now.0) + prompt_ms;
+                        *free
+                    }
+                    None => now.0 + 2 * prompt_ms,
+                };
+                self.callers[index].decode = Some(decode);
+                self.steps
+                    .push(std::cmp::Reverse((begins_ms, Step::PromptDone(index))));
+                let first_ms = begins_ms + HANDOVER_MS;
+                let done_ms = first_ms + caller.tokens * TOKEN_US / 1_000;
+                self.steps.push(std::cmp::Reverse((done_ms, Step::Done(index))));
+                if is_burst {
+                    self.result.large.1 += usize::from(caller.ask.prompt_tokens >= LARGE_TOKENS);
+                    let is_in_time = first_ms <= caller.ask.first_token_by.0;
+                    self.result.in_time += usize::from(is_in_time);
+                    self.result.late += usize::from(!is_in_time);
+                }
+            }
+            SlotVerdict::Refused(notice) => {
+                let return_ms = notice.retry_after_ms.expect("when to come back");
+                if is_burst {
+                    self.result.refused += 1;
+                    self.result.refused_on_arrival += usize::from(now == caller.asked_at);
+                    self.refusal_waits.push(caller.asked_at.until_ms(now));
+                    let held_ms = caller.ask.first_token_by.until_ms(now);
+                    self.result.longest_held_ms = self.result.longest_held_ms.max(held_ms);
+                    let (least, most) = self.result.returns_ms;
+                    let least = if self.result.refused == 1 {
+                        return_ms
+                    } else {
+                        least.min(return_ms)
+                    };
+                    self.result.returns_ms = (least, most.max(return_ms));
+                }
+            }
+        }
+        self.result.asked += usize::from(is_burst);
+        self.result.large.0 += usize::from(is_burst && caller.ask.prompt_tokens >= LARGE_TOKENS);
+    }
+}
+
+fn play(plan: CrestPlan) -> CrestResult {
+    let result = CrestDay::new(plan).play();
+    println!("{plan:?}: {result:?}");
+    result
+}
+
+const PLAN: CrestPlan = CrestPlan {
+    decodes: 30,
+    prefills: 11,
+    lost: 0,
+    burst_percent: 100,
+    seed: 1,
+};
+
+/// Past the knee the excess is refused, and as many are in time as at the knee.
+#[test]
+fn what_is_served_in_time_does_not_fall_as_a_burst_grows() {
+    for seed in 1..=3 {
+        for lost in [0, 10] {
+            let at_knee = play(CrestPlan { seed, lost, ..PLAN });
+            for burst_percent in [200, 400, 800] {
+                let beyond = play(CrestPlan {
+                    seed,
+                    lost,
+                    burst_percent,
+                    ..PLAN
+                });
+                assert!(
+                    beyond.in_time * 10 >= at_knee.in_time * 9,
+                    "{burst_percent} %, {lost} lost: {} in time, {} at the knee",
+                    beyond.in_time,
+                    at_knee.in_time
+                );
+            }
+        }
+    }
+}
+
+/// Whoever can't be served is told so at once: within an eighth of the objective after that was certain, and most on
+/// arrival.
+#[test]
+fn nobody_is_held_who_can_not_be_served() {
+    for burst_percent in [200, 400, 800] {
+        for lost in [0, 10] {
+            let result = play(CrestPlan {
+                burst_percent,
+                lost,
+                ..PLAN
+            });
+            assert!(result.refused > 0, "there is more than the engines can do");
+            assert!(result.longest_held_ms <= OBJECTIVE_MS / 8, "{result:?}");
+            assert!(result.refused_on_arrival * 2 > result.refused, "{result:?}");
+        }
+    }
+}
+
+/// Those who are refused come back one after the other, and within the time that callers wait.
+#[test]
+fn the_refused_do_not_come_back_together() {
+    let result = play(CrestPlan {
+        burst_percent: 400,
+        ..PLAN
+    });
+    let (least, most) = result.returns_ms;
+    assert!(most <= DEADLINE_MS / 3, "{result:?}");
+    assert!(most >= least + 1_500, "{result:?}");
+}
+
+/// A single request that finds no room for a moment waits for it, also when it will be late.
+#[test]
+fn without_a_crowd_a_request_waits_for_its_room() {
+    let result = play(CrestPlan {
+        burst_percent: 60,
+        ..PLAN
+    });
+    assert_eq!(result.refused, 0, "{result:?}");
+}
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -202,3 +202,50 @@
         engines.node.log().contains("event=resumed request=q-1")
     });
 }
+
+/// A prompt that takes most of the objective for its size alone is not given up and run once more.
+#[test]
+fn a_long_prompt_gets_the_time_that_its_size_takes() {
+    let engines = start();
+    for prefill in &engines.prefills {
+        prefill.set_mood(ReplicaMood::SlowPrompts);
+    }
+    for number in 0..8 {
+        let answer = engines.node.ask(&generation(&format!("q-{number}")));
+        assert!(answer.is_whole, "{}", engines.node.log());
+    }
+    let long = generation("q-long").replace("X-Token-Count: 900,", "X-Token-Count: 4000,");
+    let answer = engines.node.ask(&long);
+    assert!(answer.is_whole, "{}", engines.node.log());
+    let answers = seen(&engines.decodes, "q-long");
+    assert_eq!(answers.len(), 1);
+    assert!(
+        answers[0].header("X-Kv-Source").is_some(),
+        "{}",
+        engines.node.log()
+    );
+}
+
+/// One failure is no reason to go without an engine, several in a row are.
+#[test]
+fn an_engine_is_passed_over_once_it_failed_several_times() {
+    let engines = start();
+    engines.decodes[0].set_mood(ReplicaMood::Breaks);
+    engines.node.ask(&generation("q-0"));
+    engines.decodes[0].set_mood(ReplicaMood::Well);
+    let answer = engines.node.ask(&generation("q-1"));
+    assert!(answer.is_whole, "{}", engines.node.log());
+    assert_eq!(
+        seen(&engines.decodes[..1], "q-1").len(),
+        1,
+        "{}",
+        engines.node.log()
+    );
+    engines.decodes[0].set_mood(ReplicaMood::Breaks);
+    for number in 2..6 {
+        engines.node.ask(&generation(&format!("q-{number}")));
+    }
+    wait_until("the log tells", || {
+        engines.node.log().contains("event=engine_down engine=i-d1")
+    });
+}
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -42,6 +42,8 @@
     SlowEvents,
     /// It sends three events as slowly as that and closes the connection.
     BreaksSlowStream,
+    /// Its prompts take [`PROMPT_TOKEN_US`] for each token.
+    SlowPrompts,
     /// It sends bytes without an end.
     Endless(EndlessBytes),
     /// It breaks an answer off halfway.
@@ -54,6 +56,9 @@
 /// How much later the second copy of an answer comes.
 const SECOND_COPY_AFTER: Duration = Duration::from_millis(60);
 
+/// How long a slow prompt takes for each token, in microseconds.
+pub const PROMPT_TOKEN_US: u64 = 200;
+
 /// The pause between slow events: long, and within the two seconds that the test route allows.
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(900);
 
@@ -200,6 +205,9 @@
                 false
             }
             _ if request.header("X-Serving-Phase") == Some("prefill") => {
+                if mood == ReplicaMood::SlowPrompts {
+                    std::thread::sleep(prompt_time(request));
+                }
                 let body = json!({ "kvHandle": format!("h-{id}") }).to_string();
                 let lines = [&signed[..], leaving_line(mood)].concat();
                 write_answer(stream, 200, &lines, body.as_bytes())
@@ -223,6 +231,15 @@
     }
 }
 
+fn prompt_time(request: &Message) -> Duration {
+    let counts = request.header("X-Token-Count").unwrap_or_default();
+    let tokens = counts
+        .split(',')
+        .next()
+        .and_then(|count| count.parse::<u64>().ok());
+    Duration::from_micros(tokens.unwrap_or_default() * PROMPT_TOKEN_US)
+}
+
 fn leaving_line(mood: ReplicaMood) -> &'static [(&'static str, &'static str)] {
     match mood {
         ReplicaMood::Leaving => &[("Server-Leaving", "1")],
