Keep the engines of one stream in one zone more firmly

Ruled out: a lack of engines in a zone; there are two prefill and six decode engines in each. Change: another zone costs a prefill engine 100 ms instead of 40, a decode engine a fifth of its room instead of a twentieth.

--- a/src/controllers/slots/ledger/choice.rs
+++ b/src/controllers/slots/ledger/choice.rs
@@ -12,10 +12,10 @@
 
 /// What a prefill engine in another zone than the decode engine costs, in microseconds: the KV cache takes twice as long
 /// and its way is the dearest part of a generation.
-const FAR_PREFILL_US: u64 = 40_000;
+const FAR_PREFILL_US: u64 = 100_000;
 
 /// What a decode engine in another zone than the entry costs, in thousandths of its room.
-const FAR_DECODE_FILL: u64 = 50;
+const FAR_DECODE_FILL: u64 = 200;
 
 /// What became of the search for a prefill engine.
 pub(super) enum PrefillChoice {
