Count the prompts ahead in the forecast of a first token

Requests were granted that were late by the time their prompt was run. Refusals of requests behind others told them to come back in 200 ms. Ruled out: decode engines, which had room then; the owner's own time. Change: the forecast counts what the least busy prefill engine was given; such refusals spread their returns too.

--- a/src/controllers/slots/ledger/estimate.rs
+++ b/src/controllers/slots/ledger/estimate.rs
@@ -1,8 +1,9 @@
 //! What waiting, a first token and a whole answer will take at one group's engines, and refusals that follow from it.
 
 use super::GroupLedger;
+use super::admission::spread_return_ms;
 use crate::controllers::slots::PlacementAsk;
-use crate::controllers::slots::replica::{DEFAULT_PREFILL_RATE, DecodeReplica};
+use crate::controllers::slots::replica::{DEFAULT_PREFILL_RATE, DecodeReplica, PrefillReplica};
 use crate::prelude::*;
 
 /// The shortest and longest time to come back, in milliseconds.
@@ -18,13 +19,7 @@
     /// How long a request with some others ahead of it will probably wait for its slots, in milliseconds: until as many
     /// generations have ended, or until the prefill engines have run what waits for them.
     pub(super) fn expected_wait_ms(&self, ahead: usize, now: Moment) -> u64 {
-        let waiting: u64 = self
-            .prefill
-            .values()
-            .map(|replica| replica.pending_tokens + replica.deferred_tokens)
-            .sum();
-        let rate: u64 = self.prefill.values().map(|replica| replica.rate).sum();
-        let prefill_ms = waiting * 1_000 / rate.max(1);
+        let prefill_ms = self.prefill_wait_ms();
         let has_slot = |replica: &DecodeReplica| replica.held() < replica.slots;
         let is_full = |replica: &DecodeReplica| {
             let next = replica.loads.values().next();
@@ -47,6 +42,14 @@
         prefill_ms.max(end.map_or(0, |end| now.until_ms(*end)))
     }
 
+    /// How long the prefill engines need for what was given to them and what waits for them, in milliseconds.
+    pub(super) fn prefill_wait_ms(&self) -> u64 {
+        let tokens = |replica: &PrefillReplica| replica.pending_tokens + replica.deferred_tokens;
+        let waiting: u64 = self.prefill.values().map(tokens).sum();
+        let rate: u64 = self.prefill.values().map(|replica| replica.rate).sum();
+        waiting * 1_000 / rate.max(1)
+    }
+
     /// The time that the fastest engine needs for a prompt, in milliseconds.
     pub(super) fn prefill_ms(&self, ask: &PlacementAsk) -> u64 {
         let fastest = self
@@ -66,7 +69,14 @@
 
     /// The time that the engines need for a request's first token once it has its slots, in milliseconds.
     pub(super) fn first_token_ms(&self, ask: &PlacementAsk) -> u64 {
-        self.prefill_ms(ask) + self.handover_ms
+        self.least_backlog_ms() + self.prefill_ms(ask) + self.handover_ms
+    }
+
+    /// How long the least busy prefill engine needs for the prompts that it was given, in milliseconds.
+    fn least_backlog_ms(&self) -> u64 {
+        let backlogs = self.prefill.values();
+        let backlogs = backlogs.map(|replica| replica.pending_tokens * 1_000 / replica.rate.max(1));
+        backlogs.min().unwrap_or(0)
     }
 
     /// The time that the engines need for a request once it has its slots, in milliseconds.
@@ -98,6 +108,10 @@
         }
         let detail = format!("about {needed_ms} ms are needed and {left_ms} ms are left");
         let notice = RefusalNotice::new(ResultCode::DeadlineTooNear, detail);
-        Some(notice.retry_after_ms(self.retry_ms(ahead, now)))
+        let return_ms = match ahead {
+            0 => self.retry_ms(ahead, now),
+            _ => spread_return_ms(ask, wait_ms, now),
+        };
+        Some(notice.retry_after_ms(return_ms))
     }
 }
--- a/tests/crest.rs
+++ b/tests/crest.rs
@@ -20,6 +20,9 @@
 const TOKEN_US: u64 = 4_000;
 const PROMPT_TOKENS_PER_MS: u64 = 33;
 
+/// How much longer a decode engine takes for a prompt, which it runs between the tokens of others.
+const OWN_RUN_FACTOR: u64 = 3;
+
 /// Prompts from which on a tenth is larger.
 const LARGE_TOKENS: u32 = 4_800;
 
@@ -298,7 +301,7 @@
                         *free = (*free).max(now.0) + prompt_ms;
                         *free
                     }
-                    None => now.0 + 2 * prompt_ms,
+                    None => now.0 + OWN_RUN_FACTOR * prompt_ms,
                 };
                 self.callers[index].decode = Some(decode);
                 self.steps
@@ -413,3 +416,17 @@
     });
     assert_eq!(result.refused, 0, "{result:?}");
 }
+
+/// Where too few prefill engines are left, what they can do is not spent on prompts that are late then.
+#[test]
+fn prompts_that_would_be_late_do_not_use_up_the_prefill_engines() {
+    for seed in 1..=2 {
+        let plan = CrestPlan {
+            prefills: 3,
+            seed,
+            ..PLAN
+        };
+        let result = play(plan);
+        assert!(result.late * 20 <= result.in_time, "{result:?}");
+    }
+}
