--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -302,27 +302,13 @@
                     return StreamEnd::Done(self.finish(&answer, cutter.rest()).await);
                 }
                 Some(Err(error)) => {
-                    spdlog::error!(
-                        "event=stream_broken request={} replica={} last_event={} reason=\"{error}\"",
-                        self.request.facts.id,
-                        place.decode.id,
-                        self.last_event.unwrap_or_default()
-                    );
-                    place.note_decode(EngineEnd::Failed);
-                    return StreamEnd::Broken;
+                    return self.break_off(&mut place, &error.to_string());
                 }
                 None => return StreamEnd::Broken,
             };
             let events = cutter.push(&piece);
             if cutter.is_overlong() {
-                spdlog::error!(
-                    "event=stream_broken request={} replica={} last_event={} reason=\"an event without an end\"",
-                    self.request.facts.id,
-                    place.decode.id,
-                    self.last_event.unwrap_or_default()
-                );
-                place.note_decode(EngineEnd::Failed);
-                return StreamEnd::Broken;
+                return self.break_off(&mut place, "an event without an end");
             }
             if events.is_empty() {
                 continue;
@@ -335,6 +321,18 @@
         }
     }
 
+    /// Notes that a decode engine's stream broke.
+    fn break_off(&self, place: &mut EnginePlace, reason: &str) -> StreamEnd {
+        spdlog::error!(
+            "event=stream_broken request={} replica={} last_event={} reason=\"{reason}\"",
+            self.request.facts.id,
+            place.decode.id,
+            self.last_event.unwrap_or_default()
+        );
+        place.note_decode(EngineEnd::Failed);
+        StreamEnd::Broken
+    }
+
     /// Notes that events are passed on.
     fn note_events(&self, count: u64) {
         let now = clock::now();
--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -3,31 +3,18 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use crate::node::{GatewayNode, publish_config, wait_until};
+use crate::fixture::start_desk;
+use crate::node::wait_until;
 use crate::replica::{ReplicaMood, StandInReplica};
-use crate::store::StandInStore;
 use crate::wire::request;
 
-/// A node with two replicas of one plain service.
-fn start(first: ReplicaMood, second: ReplicaMood) -> (StandInStore, GatewayNode, [StandInReplica; 2]) {
-    let store = StandInStore::start();
-    publish_config(&store, 1);
-    let replicas = [
-        StandInReplica::start(&store, "i-1", "desk", None, first),
-        StandInReplica::start(&store, "i-2", "desk", None, second),
-    ];
-    let node = GatewayNode::start(&store, "vm-1", &[]);
-    node.wait_ready();
-    (store, node, replicas)
-}
-
 fn runs(replicas: &[StandInReplica], id: &str) -> usize {
     replicas.iter().map(|replica| replica.seen(id).len()).sum()
 }
 
 #[test]
 fn a_call_passes_unchanged_both_ways() {
-    let (_store, node, replicas) = start(ReplicaMood::Well, ReplicaMood::Well);
+    let (_store, node, replicas) = start_desk([ReplicaMood::Well, ReplicaMood::Well]);
     let target = "/read/a%2Fb/../c?x=%20&x=1";
     let text = request(
         "POST",
@@ -55,7 +42,7 @@
 #[test]
 fn a_request_that_was_not_run_is_sent_to_another_replica() {
     for mood in [ReplicaMood::NotRun, ReplicaMood::Misdirected] {
-        let (_store, node, replicas) = start(mood, ReplicaMood::Well);
+        let (_store, node, replicas) = start_desk([mood, ReplicaMood::Well]);
         for number in 0..6 {
             let id = format!("q-{number}");
             let path = if number % 2 == 0 { "/read" } else { "/book" };
@@ -74,7 +61,7 @@
 #[test]
 fn what_may_have_run_is_sent_once_on_a_route_that_runs_once() {
     for mood in [ReplicaMood::Breaks, ReplicaMood::Unsigned, ReplicaMood::OtherId] {
-        let (_store, node, replicas) = start(mood, mood);
+        let (_store, node, replicas) = start_desk([mood; 2]);
         for number in 0..4 {
             let id = format!("q-{number}");
             // After a stray answer the request's own one may still come; the caller's deadline ends that wait.
@@ -98,7 +85,7 @@
 #[test]
 fn an_idempotent_call_outlives_a_replica_that_breaks_or_answers_nonsense() {
     for mood in [ReplicaMood::Breaks, ReplicaMood::Unsigned, ReplicaMood::OtherId] {
-        let (_store, node, _replicas) = start(mood, ReplicaMood::Well);
+        let (_store, node, _replicas) = start_desk([mood, ReplicaMood::Well]);
         for number in 0..4 {
             let answer = node.ask(&request(
                 "POST",
@@ -120,7 +107,7 @@
 
 #[test]
 fn what_can_not_be_served_is_refused_at_once() {
-    let (_store, node, replicas) = start(ReplicaMood::Well, ReplicaMood::Well);
+    let (_store, node, replicas) = start_desk([ReplicaMood::Well, ReplicaMood::Well]);
     let began = Instant::now();
     let empty = node.ask(&request("GET", "shop.example", "/empty", "q-1", "", ""));
     assert_eq!(empty.status(), 503);
@@ -135,7 +122,7 @@
 
 #[test]
 fn requests_with_two_readings_reach_no_replica() {
-    let (_store, node, replicas) = start(ReplicaMood::Well, ReplicaMood::Well);
+    let (_store, node, replicas) = start_desk([ReplicaMood::Well, ReplicaMood::Well]);
     let head = "POST /read HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: q-1\r\n";
     let smuggled = "GET /book HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: q-2\r\n\r\n";
     for lines in [
@@ -154,7 +141,7 @@
 
 #[test]
 fn a_caller_that_dawdles_over_its_head_holds_nothing() {
-    let (_store, node, _replicas) = start(ReplicaMood::Well, ReplicaMood::Well);
+    let (_store, node, _replicas) = start_desk([ReplicaMood::Well, ReplicaMood::Well]);
     let mut slow = TcpStream::connect(node.callers()).expect("a connection");
     std::io::Write::write_all(&mut slow, b"POST /read HTTP/1.1\r\nHost: sh").expect("a few bytes");
     let began = Instant::now();
@@ -169,7 +156,7 @@
 
 #[test]
 fn each_request_has_one_last_line_that_explain_reads() {
-    let (_store, node, _replicas) = start(ReplicaMood::Breaks, ReplicaMood::Breaks);
+    let (_store, node, _replicas) = start_desk([ReplicaMood::Breaks, ReplicaMood::Breaks]);
     let answer = node.ask(&request("POST", "shop.example", "/book", "q-1", "", "x"));
     assert!(answer.status() >= 500);
     wait_until("the last line is written", || node.log().contains("event=ended"));
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -47,20 +47,13 @@
     all.filter(|request| request.start.starts_with("POST")).collect()
 }
 
-fn event_ids(answer: &Message) -> Vec<u64> {
-    let text = answer.text();
-    text.lines()
-        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
-        .collect()
-}
-
 #[test]
 fn a_prompt_runs_on_one_engine_and_its_answer_on_another() {
     let engines = start();
     let answer = engines.node.ask(&generation("q-1"));
     assert_eq!(answer.status(), 200, "{}", engines.node.log());
     assert!(answer.is_whole);
-    assert_eq!(event_ids(&answer), (1..=STREAM_EVENTS).collect::<Vec<_>>());
+    assert_eq!(answer.event_ids(), (1..=STREAM_EVENTS).collect::<Vec<_>>());
     let prompts = seen(&engines.prefills, "q-1");
     assert_eq!(
         (prompts.len(), prompts[0].header("X-Serving-Phase")),
@@ -101,7 +94,7 @@
         decode.set_mood(ReplicaMood::BreaksStream);
     }
     let answer = engines.node.ask(&generation("q-1"));
-    let ids = event_ids(&answer);
+    let ids = answer.event_ids();
     assert!(!answer.is_whole || answer.status() >= 500, "{answer:?}");
     assert!(
         ids.iter().zip(1..).all(|(id, expected)| *id == expected),
@@ -129,7 +122,7 @@
         "{}",
         engines.node.log()
     );
-    assert_eq!(event_ids(&answer).len() as u64, STREAM_EVENTS);
+    assert_eq!(answer.event_ids().len() as u64, STREAM_EVENTS);
     let began = Instant::now();
     wait_until("the process has left", || engines.node.has_left());
     assert!(began.elapsed() < Duration::from_secs(4), "within its time");
@@ -197,7 +190,7 @@
     let answer = engines.node.ask(&text);
     assert!(answer.is_whole, "{}", engines.node.log());
     let expected: Vec<u64> = (1..=STREAM_EVENTS).collect();
-    assert_eq!(event_ids(&answer), expected, "{answer:?}");
+    assert_eq!(answer.event_ids(), expected, "{answer:?}");
     wait_until("the log tells", || {
         engines.node.log().contains("event=resumed request=q-1")
     });
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod endless;
 mod faults;
+mod fixture;
 mod generations;
 mod node;
 mod replica;
--- a/tests/platform/replica_words.rs
+++ b/tests/platform/replica_words.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::fixture::start_desk;
 use crate::node::{GatewayNode, publish_config, wait_until};
 use crate::replica::{BACK_OFF_S, ReplicaMood, StandInReplica};
 use crate::store::StandInStore;
@@ -16,18 +17,6 @@
 /// The most requests that a replica may get while it backs off, as the pages say.
 const MOST_WHILE_BACKING_OFF: usize = 2;
 
-fn start_desk(first: ReplicaMood, second: ReplicaMood) -> (StandInStore, GatewayNode, [StandInReplica; 2]) {
-    let store = StandInStore::start();
-    publish_config(&store, 1);
-    let replicas = [
-        StandInReplica::start(&store, "i-1", "desk", None, first),
-        StandInReplica::start(&store, "i-2", "desk", None, second),
-    ];
-    let node = GatewayNode::start(&store, "vm-1", &[]);
-    node.wait_ready();
-    (store, node, replicas)
-}
-
 fn call(path: &str, id: &str) -> String {
     request("POST", "shop.example", path, id, "", "x")
 }
@@ -55,7 +44,7 @@
 
 #[test]
 fn a_replica_that_says_it_leaves_gets_no_new_calls() {
-    let (store, node, replicas) = start_desk(ReplicaMood::Leaving, ReplicaMood::NotRun);
+    let (store, node, replicas) = start_desk([ReplicaMood::Leaving, ReplicaMood::NotRun]);
     wait_until("it was asked", || {
         node.ask(&call("/read", "q-0"));
         replicas[0].count() > 0
@@ -87,7 +76,7 @@
 
 #[test]
 fn a_later_start_of_a_replica_that_left_is_another_one() {
-    let (store, node, replicas) = start_desk(ReplicaMood::Leaving, ReplicaMood::Leaving);
+    let (store, node, replicas) = start_desk([ReplicaMood::Leaving, ReplicaMood::Leaving]);
     wait_until("both were asked", || {
         node.ask(&call("/read", "q-0"));
         replicas.iter().all(|replica| replica.count() > 0)
@@ -104,7 +93,7 @@
 
 #[test]
 fn peers_hear_that_a_replica_leaves() {
-    let (store, node, replicas) = start_desk(ReplicaMood::Leaving, ReplicaMood::NotRun);
+    let (store, node, replicas) = start_desk([ReplicaMood::Leaving, ReplicaMood::NotRun]);
     let other = GatewayNode::start(&store, "vm-2", &[&node]);
     other.wait_ready();
     wait_until("the first node was told", || {
@@ -165,7 +154,7 @@
 
 #[test]
 fn a_replica_that_backs_off_is_left_alone() {
-    let (_store, node, replicas) = start_desk(ReplicaMood::BacksOff, ReplicaMood::NotRun);
+    let (_store, node, replicas) = start_desk([ReplicaMood::BacksOff, ReplicaMood::NotRun]);
     wait_until("it turned a request away", || {
         node.ask(&call("/read", "q-0"));
         replicas[0].count() > 0
@@ -204,7 +193,7 @@
 
 #[test]
 fn callers_are_told_when_the_first_replica_comes_back() {
-    let (_store, node, replicas) = start_desk(ReplicaMood::BacksOff, ReplicaMood::BacksOff);
+    let (_store, node, replicas) = start_desk([ReplicaMood::BacksOff, ReplicaMood::BacksOff]);
     wait_until("both turned a request away", || {
         node.ask(&call("/read", "q-0"));
         replicas.iter().all(|replica| replica.count() > 0)
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -237,11 +237,7 @@
     let answer = record.answer.as_ref()?;
     match answer.status() {
         200 if record.path == "/stream" => {
-            let text = answer.text();
-            let ids: Vec<u64> = text
-                .lines()
-                .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
-                .collect();
+            let ids = answer.event_ids();
             let is_gapless = ids.iter().zip(1..).all(|(id, expected)| *id == expected);
             let is_short = answer.is_whole && ids.len() as u64 != STREAM_EVENTS;
             (!is_gapless || is_short)
--- a/tests/platform/stories.rs
+++ b/tests/platform/stories.rs
@@ -6,23 +6,11 @@
 use std::time::{Duration, Instant};
 
 use crate::faults::{EndlessBytes, TruncatedBody};
+use crate::fixture::start_desk;
 use crate::node::{GatewayNode, publish_config, wait_until};
 use crate::replica::{ReplicaMood, STREAM_EVENTS, StandInReplica};
 use crate::store::{StandInStore, StoreMood};
-use crate::wire::{Message, exchange, read_answer, request};
-
-fn start_desk(moods: [ReplicaMood; 2]) -> (StandInStore, GatewayNode, [StandInReplica; 2]) {
-    let store = StandInStore::start();
-    publish_config(&store, 1);
-    let [first, second] = moods;
-    let replicas = [
-        StandInReplica::start(&store, "i-1", "desk", None, first),
-        StandInReplica::start(&store, "i-2", "desk", None, second),
-    ];
-    let node = GatewayNode::start(&store, "vm-1", &[]);
-    node.wait_ready();
-    (store, node, replicas)
-}
+use crate::wire::{exchange, read_answer, request};
 
 fn start_engines(store: &StandInStore, decode: ReplicaMood) -> [StandInReplica; 2] {
     [("i-p1", "prefill", ReplicaMood::Well), ("i-d1", "decode", decode)]
@@ -33,13 +21,6 @@
     request("POST", "shop.example", path, id, "X-Token-Count: 300,40\r\n", id)
 }
 
-fn event_ids(answer: &Message) -> Vec<u64> {
-    let text = answer.text();
-    text.lines()
-        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
-        .collect()
-}
-
 /// A late second copy of an answer reaches nobody, whether it comes before the next request on its connection, after it, or
 /// between the two.
 #[test]
@@ -129,7 +110,7 @@
     node.wait_ready();
     let answer = node.ask(&call("/stream", "q-1"));
     assert!(answer.is_whole, "{}", node.log());
-    assert_eq!(event_ids(&answer), (1..=STREAM_EVENTS).collect::<Vec<_>>());
+    assert_eq!(answer.event_ids(), (1..=STREAM_EVENTS).collect::<Vec<_>>());
 }
 
 #[test]
@@ -228,7 +209,7 @@
     }
     let answer = running.join().expect("the caller's thread").expect("an answer");
     assert!(answer.is_whole, "{}", node.log());
-    assert_eq!(event_ids(&answer), (1..=STREAM_EVENTS).collect::<Vec<_>>());
+    assert_eq!(answer.event_ids(), (1..=STREAM_EVENTS).collect::<Vec<_>>());
     assert_eq!(engines[1].runs("q-1"), 1);
 }
 
@@ -252,7 +233,7 @@
         nodes[frozen].signal("CONT");
         let answer = running.join().expect("the caller's thread").expect("an answer");
         assert!(answer.is_whole, "{}", nodes[asked].log());
-        assert_eq!(event_ids(&answer), (1..=STREAM_EVENTS).collect::<Vec<_>>());
+        assert_eq!(answer.event_ids(), (1..=STREAM_EVENTS).collect::<Vec<_>>());
         assert_eq!(engines[1].runs(&id), 1);
     }
 }
--- a/tests/platform/wire.rs
+++ b/tests/platform/wire.rs
@@ -50,6 +50,14 @@
             .unwrap_or_default()
     }
 
+    /// The ids of a stream's events.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let text = self.text();
+        text.lines()
+            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+            .collect()
+    }
+
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
