Keep generations of the own interface that may wait, or have begun, through a crowd

Cause: the refusal at a crest also met streams of the own interface that resumed after a failure, and work whose callers don't mind a late answer. The fault matrix showed it: stream_survives_crossed_answers, refused with 2001 in the middle of an answer. Ruled out: the standing of engines (the answer was refused by the ledger, not by an engine). Change: an ask says whether it is served late rather than refused; those two kinds do, and resumed streams of the gateway. Conclusion: each interface says what its callers put up with.

--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -106,7 +106,7 @@
         is_retry: false,
         avoid: Vec::new(),
         barred: Vec::new(),
-        has_begun: false,
+        may_be_late: false,
     }
 }
 
--- a/src/controllers/slots/ledger/admission.rs
+++ b/src/controllers/slots/ledger/admission.rs
@@ -65,7 +65,7 @@
         let was_crowded = self.crowd.is_crowded(now);
         self.crowd.note_unplaced(now);
         let wait_ms = self.expected_wait_ms(ahead, now);
-        if ask.has_begun || !was_crowded || self.is_in_time(ask, wait_ms, now) {
+        if ask.may_be_late || !was_crowded || self.is_in_time(ask, wait_ms, now) {
             return None;
         }
         let detail = format!("about {wait_ms} ms to wait behind {ahead} requests");
@@ -78,7 +78,7 @@
         let is_hopeless = now.until_ms(ask.deadline) < self.service_ms(ask)
             || now.after_ms(self.first_token_ms(ask)) > ask.give_up_at;
         let may_wait = self.is_in_time(ask, 0, now);
-        let is_displacing = self.crowd.is_crowded(now) && !ask.has_begun && !may_wait;
+        let is_displacing = self.crowd.is_crowded(now) && !ask.may_be_late && !may_wait;
         is_hopeless || is_displacing
     }
 }
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -58,8 +58,8 @@
     pub prefix: Vec<u64>,
     /// When the answer must be whole.
     pub deadline: Moment,
-    /// Whether its caller has a part of the answer already.
-    pub has_begun: bool,
+    /// Whether it is served late rather than refused: its caller has a part of the answer, or does not mind.
+    pub may_be_late: bool,
     /// Whether a decode engine may run the prompt itself where no prefill engine can.
     pub may_skip_prefill: bool,
     /// Whether this is another try, which the workspace's retry budget must cover.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -136,7 +136,7 @@
         give_up_at: request.received_at.after_ms(rule.patience_ms()),
         prefix: Vec::new(),
         deadline: request.deadline.max(clock::now()),
-        has_begun: false,
+        may_be_late: false,
         may_skip_prefill: true,
         is_retry: false,
         avoid: avoid.to_vec(),
@@ -166,7 +166,7 @@
     let done_tokens = u32::try_from(done_tokens).unwrap_or(u32::MAX);
     PlacementAsk {
         priority: 0,
-        has_begun: true,
+        may_be_late: true,
         prompt_tokens: fresh.prompt_tokens.saturating_add(done_tokens),
         max_tokens: fresh.max_tokens.saturating_sub(done_tokens).max(1),
         expected_tokens: fresh.expected_tokens.saturating_sub(done_tokens).max(1),
--- a/src/peers/convert/slots.rs
+++ b/src/peers/convert/slots.rs
@@ -59,7 +59,7 @@
         first_token_ms: now.until_ms(ask.first_token_by),
         may_skip_prefill: ask.may_skip_prefill,
         give_up_ms: now.until_ms(ask.give_up_at),
-        has_begun: ask.has_begun,
+        may_be_late: ask.may_be_late,
     }
 }
 
@@ -85,7 +85,7 @@
             first_token_by: now.after_ms(frame.first_token_ms),
             may_skip_prefill: frame.may_skip_prefill,
             give_up_at: now.after_ms(frame.give_up_ms),
-            has_begun: frame.has_begun,
+            may_be_late: frame.may_be_late,
         },
     })
 }
--- a/src/peers/wire/slots.rs
+++ b/src/peers/wire/slots.rs
@@ -67,9 +67,9 @@
     /// Engines that want nothing from the asking VM now.
     #[prost(string, repeated, tag = "17")]
     pub barred: Vec<String>,
-    /// Whether its caller has a part of the answer already.
+    /// Whether it is served late rather than refused: its caller has a part of the answer, or does not mind.
     #[prost(bool, tag = "18")]
-    pub has_begun: bool,
+    pub may_be_late: bool,
 }
 
 /// A refusal.
--- a/src/traffic/generate/placement.rs
+++ b/src/traffic/generate/placement.rs
@@ -46,7 +46,7 @@
             may_skip_prefill: false,
             is_retry,
             barred: Vec::new(),
-            has_begun: false,
+            may_be_late: work.may_wait || is_retry,
             avoid: avoid.to_vec(),
         };
         let asked_at = clock::now();
--- a/tests/crest.rs
+++ b/tests/crest.rs
@@ -219,7 +219,7 @@
             give_up_at: asked_at.after_ms(PATIENCE_MS),
             prefix: Vec::new(),
             deadline: asked_at.after_ms(DEADLINE_MS),
-            has_begun: false,
+            may_be_late: false,
             may_skip_prefill: true,
             is_retry: false,
             avoid: Vec::new(),
--- a/tests/properties/slots.rs
+++ b/tests/properties/slots.rs
@@ -93,7 +93,7 @@
         is_retry: false,
         avoid: Vec::new(),
         barred: Vec::new(),
-        has_begun: false,
+        may_be_late: false,
     }
 }
 
