Name engines that have left to their owners, too

Ruled out: back-offs, which went with each ask already. Change: engines that get nothing from the asker go with each ask, for either reason.

--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -97,11 +97,16 @@
         holds.then_some(known.until)
     }
 
-    /// Replicas of a service that want nothing from this node now.
-    pub fn backing_off(&self, service: &str, now: Moment) -> Vec<ReplicaId> {
+    /// Whether a replica gets no callers' requests from this node now, since it backs off or has left.
+    pub fn is_withheld(&self, record: &ReplicaRecord, now: Moment) -> bool {
+        self.back_off_until(record, now).is_some() || self.is_stopped(record, now)
+    }
+
+    /// Replicas of a service that get no callers' requests from this node now.
+    pub fn withheld(&self, service: &str, now: Moment) -> Vec<ReplicaId> {
         let records = self.standings.values().map(|standing| &standing.record);
         records
-            .filter(|record| &*record.service == service && self.back_off_until(record, now).is_some())
+            .filter(|record| &*record.service == service && self.is_withheld(record, now))
             .map(|record| record.id.clone())
             .collect()
     }
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -66,7 +66,8 @@
     pub is_retry: bool,
     /// Engines that this request has failed on; they are asked again where no others are left.
     pub avoid: Vec<Arc<str>>,
-    /// Engines that want nothing from the asking VM now; they are never granted.
+    /// Engines that get nothing from the asking VM now, since they back off or have left; they are never granted. Their
+    /// owner may not have heard of it.
     pub barred: Vec<Arc<str>>,
 }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -85,8 +85,7 @@
         let now = clock::now();
         let engines = std::iter::once(&self.decode).chain(&self.prefill);
         self.context.with_book(|book| {
-            let mut withheld = engines
-                .filter(|record| book.back_off_until(record, now).is_some() || book.is_stopped(record, now));
+            let mut withheld = engines.filter(|record| book.is_withheld(record, now));
             withheld.next().map(|record| record.id.clone())
         })
     }
@@ -140,7 +139,7 @@
         may_skip_prefill: true,
         is_retry: false,
         avoid: avoid.to_vec(),
-        barred: context.with_book(|book| book.backing_off(&request.service, clock::now())),
+        barred: context.with_book(|book| book.withheld(&request.service, clock::now())),
     };
     let (events, last_event_at) = {
         let record = request.trace.record();
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -249,7 +249,11 @@
     let (record, now) = (request.replica, clock::now());
     let is_callers = !request.request_id.is_empty();
     context.with_book(|book| {
-        book.back_off_until(record, now).is_some() || (is_callers && book.is_stopped(record, now))
+        if is_callers {
+            book.is_withheld(record, now)
+        } else {
+            book.back_off_until(record, now).is_some()
+        }
     })
 }
 
--- a/src/peers/wire/slots.rs
+++ b/src/peers/wire/slots.rs
@@ -64,7 +64,7 @@
     /// The availability zone of the VM that serves it.
     #[prost(string, tag = "16")]
     pub zone: String,
-    /// Engines that want nothing from the asking VM now.
+    /// Engines that get nothing from the asking VM now.
     #[prost(string, repeated, tag = "17")]
     pub barred: Vec<String>,
     /// Whether it is served late rather than refused: its caller has a part of the answer, or does not mind.
--- a/tests/back_off.rs
+++ b/tests/back_off.rs
@@ -75,6 +75,20 @@
     assert!(book.choose(&ASK, Moment(500)).is_some());
 }
 
+/// An owner that has not heard that an engine left would grant it for ever, if the asker did not tell.
+#[test]
+fn what_backs_off_and_what_has_left_is_named_to_owners() {
+    let mut leaving = facts("i-1", 1);
+    leaving.stop_at = Some(Moment(500));
+    let replicas = [leaving, facts("i-2", 1), facts("i-3", 1)];
+    let mut book = book(&replicas);
+    assert!(book.withheld("desk", Moment(499)).is_empty());
+    book.note_back_off(&replicas[1].record, Moment(2_000));
+    let mut withheld = book.withheld("desk", Moment(500));
+    withheld.sort();
+    assert_eq!(withheld, ["i-1".into(), "i-2".into()] as [Arc<str>; 2]);
+}
+
 fn core() -> ControlCore {
     let own = OwnIdentity {
         name: "vm-1".into(),
