Refuse nobody for rates that an owner has only assumed

An owner that has just started assumes 8,000 prompt tokens a second of each engine, a quarter of what they do, and refused the storm after a restart for that; its callers came back seconds later. As soon as one engine was measured, the others were passed over for it although they were idle. Change: without any measured rate nobody is refused as late; engines without a rate have that of the fastest one. Conclusion: a refusal says what is known.

--- a/src/controllers/slots/ledger/admission.rs
+++ b/src/controllers/slots/ledger/admission.rs
@@ -50,9 +50,11 @@
 }
 
 impl GroupLedger {
-    /// Whether a request that would get its engines after a wait has its first token in time.
+    /// Whether a request that would get its engines after a wait has its first token in time, as far as is known: an owner
+    /// that has just started has no rates, and refuses nobody for what it assumes.
     pub(super) fn is_in_time(&self, ask: &PlacementAsk, wait_ms: u64, now: Moment) -> bool {
-        now.after_ms(wait_ms + self.first_token_ms(ask)) <= ask.first_token_by
+        self.fastest_rate().is_none()
+            || now.after_ms(wait_ms + self.first_token_ms(ask)) <= ask.first_token_by
     }
 
     /// A refusal for a request that found no room, unless it may wait.
--- a/src/controllers/slots/ledger/estimate.rs
+++ b/src/controllers/slots/ledger/estimate.rs
@@ -42,6 +42,14 @@
         prefill_ms.max(end.map_or(0, |end| now.until_ms(*end)))
     }
 
+    /// The rate of the fastest prefill engine; `None` while none is measured.
+    pub(super) fn fastest_rate(&self) -> Option<u64> {
+        self.prefill
+            .values()
+            .filter_map(PrefillReplica::measured_rate)
+            .max()
+    }
+
     /// How long the prefill engines need for what was given to them and what waits for them, in milliseconds.
     pub(super) fn prefill_wait_ms(&self) -> u64 {
         let tokens = |replica: &PrefillReplica| replica.pending_tokens + replica.deferred_tokens;
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -282,6 +282,11 @@
         if let Some(engine) = lease.prefill.as_ref().and_then(|name| self.prefill.get_mut(name)) {
             engine.end(uncached_tokens, end == EngineEnd::Fine, now);
         }
+        if let Some(rate) = self.fastest_rate() {
+            self.prefill
+                .values_mut()
+                .for_each(|engine| engine.assume_rate(rate));
+        }
     }
 
     /// Takes a request's slots back, or takes it out of the queue.
--- a/src/controllers/slots/replica.rs
+++ b/src/controllers/slots/replica.rs
@@ -9,7 +9,7 @@
 use crate::controllers::services::smooth;
 use crate::prelude::*;
 
-/// The prefill rate assumed for an engine that has none measured, in tokens a second.
+/// The prefill rate assumed while none is measured of any engine, in tokens a second.
 pub const DEFAULT_PREFILL_RATE: u64 = 8_000;
 
 /// The fewest prompt tokens from which a prefill rate is worked out.
@@ -84,7 +84,7 @@
     pub running: u32,
     /// Their uncached tokens.
     pub pending_tokens: u64,
-    /// Uncached tokens that it runs in a second.
+    /// Uncached tokens that it runs in a second; that of the fastest engine while it has none measured.
     pub rate: u64,
     /// What it is believed to have cached.
     pub memory: PrefixMemory,
@@ -146,6 +146,18 @@
         }
     }
 
+    /// The rate, once it is measured.
+    pub fn measured_rate(&self) -> Option<u64> {
+        self.is_measured.then_some(self.rate)
+    }
+
+    /// Takes another engine's rate for its own for as long as it has none measured, so that it is not passed over for them.
+    pub fn assume_rate(&mut self, rate: u64) {
+        if !self.is_measured {
+            self.rate = rate;
+        }
+    }
+
     /// The time until a prompt of so many uncached tokens would be done, in microseconds.
     pub fn cost_us(&self, uncached_tokens: u64) -> u64 {
         let ahead = self.pending_tokens + self.deferred_tokens;
--- a/tests/crest.rs
+++ b/tests/crest.rs
@@ -51,6 +51,8 @@
     lost: usize,
     /// The load of the burst, as a part of what all engines can do.
     burst_percent: u64,
+    /// Requests that come together as the burst begins, to an owner that knows nothing yet; zero for a day like others.
+    storm: usize,
     seed: u64,
 }
 
@@ -182,6 +184,13 @@
         let capacity = self.capacity_per_s();
         let mut at_ms = 0.0;
         while at_ms < DAY_MS as f64 {
+            if self.plan.storm > 0 && at_ms < BURST_FROM_MS as f64 {
+                at_ms = BURST_FROM_MS as f64;
+                for _ in 0..self.plan.storm {
+                    let caller = self.draw_caller(BURST_FROM_MS);
+                    self.push_caller(caller, BURST_FROM_MS);
+                }
+            }
             let is_burst = (BURST_FROM_MS..BURST_TO_MS).contains(&(at_ms as u64));
             let percent = if is_burst {
                 self.plan.burst_percent
@@ -350,6 +359,7 @@
     prefills: 11,
     lost: 0,
     burst_percent: 100,
+    storm: 0,
     seed: 1,
 };
 
@@ -430,3 +440,15 @@
         assert!(result.late * 20 <= result.in_time, "{result:?}");
     }
 }
+
+/// An owner that starts into a storm of requests, with idle engines, uses all of them and refuses none of the first second's
+/// for rates that it has not measured.
+#[test]
+fn an_owner_that_has_just_started_uses_all_engines() {
+    let result = play(CrestPlan {
+        storm: 60,
+        burst_percent: 50,
+        ..PLAN
+    });
+    assert!(result.in_time * 20 >= result.asked * 19, "{result:?}");
+}
