Let both engines say that they leave before the test counts on it

Its log shows that i-d1 had answered before it was told to say that it leaves, so the wait for its first request was over at once; it said so to a later request, within the test's count. The second engine was preferred meanwhile by the pace that the first had shown, which is why it passes where paces are too short to measure. Ruled out: the product; after i-d1 said so (66.050) nothing reached it. Change: both engines are told before the first request, which must reach both; check and bound are as before.

--- a/tests/platform/replica_words.rs
+++ b/tests/platform/replica_words.rs
@@ -130,13 +130,13 @@
 #[test]
 fn engines_that_say_they_leave_get_no_prompts_and_no_streams() {
     let (_store, node, engines) = start_engines();
-    for leaving in [0, 2] {
-        engines[leaving].set_mood(ReplicaMood::Leaving);
-        wait_until("it was asked", || {
-            node.ask(&generation("q-0"));
-            engines[leaving].count() > 0
-        });
-    }
+    // The first generation goes to the first engine of each kind, since nothing tells them apart yet.
+    let leaving = [&engines[0], &engines[2]];
+    leaving
+        .iter()
+        .for_each(|engine| engine.set_mood(ReplicaMood::Leaving));
+    node.ask(&generation("q-0"));
+    assert!(leaving.iter().all(|engine| engine.count() == 1), "{}", node.log());
     std::thread::sleep(DRAIN_LIMIT);
     let before = [engines[0].count(), engines[2].count()];
     let answers = ask_until(&node, Instant::now() + Duration::from_millis(800), |number| {
