Ask once what was asked twice, and share the engines' fixture

Cause, found by reading the whole change: the check for 'gets nothing any more' stood in three places of the book; a request on a kept connection was checked twice with nothing between; each waiting request's first token was forecast also without a crowd; the map of replicas was copied to learn that nothing changes in it; tests started the same four engines in two places. Change: one method for the check, the second look after connecting only, forecasts and copies where they are needed, one fixture; a lock's wrapper went.

--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -274,9 +274,11 @@
         if !self.leaving.note(id, started_epoch_ms, stop_at) {
             return;
         }
-        let known = Arc::make_mut(&mut turn.board.replicas).get_mut(id);
-        if let Some(facts) = known.filter(|facts| facts.record.started_epoch_ms == started_epoch_ms)
-            && facts.stop_at.is_none()
+        let stays = |facts: &ReplicaFacts| {
+            facts.record.started_epoch_ms == started_epoch_ms && facts.stop_at.is_none()
+        };
+        if turn.board.replicas.get(id).is_some_and(stays)
+            && let Some(facts) = Arc::make_mut(&mut turn.board.replicas).get_mut(id)
         {
             facts.stop_at = Some(stop_at);
             turn.log(format!(
--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -114,9 +114,7 @@
     /// When the first replica of a service takes requests again; `None` where one does now, or there is none.
     pub fn first_return(&self, service: &str, role: ReplicaRole, now: Moment) -> Option<Moment> {
         let staying = self.standings.values().filter(|standing| {
-            &*standing.record.service == service
-                && standing.record.role == role
-                && standing.stop_at.is_none_or(|at| !now.reached(at))
+            &*standing.record.service == service && standing.record.role == role && !standing.is_stopped(now)
         });
         let mut first: Option<Moment> = None;
         for standing in staying {
@@ -130,8 +128,7 @@
     pub fn is_stopped(&self, record: &ReplicaRecord, now: Moment) -> bool {
         let standing = self.standings.get(&record.id);
         standing.is_some_and(|standing| {
-            standing.record.started_epoch_ms == record.started_epoch_ms
-                && standing.stop_at.is_some_and(|at| now.reached(at))
+            standing.record.started_epoch_ms == record.started_epoch_ms && standing.is_stopped(now)
         })
     }
 
@@ -145,7 +142,7 @@
                 && record.role == ask.role
                 && !ask.avoid.contains(&record.id)
                 && self.back_off_until(record, now).is_none()
-                && standing.stop_at.is_none_or(|at| !now.reached(at));
+                && !standing.is_stopped(now);
             if !is_fit {
                 continue;
             }
--- a/src/controllers/dispatch/standing.rs
+++ b/src/controllers/dispatch/standing.rs
@@ -94,6 +94,11 @@
         self.stop_at = facts.stop_at;
     }
 
+    /// Whether it is leaving and gets nothing any more.
+    pub fn is_stopped(&self, now: Moment) -> bool {
+        self.stop_at.is_some_and(|at| now.reached(at))
+    }
+
     /// Notes a load that the replica reported.
     pub fn note_load(&mut self, load: ReplicaLoad, now: Moment) {
         self.load = Some((load, now.after_ms(LOAD_COUNTS_MS)));
--- a/src/controllers/slots/ledger/admission.rs
+++ b/src/controllers/slots/ledger/admission.rs
@@ -79,8 +79,6 @@
     pub(super) fn is_over(&self, ask: &PlacementAsk, now: Moment) -> bool {
         let is_hopeless = now.until_ms(ask.deadline) < self.service_ms(ask)
             || now.after_ms(self.first_token_ms(ask)) > ask.give_up_at;
-        let may_wait = self.is_in_time(ask, 0, now);
-        let is_displacing = self.crowd.is_crowded(now) && !ask.may_be_late && !may_wait;
-        is_hopeless || is_displacing
+        is_hopeless || (self.crowd.is_crowded(now) && !ask.may_be_late && !self.is_in_time(ask, 0, now))
     }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -225,12 +225,15 @@
     };
     let stream = match kept {
         Some(stream) => stream,
-        None => connect(&request).await?,
+        None => {
+            let stream = connect(&request).await?;
+            // Another answer of the replica may have come while this request waited for its connection.
+            if is_withheld(context, &request) {
+                return Err(ExchangeError::Withheld);
+            }
+            stream
+        }
     };
-    // Another answer of the replica may have come while this request waited for its connection.
-    if is_withheld(context, &request) {
-        return Err(ExchangeError::Withheld);
-    }
     // The process may have been suspended since the deadline was set; nothing has left yet.
     if clock::now().reached(request.deadline) {
         return Err(ExchangeError::Unsent {
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -112,17 +112,13 @@
             ticket,
             waiters: self.waiters.clone(),
         };
-        self.lock_waiters().insert(ticket, sender);
+        lock(&self.waiters).insert(ticket, sender);
         self.tell(make(ticket));
         let reply = receiver.await.ok();
         drop(guard);
         reply
     }
 
-    fn lock_waiters(&self) -> std::sync::MutexGuard<'_, FastMap<ReplyTicket, oneshot::Sender<Reply>>> {
-        lock(&self.waiters)
-    }
-
     /// The present view of the board.
     pub fn snapshot(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -17,3 +17,30 @@
     node.wait_ready();
     (store, node, replicas)
 }
+
+/// A node with two engines for prompts and two for answers.
+pub struct Engines {
+    pub store: StandInStore,
+    pub node: GatewayNode,
+    pub prefills: [StandInReplica; 2],
+    pub decodes: [StandInReplica; 2],
+}
+
+impl Engines {
+    pub fn start() -> Self {
+        let store = StandInStore::start();
+        publish_config(&store, 1);
+        let engine =
+            |id: &str, phase: &str| StandInReplica::start(&store, id, "llm", Some(phase), ReplicaMood::Well);
+        let prefills = [engine("i-p1", "prefill"), engine("i-p2", "prefill")];
+        let decodes = [engine("i-d1", "decode"), engine("i-d2", "decode")];
+        let node = GatewayNode::start(&store, "vm-1", &[]);
+        node.wait_ready();
+        Self {
+            store,
+            node,
+            prefills,
+            decodes,
+        }
+    }
+}
