Tell requests that end with their replicas, and what the controllers were told

Cause: nothing in logs or metrics could tell the hypotheses of the incident apart. A lost connection was one word in a line, no line had what equal requests have in common, and nobody could see which events reach the controllers. Change: fingerprint in routed, events request_lost, request_struck, request_cleared and extra_send, figures in retry_denied, metrics control_events, arrivals and budget_taken. Events have kinds; their enum has a file of its own. No decision changes. Ruled out: that the controller decides wrongly on the gateway.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -1,10 +1,12 @@
 //! What this node knows: one typed board that every controller reads and writes.
 
 mod engine;
+mod fingerprint;
 mod replica;
 mod vms;
 
 pub use engine::EngineView;
+pub use fingerprint::{Fingerprint, hash_parts};
 pub use replica::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
 pub use vms::{LiveView, VmTable};
 
@@ -20,9 +22,6 @@
 /// The random number a process draws at start, so that it is never taken for an earlier one.
 pub type Incarnation = u128;
 
-/// A hash that stands for the content of a request.
-pub type Fingerprint = u64;
-
 /// This node itself.
 #[derive(Clone, Debug)]
 pub struct OwnIdentity {
--- a/src/controllers/dispatch/budget.rs
+++ b/src/controllers/dispatch/budget.rs
@@ -22,6 +22,17 @@
     extra: u32,
 }
 
+/// What the budget says of one extra send, and the figures behind it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetVerdict {
+    /// Whether the send may go out; it is counted then.
+    pub is_covered: bool,
+    /// Extra sends of this node in the window before.
+    pub extra: u32,
+    /// How many it may make.
+    pub allowed: f64,
+}
+
 /// Counts the extra sends of each service.
 #[derive(Debug)]
 pub struct SendBudget {
@@ -67,8 +78,8 @@
         self.current(service, now).requests += 1;
     }
 
-    /// Takes one extra send, or says that none is left; `nodes` share the reserve.
-    pub fn take(&mut self, service: &Arc<str>, nodes: usize, now: Moment) -> bool {
+    /// Takes one extra send where one is left; `nodes` share the reserve.
+    pub fn take(&mut self, service: &Arc<str>, nodes: usize, now: Moment) -> BudgetVerdict {
         self.current(service, now);
         let parts = &self.services[service];
         let requests: u32 = parts.iter().map(|count| count.requests).sum();
@@ -79,6 +90,10 @@
         if is_covered {
             self.current(service, now).extra += 1;
         }
-        is_covered
+        BudgetVerdict {
+            is_covered,
+            extra,
+            allowed,
+        }
     }
 }
--- a/src/controllers/dispatch/mod.rs
+++ b/src/controllers/dispatch/mod.rs
@@ -5,5 +5,5 @@
 mod standing;
 
 pub use book::{DispatchAsk, DispatchBook};
-pub use budget::SendBudget;
+pub use budget::{BudgetVerdict, SendBudget};
 pub use standing::{ReplicaStanding, SendOutcome};
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod dispatch;
 pub mod drain;
+pub mod event;
 pub mod hedging;
 pub mod idempotency;
 pub mod membership;
@@ -23,218 +24,22 @@
 
 use std::sync::Arc;
 
-use crate::blackboard::{Fingerprint, Incarnation, ReplicaId};
+pub use event::{Event, EventKind, RegisterSource};
+
 use crate::prelude::*;
 use drain::DrainController;
-use idempotency::{IdempotencyController, IdempotencyKey, KeyOutcome, KeyRequest};
+use idempotency::IdempotencyController;
 use membership::MembershipController;
-use message::{KeyCall, PeerMessage, VmIntroduction};
+use message::{KeyCall, PeerMessage};
 use quarantine::QuarantineController;
 use revision::RevisionController;
-use services::{ServiceAsk, ServiceController, ServiceResult};
-use slots::{
-    EngineEnd, PlacementAsk, PlacementGrant, PlacementPolicy, PlacementResult, RequestId, SlotController,
-};
+use services::ServiceController;
+use slots::{PlacementGrant, PlacementPolicy, SlotController};
 
 /// Names a waiting task of the traffic side, so that a reply finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ReplyTicket(pub u64);
 
-/// Where an offered register came from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RegisterSource {
-    /// The configuration service.
-    Service,
-    /// A peer.
-    Peer(VmAddress),
-}
-
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick {
-        /// Requests that this node holds.
-        active_requests: u64,
-    },
-    /// A register was read from the service or passed on by a peer.
-    RegisterOffered {
-        /// Its number.
-        revision: Revision,
-        /// Its text.
-        text: Arc<str>,
-        /// Who offered it.
-        source: RegisterSource,
-    },
-    /// The configuration service answered that nothing newer is published.
-    RegisterConfirmed {
-        /// The newest revision that the service knows.
-        revision: Revision,
-    },
-    /// The list of replicas was read, in whole or what changed.
-    ReplicasRead {
-        /// What became known.
-        update: discovery::ReplicaUpdate,
-        /// The store's own state as it was read; it only grows, also where the latest entry of the list was removed.
-        store_revision: u64,
-    },
-    /// The list of replicas can be read, or no longer.
-    ListReachable {
-        /// Whether it can.
-        is_reachable: bool,
-    },
-    /// Another replica answers at a replica's address.
-    ReplicaReplaced {
-        /// The one that was expected.
-        replica: ReplicaId,
-    },
-    /// A replica said in an answer that it is about to leave.
-    ReplicaLeaving {
-        /// Which.
-        replica: ReplicaId,
-        /// Its start, since a later one does not leave.
-        started_epoch_ms: u64,
-    },
-    /// The VM list was read.
-    VmsListed {
-        /// All VMs on it.
-        vms: Vec<VmRecord>,
-    },
-    /// A peer introduced itself on a new link.
-    PeerJoined {
-        /// What it says of itself.
-        introduction: VmIntroduction,
-    },
-    /// A peer sent a message.
-    PeerMessage {
-        /// Its name.
-        from: VmAddress,
-        /// Its process.
-        incarnation: Incarnation,
-        /// The message.
-        message: PeerMessage,
-    },
-    /// A link that had carried messages ended, and not because it was idle.
-    LinkLost {
-        /// The VM at its other end.
-        vm: VmAddress,
-    },
-    /// A message could not be delivered.
-    PeerUnreachable {
-        /// The VM it was for.
-        vm: VmAddress,
-    },
-    /// A generation needs upstreams.
-    PlacementWanted {
-        /// Who waits.
-        ticket: ReplyTicket,
-        /// What it needs.
-        ask: PlacementAsk,
-    },
-    /// The prefill of a placed generation ended, so its engine is free for the next.
-    PrefillDone {
-        /// Which request.
-        request: RequestId,
-        /// How the engine behaved.
-        end: EngineEnd,
-    },
-    /// A placed generation ended, or one that waited for a place was given up.
-    PlacementDone {
-        /// Which request.
-        request: RequestId,
-        /// How it went.
-        result: PlacementResult,
-    },
-    /// A call needs a replica of a plain service.
-    ServiceWanted {
-        /// Who waits.
-        ticket: ReplyTicket,
-        /// What it needs.
-        ask: ServiceAsk,
-    },
-    /// A call to a plain service ended.
-    ServiceDone {
-        /// Which replica.
-        replica: Arc<str>,
-        /// How it went.
-        result: ServiceResult,
-    },
-    /// An upstream reported its load.
-    LoadReported {
-        /// Which upstream.
-        upstream: Arc<str>,
-        /// Requests it holds.
-        load: u32,
-    },
-    /// A request was running on an upstream as it died.
-    RequestDied {
-        /// The request's content.
-        fingerprint: Fingerprint,
-        /// Which upstream.
-        upstream: Arc<str>,
-        /// Which start of the upstream.
-        boot: u64,
-    },
-    /// A request ran to its end.
-    RequestCompleted {
-        /// The request's content.
-        fingerprint: Fingerprint,
-    },
-    /// A caller asks for an idempotency key.
-    KeyWanted {
-        /// Who waits.
-        ticket: ReplyTicket,
-        /// What it is for.
-        request: KeyRequest,
-    },
-    /// A call with a key of this process wants to run.
-    KeyClaimed {
-        /// Who waits.
-        ticket: ReplyTicket,
-        /// The key.
-        key: IdempotencyKey,
-        /// A hash of the call's content.
-        body_hash: u64,
-    },
-    /// A claimed call ended.
-    KeyFinished {
-        /// The key's serial.
-        serial: u64,
-        /// How it ended.
-        outcome: KeyOutcome,
-    },
-    /// A caller revokes a key of this process.
-    KeyRevoked {
-        /// Who waits.
-        ticket: ReplyTicket,
-        /// The key.
-        key: IdempotencyKey,
-    },
-    /// A call belongs to the owner of its key, another process.
-    KeyCallForwarded {
-        /// Who waits.
-        ticket: ReplyTicket,
-        /// The call.
-        call: KeyCall,
-    },
-    /// A call that a peer forwarded has its answer.
-    KeyCallAnswered {
-        /// The peer.
-        to: VmAddress,
-        /// The number the peer gave the call.
-        call_id: u64,
-        /// The answer.
-        answer: Result<idempotency::StoredAnswer, RefusalNotice>,
-    },
-    /// The process was told to leave.
-    LeaveOrdered {
-        /// Until when answers that name this node may be in use.
-        accept_until: Moment,
-        /// When the drain ends even if work is left.
-        exit_at: Moment,
-    },
-}
-
 /// The answer to a waiting task.
 #[derive(Clone, Debug)]
 pub enum Reply {
--- a/src/controllers/quarantine.rs
+++ b/src/controllers/quarantine.rs
@@ -22,18 +22,23 @@
 }
 
 impl QuarantineController {
-    /// Notes one death; whether it was news.
+    /// Notes one death; whether it was news. `source` says who saw it.
     fn strike(
         &mut self,
         fingerprint: Fingerprint,
         upstream: &Arc<str>,
         boot: u64,
+        source: &str,
         turn: &mut Turn<'_>,
     ) -> bool {
         let deaths = self.strikes.entry(fingerprint).or_default();
         if !deaths.insert((upstream.clone(), boot)) {
             return false;
         }
+        turn.log(format!(
+            "event=request_struck fingerprint={fingerprint:016x} upstream={upstream} start={boot} source={source} strikes={}",
+            deaths.len()
+        ));
         // An engine that has just died gets nothing until it has had time to come back.
         turn.board.upstream_mut(upstream).down_until = Some(turn.now.after_ms(DEAD_MS));
         let until = turn.now.after_ms(HOLD_MS);
@@ -48,9 +53,15 @@
         true
     }
 
-    fn clear(&mut self, fingerprint: Fingerprint, turn: &mut Turn<'_>) -> bool {
+    fn clear(&mut self, fingerprint: Fingerprint, source: &str, turn: &mut Turn<'_>) -> bool {
         self.strikes.remove(&fingerprint);
-        turn.board.suspects.remove(&fingerprint).is_some()
+        let is_news = turn.board.suspects.remove(&fingerprint).is_some();
+        if is_news {
+            turn.log(format!(
+                "event=request_cleared fingerprint={fingerprint:016x} source={source}"
+            ));
+        }
+        is_news
     }
 
     fn forget(&mut self, turn: &mut Turn<'_>) {
@@ -70,8 +81,15 @@
 
 impl QuarantineController {
     /// Notes a death; what is news is passed on.
-    fn take_death(&mut self, fingerprint: Fingerprint, upstream: &Arc<str>, boot: u64, turn: &mut Turn<'_>) {
-        if self.strike(fingerprint, upstream, boot, turn) {
+    fn take_death(
+        &mut self,
+        fingerprint: Fingerprint,
+        upstream: &Arc<str>,
+        boot: u64,
+        source: &str,
+        turn: &mut Turn<'_>,
+    ) {
+        if self.strike(fingerprint, upstream, boot, source, turn) {
             turn.send_to_neighbors(&PeerMessage::Strike {
                 fingerprint,
                 upstream: upstream.clone(),
@@ -81,8 +99,8 @@
     }
 
     /// Clears a request that ran to its end; what is news is passed on.
-    fn take_completion(&mut self, fingerprint: Fingerprint, turn: &mut Turn<'_>) {
-        if self.clear(fingerprint, turn) {
+    fn take_completion(&mut self, fingerprint: Fingerprint, source: &str, turn: &mut Turn<'_>) {
+        if self.clear(fingerprint, source, turn) {
             turn.send_to_neighbors(&PeerMessage::Cleared { fingerprint });
         }
     }
@@ -96,17 +114,17 @@
                 fingerprint,
                 upstream,
                 boot,
-            } => self.take_death(*fingerprint, upstream, *boot, turn),
-            Event::RequestCompleted { fingerprint } => self.take_completion(*fingerprint, turn),
-            Event::PeerMessage { message, .. } => match message {
+            } => self.take_death(*fingerprint, upstream, *boot, "own", turn),
+            Event::RequestCompleted { fingerprint } => self.take_completion(*fingerprint, "own", turn),
+            Event::PeerMessage { from, message, .. } => match message {
                 PeerMessage::Strike {
                     fingerprint,
                     upstream,
                     boot,
                 } => {
-                    self.take_death(*fingerprint, upstream, *boot, turn);
+                    self.take_death(*fingerprint, upstream, *boot, from, turn);
                 }
-                PeerMessage::Cleared { fingerprint } => self.take_completion(*fingerprint, turn),
+                PeerMessage::Cleared { fingerprint } => self.take_completion(*fingerprint, from, turn),
                 _ => {}
             },
             _ => {}
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -92,8 +92,12 @@
     "replica_paused", Belief, ["replica", "reason", "paused_ms"], "A replica failed and is passed over where others are left.";
     "request_quarantined", Belief, ["fingerprint"], "Replicas died under a request; it is held back everywhere.";
     "resumed", Progress, ["request", "replica", "last_event"], "A stream goes on at another engine after the last event that its caller has.";
-    "retry_denied", Failure, ["request", "reason"], "A request was not sent again.";
-    "routed", Progress, ["request", "route", "kind", "service", "limit_ms", "attempts", "revision"], "A route was found for a request.";
+    "request_struck", Belief, ["fingerprint", "upstream", "start", "source", "strikes"], "A replica ended while it ran a request of this content.";
+    "request_cleared", Belief, ["fingerprint", "source"], "A suspected request ran to its end.";
+    "request_lost", Failure, ["request", "fingerprint", "stage", "replica", "replica_start", "run_ms"], "The connection ended over which a replica was to answer.";
+    "retry_denied", Failure, ["request", "reason", "extra", "allowed", "vms"], "A request was not sent again.";
+    "extra_send", Progress, ["request", "service", "extra", "allowed", "vms"], "A request goes out once more, from the shared budget.";
+    "routed", Progress, ["request", "fingerprint", "route", "kind", "service", "limit_ms", "attempts", "revision"], "A route was found for a request.";
     "sent", Progress, ["request", "route", "replica", "outcome", "send", "elapsed_ms", "total_ms"], "A replica answered a request, or did not.";
     "started", Belief, ["vm", "zone", "callers", "directory", "peers", "store", "incarnation", "version", "revision"], "The process is up.";
     "store_history_gone", Belief, ["prefix"], "The store forgot the changes since the last read; all is read anew.";
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use super::answer::write_answer;
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerEnd, COME_BACK_MS, CallerRequest, refuse};
+use super::loss::{RunStage, note_loss};
 use super::relay::{note_broken, relay_long};
 use super::trace::RequestOutcome;
 use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest, exchange};
@@ -116,12 +117,7 @@
             avoid: &progress.tried,
         };
         let lease = DispatchLease::book(self.context, &ask, 0)?;
-        let nodes = self.context.snapshot().live_vms.len();
-        let is_extra = progress.sends > 0;
-        let now = clock::now();
-        if is_extra && !self.context.budget().take(&request.service, nodes, now) {
-            self.context.metrics.note_denied();
-            spdlog::error!("event=retry_denied request={} reason=budget", request.facts.id);
+        if progress.sends > 0 && !take_budget(self.context, request) {
             return None;
         }
         self.progress.tried.push(lease.id().clone());
@@ -261,6 +257,7 @@
         head: context.protocol.write_request(&request.head, &order),
         body: &request.body,
         request_id: &request.facts.id,
+        stage: Some(RunStage::Call),
         choice,
         deadline: request.deadline,
     };
@@ -290,7 +287,10 @@
             lease.finish(SendOutcome::Refused);
             SendEnd::NotRun { was_sent: false }
         }
-        Err(ExchangeError::Lost { .. }) => {
+        Err(ExchangeError::Lost { is_ended, .. }) => {
+            if is_ended {
+                note_loss(request, lease.replica(), RunStage::Call, lease.began_at());
+            }
             lease.finish(SendOutcome::Failed);
             SendEnd::InDoubt
         }
@@ -366,3 +366,25 @@
     record.sends += 1;
     record.replica = Some(replica.clone());
 }
+
+/// Takes one extra send of a request from the budget; whether it is covered.
+pub fn take_budget(context: &GatewayContext, request: &CallerRequest) -> bool {
+    let nodes = context.snapshot().live_vms.len();
+    let verdict = context.budget().take(&request.service, nodes, clock::now());
+    let (extra, allowed) = (verdict.extra, verdict.allowed);
+    if verdict.is_covered {
+        context.metrics.note_budget_taken();
+        spdlog::info!(
+            "event=extra_send request={} service={} extra={extra} allowed={allowed:.1} vms={nodes}",
+            request.facts.id,
+            request.service
+        );
+    } else {
+        context.metrics.note_denied();
+        spdlog::error!(
+            "event=retry_denied request={} reason=budget extra={extra} allowed={allowed:.1} vms={nodes}",
+            request.facts.id
+        );
+    }
+    verdict.is_covered
+}
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -45,6 +45,11 @@
         &self.replica.id
     }
 
+    /// When the place was booked.
+    pub fn began_at(&self) -> Moment {
+        self.began_at
+    }
+
     /// Milliseconds since the place was booked.
     pub fn elapsed_ms(&self) -> u64 {
         self.began_at.until_ms(clock::now())
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::exchange::CallerRequest;
+use super::loss::{RunStage, note_loss};
 use super::upstream::{ConnectionChoice, ExchangeError, UpstreamRequest, ask};
 use super::verdict::PrefillEnd;
 use super::{GatewayContext, KvTicket, SendOrder, SendPurpose};
@@ -55,6 +56,7 @@
             head,
             body: b"",
             request_id: "",
+            stage: None,
             choice: ConnectionChoice::Fresh,
             deadline: clock::now().after_ms(RELEASE_LIMIT_MS),
         };
@@ -86,9 +88,11 @@
         head: context.protocol.write_request(&request.head, &order),
         body: &request.body,
         request_id: &request.facts.id,
+        stage: Some(RunStage::Prefill),
         choice: ConnectionChoice::Fresh,
         deadline,
     };
+    let began_at = clock::now();
     match ask(context, upstream_request).await {
         Ok((_, facts, _)) if facts.is_misdirected => {
             let replica = replica.id.clone();
@@ -110,7 +114,12 @@
         Ok(_) => PrefillEnd::Failed,
         Err(ExchangeError::Unsent { .. }) => PrefillEnd::Unsent,
         Err(ExchangeError::Withheld) => PrefillEnd::Withheld,
-        Err(ExchangeError::Lost { .. }) => PrefillEnd::Failed,
+        Err(ExchangeError::Lost { is_ended, .. }) => {
+            if is_ended {
+                note_loss(request, replica, RunStage::Prefill, began_at);
+            }
+            PrefillEnd::Failed
+        }
         Err(ExchangeError::Deadline) => PrefillEnd::Late,
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use super::split::serve_stream;
 use super::trace::{RequestOutcome, RequestTrace};
 use super::{GatewayContext, RequestFacts};
+use crate::blackboard::{Fingerprint, hash_parts};
 use crate::clock;
 use crate::http::RequestHead;
 use crate::prelude::*;
@@ -37,6 +38,8 @@
     pub has_body: bool,
     /// What the head says.
     pub facts: RequestFacts,
+    /// Stands for its host, target, caller and body, which a repeat has too.
+    pub fingerprint: Fingerprint,
     /// Its route.
     pub rule: Arc<RouteRule>,
     /// The service that it goes to.
@@ -99,9 +102,12 @@
         .wait_ms
         .map_or(timeout, |wait_ms| timeout.min(received_at.after_ms(wait_ms)));
     let trace = RequestTrace::new(context, &facts, &rule, received_at);
+    let has_body = body.is_some();
+    let body = body.unwrap_or_default();
     let request = CallerRequest {
-        has_body: body.is_some(),
-        body: body.unwrap_or_default(),
+        fingerprint: fingerprint(&head, &facts, &body),
+        has_body,
+        body,
         head,
         facts,
         rule,
@@ -112,8 +118,9 @@
         trace,
     };
     spdlog::info!(
-        "event=routed request={} route={} kind={} service={} limit_ms={} attempts={} revision={}",
+        "event=routed request={} fingerprint={:016x} route={} kind={} service={} limit_ms={} attempts={} revision={}",
         request.facts.id,
+        request.fingerprint,
         request.rule.name,
         request.rule.kind.as_str(),
         request.service,
@@ -128,6 +135,17 @@
     }
 }
 
+fn fingerprint(head: &RequestHead, facts: &RequestFacts, body: &[u8]) -> Fingerprint {
+    let host = head.host().unwrap_or_default();
+    hash_parts(&[
+        head.method.as_bytes(),
+        host.as_bytes(),
+        head.target.as_bytes(),
+        &facts.credentials,
+        body,
+    ])
+}
+
 fn find_route(
     context: &GatewayContext,
     head: &RequestHead,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,12 +6,13 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
+use super::loss::RunStage;
 use super::trace::{RequestOutcome, TraceRecord};
 use crate::clock;
 use crate::event_log::EventLog;
 use crate::register::RouteKind;
-use crate::reports::{MeterRegistry, MetricError};
-use crate::runtime::Snapshot;
+use crate::reports::{ControlEventGauge, MeterRegistry, MetricError};
+use crate::runtime::{ControlHandle, Snapshot};
 
 /// Upper bounds of the histograms' buckets, in milliseconds: the objectives of calls and of first events lie between.
 const BOUNDS_MS: [f64; 14] = [
@@ -32,7 +33,9 @@
     prefill: Histogram<f64>,
     added: Histogram<f64>,
     extra_sends: Counter<u64>,
+    budget_taken: Counter<u64>,
     denied_sends: Counter<u64>,
+    arrivals: Counter<u64>,
     grants: Counter<u64>,
     wasted_tokens: Counter<u64>,
     moved_tokens: Counter<u64>,
@@ -44,6 +47,7 @@
     replicas: Gauge<u64>,
     active: Gauge<u64>,
     log_lines: Gauge<u64>,
+    control_events: ControlEventGauge,
 }
 
 impl GatewayMetrics {
@@ -62,6 +66,8 @@
             prefill: meters.histogram("prefill", "Of a prompt at its prefill engine."),
             added: meters.histogram("added_latency", "Of a plain call beyond its replica's own time."),
             extra_sends: meters.counter("extra_sends", "Sends beyond the first of a request."),
+            budget_taken: meters.counter("budget_taken", "Extra sends that the budget covered."),
+            arrivals: meters.counter("arrivals", "Requests that went out to replicas, by stage."),
             denied_sends: meters.counter("denied_sends", "Extra sends that the budget did not cover."),
             grants: meters.counter("grants", "Generations by who chose their engines."),
             wasted_tokens: meters.counter("wasted_prefill_tokens", "Prompt tokens that were run in vain."),
@@ -80,13 +86,15 @@
             replicas: meters.gauge("replicas", "Listed replicas by state."),
             active: meters.gauge("active_requests", "Requests that this VM holds."),
             log_lines: meters.gauge("log_lines", "Log lines by what became of them."),
+            control_events: ControlEventGauge::new(&meters),
             meters,
         })
     }
 
     /// All metrics in the Prometheus text format.
-    pub fn render(&self, snapshot: &Snapshot, active_requests: u64) -> String {
-        self.note_state(snapshot, active_requests);
+    pub fn render(&self, control: &ControlHandle) -> String {
+        self.note_state(&control.snapshot(), control.active_requests());
+        self.control_events.record(control);
         self.meters.render()
     }
 
@@ -173,6 +181,16 @@
         self.added.record(added_ms as f64, &[]);
     }
 
+    /// Notes an extra send that the budget covered.
+    pub fn note_budget_taken(&self) {
+        self.budget_taken.add(1, &[]);
+    }
+
+    /// Notes that a request went out to a replica.
+    pub fn note_arrival(&self, stage: RunStage) {
+        self.arrivals.add(1, &[KeyValue::new("stage", stage.as_str())]);
+    }
+
     /// Notes an extra send that the budget did not cover.
     pub fn note_denied(&self) {
         self.denied_sends.add(1, &[]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod engine_call;
 mod exchange;
 mod listener;
+mod loss;
 mod metrics;
 mod order;
 mod place;
--- a/src/gateway/order.rs
+++ b/src/gateway/order.rs
@@ -27,6 +27,7 @@
         head,
         body: b"",
         request_id: "",
+        stage: None,
         choice: ConnectionChoice::Fresh,
         deadline: clock::now().after_ms(ORDER_LIMIT_MS),
     };
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -125,8 +125,7 @@
     if head.path() != "/metrics" {
         return PlainAnswer::unknown();
     }
-    let active_requests = context.control.active_requests();
-    let text = context.metrics.render(&context.snapshot(), active_requests);
+    let text = context.metrics.render(&context.control);
     PlainAnswer::text(200, &text)
 }
 
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -21,6 +21,8 @@
     pub expected_tokens: Option<u32>,
     /// The last event of the stream that the caller has.
     pub last_event: Option<u64>,
+    /// What the caller shows to say who it is, as sent; empty where it shows nothing.
+    pub credentials: Vec<u8>,
 }
 
 /// The KV cache of a prefilled prompt, as its engine keeps it.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use super::answer::{AfterAnswer, write_chunked_head, write_closing_head};
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerEnd, CallerRequest};
+use super::loss::{RunStage, note_loss};
 use super::trace::RequestOutcome;
 use super::upstream::UpstreamAnswer;
 use crate::clock;
@@ -99,6 +100,9 @@
         request.facts.id,
         lease.id()
     );
+    if error.is_end() {
+        note_loss(request, lease.replica(), RunStage::Call, lease.began_at());
+    }
     lease.finish(SendOutcome::Failed);
 }
 
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -4,9 +4,10 @@
 
 use async_std::net::TcpStream;
 
-use super::call::note_send;
+use super::call::{note_send, take_budget};
 use super::engine_call::{TicketLease, run_prefill};
 use super::exchange::{AnswerEnd, COME_BACK_MS, CallerRequest, refuse};
+use super::loss::{RunStage, note_loss};
 use super::place::EnginePlace;
 use super::relay::AnswerWriter;
 use super::sse::{EventCutter, count_events, last_event_id};
@@ -95,7 +96,8 @@
         let may_send = self.sends < rule.attempts
             && (!self.in_doubt || rule.kind.may_repeat())
             && !clock::now().reached(self.request.deadline);
-        if !may_send || !self.take_budget() {
+        let is_covered = self.sends == 0 || take_budget(self.context, self.request);
+        if !may_send || !is_covered {
             return None;
         }
         let mut place = match EnginePlace::acquire(self.context, self.request, &self.tried).await {
@@ -115,24 +117,6 @@
         Some(self.decode(place, ticket).await)
     }
 
-    /// Whether the budget covers a send beyond the first.
-    fn take_budget(&self) -> bool {
-        if self.sends == 0 {
-            return true;
-        }
-        let nodes = self.context.snapshot().live_vms.len();
-        let now = clock::now();
-        let is_covered = self.context.budget().take(&self.request.service, nodes, now);
-        if !is_covered {
-            self.context.metrics.note_denied();
-            spdlog::error!(
-                "event=retry_denied request={} reason=budget",
-                self.request.facts.id
-            );
-        }
-        is_covered
-    }
-
     /// How long the prompt may take at a prefill engine, in milliseconds.
     fn prefill_limit_ms(&self) -> u64 {
         let request = self.request;
@@ -210,6 +194,7 @@
             head: self.context.protocol.write_request(&request.head, &order),
             body: &request.body,
             request_id: &request.facts.id,
+            stage: Some(RunStage::Decode),
             choice: ConnectionChoice::Fresh,
             deadline: request.deadline,
         };
@@ -240,7 +225,7 @@
                     ticket.into_iter().for_each(TicketLease::taken);
                 }
                 place.note_handover(began_at.until_ms(clock::now()));
-                self.pass_on(place, answer, verdict).await
+                self.pass_on(place, answer, verdict, began_at).await
             }
             Err(ExchangeError::Unsent { .. }) => {
                 place.note_decode(EngineEnd::Unreachable);
@@ -252,7 +237,10 @@
                 self.sends -= 1;
                 StreamEnd::NotRun
             }
-            Err(ExchangeError::Lost { .. }) => {
+            Err(ExchangeError::Lost { is_ended, .. }) => {
+                if is_ended {
+                    note_loss(request, &replica, RunStage::Decode, began_at);
+                }
                 place.note_decode(EngineEnd::Failed);
                 StreamEnd::Broken
             }
@@ -265,6 +253,7 @@
         mut place: EnginePlace,
         mut answer: UpstreamAnswer,
         verdict: AnswerVerdict,
+        began_at: Moment,
     ) -> StreamEnd {
         if self.writer.is_some() && answer.head.status != 200 {
             // The caller has begun to read a stream, which a failure can't go on.
@@ -302,6 +291,9 @@
                     return StreamEnd::Done(self.finish(&answer, cutter.rest()).await);
                 }
                 Some(Err(error)) => {
+                    if error.is_end() {
+                        note_loss(self.request, &place.decode, RunStage::Decode, began_at);
+                    }
                     return self.break_off(&mut place, &error.to_string());
                 }
                 None => return StreamEnd::Broken,
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -7,6 +7,7 @@
 use futures::future::{Either, select};
 use snafu::Snafu;
 
+use super::loss::RunStage;
 use super::{AnswerFacts, GatewayContext};
 use crate::blackboard::{ReplicaId, ReplicaRecord};
 use crate::clock;
@@ -60,6 +61,8 @@
     Lost {
         /// Why.
         reason: String,
+        /// Whether the connection ended, rather than brought something that is no answer.
+        is_ended: bool,
     },
     /// The deadline came.
     #[snafu(display("no answer in time"))]
@@ -165,6 +168,8 @@
     pub body: &'a [u8],
     /// The id that the answer must carry; empty where it need not.
     pub request_id: &'a str,
+    /// What the replica is to do for a caller; `None` where the request is our own.
+    pub stage: Option<RunStage>,
     /// Over which connection.
     pub choice: ConnectionChoice,
     /// Until when the answer's head must be there.
@@ -240,6 +245,9 @@
             reason: "deadline passed".to_owned(),
         });
     }
+    if let Some(stage) = request.stage {
+        context.metrics.note_arrival(stage);
+    }
     let deadline = request.deadline;
     until(deadline, send_and_read(context, stream, request))
         .await
@@ -250,9 +258,8 @@
 /// is leaving.
 fn is_withheld(context: &GatewayContext, request: &UpstreamRequest<'_>) -> bool {
     let (record, now) = (request.replica, clock::now());
-    let is_callers = !request.request_id.is_empty();
     context.with_book(|book| {
-        if is_callers {
+        if request.stage.is_some() {
             book.is_withheld(record, now)
         } else {
             book.back_off_until(record, now).is_some()
@@ -314,6 +321,7 @@
 ) -> Result<UpstreamAnswer, ExchangeError> {
     let lost = |error: StreamError| ExchangeError::Lost {
         reason: error.to_string(),
+        is_ended: error.is_end(),
     };
     let mut is_sent_whole = true;
     let mut head = if request.body.len() <= SMALL_BODY_BYTES {
@@ -365,6 +373,7 @@
     }
     Err(ExchangeError::Lost {
         reason: "answers to other requests".to_owned(),
+        is_ended: false,
     })
 }
 
@@ -401,10 +410,12 @@
         .ok_or(ExchangeError::Deadline)?
         .map_err(|error| ExchangeError::Lost {
             reason: error.to_string(),
+            is_ended: error.is_end(),
         })?;
     if !is_whole {
         return Err(ExchangeError::Lost {
             reason: "answer too long".to_owned(),
+            is_ended: false,
         });
     }
     let (head, facts) = (answer.head.clone(), answer.facts.clone());
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -18,6 +18,7 @@
 /// The caller's estimate of the tokens that will be generated.
 const EXPECTED_TOKENS: &str = "X-Length-Hint";
 const LAST_EVENT: &str = "Last-Event-Id";
+const CREDENTIALS: &str = "Authorization";
 /// The replica that is meant.
 const EXPECTED_REPLICA: &str = "X-Expect-Instance";
 const PHASE: &str = "X-Serving-Phase";
@@ -73,6 +74,7 @@
             output_tokens: counts.next().unwrap_or_default(),
             expected_tokens: head.headers.number(EXPECTED_TOKENS).map(|count| count as u32),
             last_event: head.headers.number(LAST_EVENT),
+            credentials: head.headers.get(CREDENTIALS).unwrap_or_default().to_vec(),
         }
     }
 
--- a/src/reports/metrics.rs
+++ b/src/reports/metrics.rs
@@ -5,11 +5,13 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 
+use super::control_events::ControlEventGauge;
 use super::meter::{MeterRegistry, MetricError};
 use super::tally::{RunTally, add};
 use crate::clock;
 use crate::controllers::idempotency::KeyOutcome;
 use crate::prelude::*;
+use crate::runtime::ControlHandle;
 use crate::traffic::GenerateWork;
 
 /// Upper bounds of the histograms' buckets, in milliseconds.
@@ -33,6 +35,7 @@
     prefill_tokens: Counter<u64>,
     wasted_tokens: Counter<u64>,
     run_once: Counter<u64>,
+    control_events: ControlEventGauge,
 }
 
 impl MetricSet {
@@ -50,13 +53,15 @@
             prefill_tokens: meters.counter("prefill_tokens", "Prompt tokens run by prefill engines."),
             wasted_tokens: meters.counter("wasted_prefill_tokens", "Prompt tokens run in vain."),
             run_once: meters.counter("run_once_calls", "Run-once calls by outcome."),
+            control_events: ControlEventGauge::new(&meters),
             meters,
             tally: RunTally::default(),
         })
     }
 
     /// All metrics in the Prometheus text format.
-    pub fn render(&self) -> String {
+    pub fn render(&self, control: &ControlHandle) -> String {
+        self.control_events.record(control);
         self.meters.render()
     }
 
--- a/src/reports/mod.rs
+++ b/src/reports/mod.rs
@@ -1,10 +1,12 @@
 //! What operators see: metrics, the status object and the short report.
 
+mod control_events;
 mod meter;
 mod metrics;
 mod phone;
 mod tally;
 
+pub use control_events::ControlEventGauge;
 pub use meter::{MeterRegistry, MetricError};
 pub use metrics::MetricSet;
 pub use phone::{phone_report, status};
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -15,7 +15,7 @@
 use crate::controllers::message::{KeyCall, PeerMessage};
 use crate::controllers::readers::reads_store;
 use crate::controllers::rebalance::RoleOrder;
-use crate::controllers::{ControlCore, Reply};
+use crate::controllers::{ControlCore, EventKind, Reply};
 use crate::prelude::*;
 
 /// The shortest and the longest time between two ticks, in milliseconds. The clocks are looked at with each.
@@ -57,6 +57,9 @@
     Exit,
 }
 
+/// How many events of each kind the controllers were given.
+type EventTally = [AtomicU64; EventKind::ALL.len()];
+
 type Waiters = Mutex<FastMap<ReplyTicket, oneshot::Sender<Reply>>>;
 
 /// The traffic side's way to the control thread.
@@ -67,6 +70,7 @@
     next_ticket: Arc<AtomicU64>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     active_requests: Arc<AtomicU64>,
+    event_tally: Arc<EventTally>,
 }
 
 impl ControlHandle {
@@ -83,6 +87,7 @@
             next_ticket: Arc::default(),
             snapshot: Arc::new(ArcSwap::from_pointee(snapshot)),
             active_requests: Arc::default(),
+            event_tally: Arc::new(std::array::from_fn(|_| AtomicU64::default())),
         };
         let thread = ControlThread {
             core,
@@ -90,6 +95,7 @@
             waiters: handle.waiters.clone(),
             snapshot: handle.snapshot.clone(),
             active_requests: handle.active_requests.clone(),
+            event_tally: handle.event_tally.clone(),
             output: Box::new(output),
         };
         std::thread::Builder::new()
@@ -132,6 +138,12 @@
         }
     }
 
+    /// How many events of each kind the controllers were given.
+    pub fn event_counts(&self) -> impl Iterator<Item = (EventKind, u64)> {
+        let counts = self.event_tally.iter().map(|count| count.load(Ordering::Relaxed));
+        EventKind::ALL.iter().copied().zip(counts)
+    }
+
     /// Requests that this node holds.
     pub fn active_requests(&self) -> u64 {
         self.active_requests.load(Ordering::Relaxed)
@@ -167,6 +179,7 @@
     waiters: Arc<Waiters>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     active_requests: Arc<AtomicU64>,
+    event_tally: Arc<EventTally>,
     output: Box<dyn Fn(ControlOutput) + Send>,
 }
 
@@ -203,6 +216,7 @@
     fn handle(&mut self, event: &Event) {
         let now = clock::now();
         let mut is_changed = false;
+        self.event_tally[event.kind() as usize].fetch_add(1, Ordering::Relaxed);
         // One event that a controller can't deal with must not end the control of this node.
         let handled = std::panic::catch_unwind(AssertUnwindSafe(|| self.core.handle(event, now)));
         let Ok(actions) = handled else {
--- a/src/traffic/call/run_once.rs
+++ b/src/traffic/call/run_once.rs
@@ -6,13 +6,13 @@
 
 use super::replica::{CallEnd, call_replica, choose_replica};
 use super::{ASK_AGAIN_MS, CheckedCall};
+use crate::blackboard::hash_parts;
 use crate::clock;
 use crate::controllers::Reply;
 use crate::controllers::idempotency::{IdempotencyKey, KeyOutcome, KeyScope, StoredAnswer};
 use crate::controllers::message::KeyCall;
 use crate::prelude::*;
 use crate::traffic::TrafficContext;
-use crate::traffic::request::hash_parts;
 
 /// How long after its caller's deadline the answer of a started run-once call is still awaited, in milliseconds.
 const LATE_ANSWER_MS: u64 = 30_000;
--- a/src/traffic/request.rs
+++ b/src/traffic/request.rs
@@ -7,10 +7,9 @@
 use http_types::Request;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use sha2::{Digest, Sha256};
 
 use super::TrafficContext;
-use crate::blackboard::Fingerprint;
+use crate::blackboard::{Fingerprint, hash_parts};
 use crate::clock;
 use crate::prelude::*;
 use crate::runtime::Snapshot;
@@ -231,18 +230,3 @@
         body.prompt.as_bytes(),
     ])
 }
-
-/// A hash of several byte strings that no other split of the same bytes has.
-pub fn hash_parts(parts: &[&[u8]]) -> u64 {
-    let mut hasher = Sha256::new();
-    for part in parts {
-        hasher.update((part.len() as u64).to_be_bytes());
-        hasher.update(part);
-    }
-    let digest = hasher.finalize();
-    u64::from_be_bytes(
-        digest[..8]
-            .try_into()
-            .expect("a digest has more than eight bytes"),
-    )
-}
--- a/src/transport/http_stream.rs
+++ b/src/transport/http_stream.rs
@@ -48,6 +48,13 @@
     Deadline,
 }
 
+impl StreamError {
+    /// Whether the other end, or something on the way, ended the connection.
+    pub fn is_end(&self) -> bool {
+        matches!(self, Self::Closed | Self::Broken { .. })
+    }
+}
+
 impl From<io::Error> for StreamError {
     fn from(source: io::Error) -> Self {
         Self::Broken { source }
