Failing tests of the incident: requests that end replicas, and the shared budget

What callers saw: one request that comes again and again takes a service down for all others. Stand-in replicas can end, refuse connections and come back as another start. In both traced failures all three engines ended at the first entry; an engine that ends before its answer's head arrives gives no strike. Next, the design.

--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -43,4 +43,8 @@
             decodes,
         }
     }
+
+    pub fn all(&self) -> Vec<&StandInReplica> {
+        self.prefills.iter().chain(&self.decodes).collect()
+    }
 }
--- /dev/null
+++ b/tests/platform/life.rs
@@ -0,0 +1,87 @@
+//! The life of a stand-in replica's process: it can end, which closes its port and all its connections, and be back.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use crate::node::wait_until;
+
+/// How long a process that ended is away.
+pub const BACK_AFTER: Duration = Duration::from_millis(1_500);
+
+/// One replica's process, start after start.
+pub struct ReplicaLife {
+    address: SocketAddr,
+    is_down: AtomicBool,
+    starts: AtomicU64,
+    connections: Mutex<Vec<TcpStream>>,
+    ends: Mutex<Vec<Instant>>,
+}
+
+impl ReplicaLife {
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            is_down: AtomicBool::new(false),
+            starts: AtomicU64::new(1),
+            connections: Mutex::default(),
+            ends: Mutex::default(),
+        }
+    }
+
+    /// Which start this is.
+    pub fn start_number(&self) -> u64 {
+        self.starts.load(Ordering::SeqCst)
+    }
+
+    /// When it ended, each time.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.lock_ends().clone()
+    }
+
+    fn lock_ends(&self) -> MutexGuard<'_, Vec<Instant>> {
+        self.ends.lock().expect("no holder panics")
+    }
+
+    /// Ends the process; whoever listens for it notices at once.
+    pub fn end(&self) {
+        if !self.is_down.swap(true, Ordering::SeqCst) {
+            self.lock_ends().push(Instant::now());
+            // Wakes the thread that accepts, which closes the port. That fails only where it has closed already.
+            let _ = TcpStream::connect(self.address);
+        }
+    }
+
+    /// Takes connections until the process ends, and closes them with it.
+    pub fn accept_until_end(&self, listener: TcpListener, mut serve: impl FnMut(TcpStream)) {
+        for stream in listener.incoming().flatten() {
+            if self.is_down.load(Ordering::SeqCst) {
+                break;
+            }
+            let copy = stream.try_clone().expect("a socket can be cloned");
+            let mut connections = self.connections.lock().expect("no holder panics");
+            connections.push(copy);
+            drop(connections);
+            serve(stream);
+        }
+        drop(listener);
+        for stream in self.connections.lock().expect("no holder panics").drain(..) {
+            // One that its other end has closed can't be shut again.
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Waits out the time away and listens again.
+    pub fn come_back(&self) -> TcpListener {
+        std::thread::sleep(BACK_AFTER);
+        let mut listener = None;
+        wait_until("the port is free again", || {
+            listener = TcpListener::bind(self.address).ok();
+            listener.is_some()
+        });
+        self.starts.fetch_add(1, Ordering::SeqCst);
+        self.is_down.store(false, Ordering::SeqCst);
+        listener.expect("it was bound")
+    }
+}
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -17,6 +17,12 @@
 /// The seconds that a leaving node may take.
 const GRACE_S: u32 = 4;
 
+/// The part of the requests of a service that may arrive once more, as the settings say.
+pub const SHARED_SHARE: f64 = 0.2;
+
+/// How many more arrivals all nodes may make together, as the settings say.
+pub const SHARED_RESERVE: f64 = 10.0;
+
 /// A node.
 pub struct GatewayNode {
     pub ip: Ipv4Addr,
@@ -44,7 +50,7 @@
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"a\"\nseeds = [{seeds}]\n\n[listen]\nfrontend = \"{ip}:8720\"\nready = \"{ip}:8722\"\n\
              control = \"{ip}:8724\"\ndirectory = \"{ip}:8728\"\n\n[limits]\ncpuShare = 1.0\nmemoryMb = 64\nmaxFds = 1024\n\n\
-             [contractParams]\ngraceS = {GRACE_S}\nretryBudgetRatio = 0.2\nretryWindowS = 10\nbudgetSlack = 10\nttl_max_s = 5\n\n\
+             [contractParams]\ngraceS = {GRACE_S}\nretryBudgetRatio = {SHARED_SHARE}\nretryWindowS = 10\nbudgetSlack = {SHARED_RESERVE}\nttl_max_s = 5\n\n\
              [platform]\naddress = \"{}\"\n",
             store.address,
             seeds = seeds.join(", "),
@@ -108,6 +114,22 @@
         answer.map_or(0, |answer| answer.status())
     }
 
+    /// The metrics in the Prometheus text format.
+    pub fn metrics(&self) -> String {
+        let answer = exchange(SocketAddr::from((self.ip, 9464)), &question("/metrics"));
+        answer.map_or_else(String::new, |answer| answer.text())
+    }
+
+    /// The sum of a metric's values, of the lines that hold a text.
+    pub fn metric(&self, name: &str, holds: &str) -> f64 {
+        let text = self.metrics();
+        let lines = text
+            .lines()
+            .filter(|line| line.starts_with(name) && line.contains(holds));
+        let values = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok());
+        values.sum()
+    }
+
     /// What the directory answers.
     pub fn directory(&self) -> String {
         let answer = exchange(self.directory_address(), &question("/resolve?name=a&zone=a"));
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -3,11 +3,12 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
 use crate::faults::{EndlessBytes, TruncatedBody, send_endless, send_truncated};
+use crate::life::ReplicaLife;
 use crate::store::StandInStore;
 use crate::wire::{Message, read_request, write_answer};
 
@@ -62,9 +63,22 @@
 /// The pause between slow events: long, and within the two seconds that the test route allows.
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(900);
 
+/// A body with this word ends each replica that begins to run it.
+pub const DEATH_WORD: &str = "ends-replicas";
+
+/// How long a replica runs such a body before it ends.
+const DEATH_AFTER: Duration = Duration::from_millis(60);
+
 /// Events of a whole stream.
 pub const STREAM_EVENTS: u64 = 5;
 
+/// A request as it came to a replica.
+pub struct Arrival {
+    pub id: String,
+    /// Whether the replica ran it as a prompt alone.
+    pub is_taken_prompt: bool,
+}
+
 /// A replica that listens on loopback.
 #[derive(Clone)]
 pub struct StandInReplica {
@@ -75,6 +89,9 @@
     requests: Arc<Mutex<Vec<Message>>>,
     /// Ids of requests that it ran, once for each run.
     runs: Arc<Mutex<Vec<String>>>,
+    /// When requests came whose body has [`DEATH_WORD`].
+    deadly_arrivals: Arc<Mutex<Vec<Instant>>>,
+    pub life: Arc<ReplicaLife>,
 }
 
 impl StandInReplica {
@@ -87,21 +104,31 @@
         mood: ReplicaMood,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
         let replica = Self {
             id: id.to_owned(),
-            address: listener.local_addr().expect("an address"),
+            address,
             mood: Arc::new(Mutex::new(mood)),
             requests: Arc::default(),
             runs: Arc::default(),
+            deadly_arrivals: Arc::default(),
+            life: Arc::new(ReplicaLife::new(address)),
         };
-        let served = replica.clone();
+        replica.publish(store, service, phase, "ready");
+        let (served, store) = (replica.clone(), store.clone());
+        let (service, phase) = (service.to_owned(), phase.map(str::to_owned));
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let replica = served.clone();
-                std::thread::spawn(move || replica.serve(stream));
+            let mut listener = listener;
+            loop {
+                served.life.accept_until_end(listener, |stream| {
+                    let replica = served.clone();
+                    std::thread::spawn(move || replica.serve(stream));
+                });
+                listener = served.life.come_back();
+                let start = served.life.start_number();
+                served.publish_start(&store, &service, phase.as_deref(), start);
             }
         });
-        replica.publish(store, service, phase, "ready");
         replica
     }
 
@@ -142,6 +169,22 @@
             .collect()
     }
 
+    /// All requests of callers that came so far.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        let requests = self.lock();
+        let callers = requests
+            .iter()
+            .filter(|request| request.header("X-Request-Id").is_some());
+        let arrivals = callers.map(|request| {
+            let id = request.header("X-Request-Id").unwrap_or_default();
+            Arrival {
+                id: id.to_owned(),
+                is_taken_prompt: request.header("X-Serving-Phase") == Some("prefill") && self.runs(id) > 0,
+            }
+        });
+        arrivals.collect()
+    }
+
     /// How often it ran a request.
     pub fn runs(&self, id: &str) -> usize {
         let runs = self.runs.lock().expect("no holder panics");
@@ -153,9 +196,22 @@
         self.lock().len()
     }
 
+    /// When requests came whose body has [`DEATH_WORD`].
+    pub fn deadly_arrivals(&self) -> Vec<Instant> {
+        self.deadly_arrivals.lock().expect("no holder panics").clone()
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream) {
             self.lock().push(request.clone());
+            if request.text().contains(DEATH_WORD) {
+                let mut arrivals = self.deadly_arrivals.lock().expect("no holder panics");
+                arrivals.push(Instant::now());
+                drop(arrivals);
+                std::thread::sleep(DEATH_AFTER);
+                self.life.end();
+                return;
+            }
             if !self.answer(&mut stream, &request) {
                 return;
             }
