Close a stand-in replica's connection as soon as it is done with it

Change: whoever serves a connection forgets its copy first. Conclusion: a fault of the stand-in only.

--- a/tests/platform/life.rs
+++ b/tests/platform/life.rs
@@ -5,6 +5,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use dotterelspan::prelude::FastMap;
+
 use crate::node::wait_until;
 
 /// How long a process that ended is away.
@@ -15,7 +17,9 @@
     address: SocketAddr,
     is_down: AtomicBool,
     starts: AtomicU64,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Copies of the open connections, by number.
+    connections: Mutex<FastMap<u64, TcpStream>>,
+    next_connection: AtomicU64,
     ends: Mutex<Vec<Instant>>,
 }
 
@@ -26,6 +30,7 @@
             is_down: AtomicBool::new(false),
             starts: AtomicU64::new(1),
             connections: Mutex::default(),
+            next_connection: AtomicU64::default(),
             ends: Mutex::default(),
         }
     }
@@ -53,20 +58,28 @@
         }
     }
 
-    /// Takes connections until the process ends, and closes them with it.
-    pub fn accept_until_end(&self, listener: TcpListener, mut serve: impl FnMut(TcpStream)) {
+    fn lock_connections(&self) -> MutexGuard<'_, FastMap<u64, TcpStream>> {
+        self.connections.lock().expect("no holder panics")
+    }
+
+    /// Forgets a connection, which closes once whoever served it drops it.
+    pub fn forget(&self, number: u64) {
+        self.lock_connections().remove(&number);
+    }
+
+    /// Takes connections until the process ends, and closes them with it. Whoever serves one forgets it in the end.
+    pub fn accept_until_end(&self, listener: TcpListener, mut serve: impl FnMut(TcpStream, u64)) {
         for stream in listener.incoming().flatten() {
             if self.is_down.load(Ordering::SeqCst) {
                 break;
             }
             let copy = stream.try_clone().expect("a socket can be cloned");
-            let mut connections = self.connections.lock().expect("no holder panics");
-            connections.push(copy);
-            drop(connections);
-            serve(stream);
+            let number = self.next_connection.fetch_add(1, Ordering::SeqCst);
+            self.lock_connections().insert(number, copy);
+            serve(stream, number);
         }
         drop(listener);
-        for stream in self.connections.lock().expect("no holder panics").drain(..) {
+        for (_, stream) in self.lock_connections().drain() {
             // One that its other end has closed can't be shut again.
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -120,9 +120,12 @@
         std::thread::spawn(move || {
             let mut listener = listener;
             loop {
-                served.life.accept_until_end(listener, |stream| {
+                served.life.accept_until_end(listener, |mut stream, number| {
                     let replica = served.clone();
-                    std::thread::spawn(move || replica.serve(stream));
+                    std::thread::spawn(move || {
+                        replica.serve(&mut stream);
+                        replica.life.forget(number);
+                    });
                 });
                 listener = served.life.come_back();
                 let start = served.life.start_number();
@@ -201,8 +204,8 @@
         self.deadly_arrivals.lock().expect("no holder panics").clone()
     }
 
-    fn serve(&self, mut stream: TcpStream) {
-        while let Some(request) = read_request(&mut stream) {
+    fn serve(&self, stream: &mut TcpStream) {
+        while let Some(request) = read_request(stream) {
             self.lock().push(request.clone());
             if request.text().contains(DEATH_WORD) {
                 let mut arrivals = self.deadly_arrivals.lock().expect("no holder panics");
@@ -212,7 +215,7 @@
                 self.life.end();
                 return;
             }
-            if !self.answer(&mut stream, &request) {
+            if !self.answer(stream, &request) {
                 return;
             }
         }
