--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -3,11 +3,13 @@
 mod engine;
 mod fingerprint;
 mod replica;
+mod suspicion;
 mod vms;
 
 pub use engine::EngineView;
 pub use fingerprint::{Fingerprint, hash_parts};
 pub use replica::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
+pub use suspicion::{Suspicion, SuspicionMap};
 pub use vms::{LiveView, VmTable};
 
 use std::sync::Arc;
@@ -156,10 +158,10 @@
     pub gives_orders: bool,
     /// Whether the settings of all VMs name this one as a seed.
     pub is_seed: bool,
-    /// Requests that are not to run, with the end of each hold.
-    pub quarantine: FastMap<Fingerprint, Moment>,
-    /// Requests that were running on one upstream as it died, with the end of the suspicion.
-    pub suspects: FastMap<Fingerprint, Moment>,
+    /// Requests under which upstreams ended; another map after each change.
+    pub suspicions: Arc<SuspicionMap>,
+    /// A hash of what is known of them, to compare with what others know.
+    pub case_digest: u64,
     /// The drain, once it has begun.
     pub drain: Option<DrainFacts>,
 }
@@ -180,8 +182,8 @@
             store_revision: 0,
             gives_orders: false,
             is_seed: false,
-            quarantine: FastMap::default(),
-            suspects: FastMap::default(),
+            suspicions: Arc::default(),
+            case_digest: 0,
             drain: None,
         }
     }
@@ -217,18 +219,14 @@
         !upstream.leaving && !self.is_down(&upstream.name, now)
     }
 
-    /// Whether a fingerprint is held back.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Moment) -> Option<Moment> {
-        self.quarantine
-            .get(&fingerprint)
-            .copied()
-            .filter(|deadline| !now.reached(*deadline))
+    /// Until when a request is held back; `None` where it is not.
+    pub fn held_until(&self, fingerprint: Fingerprint, now: Moment) -> Option<Moment> {
+        let suspicion = self.suspicions.get(&fingerprint)?;
+        suspicion.is_held(now).then_some(suspicion.held_until)
     }
 
-    /// Whether a fingerprint is under suspicion.
-    pub fn is_suspect(&self, fingerprint: Fingerprint, now: Moment) -> bool {
-        self.suspects
-            .get(&fingerprint)
-            .is_some_and(|deadline| !now.reached(*deadline))
+    /// Whether an upstream ended under a request.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.suspicions.contains_key(&fingerprint)
     }
 }
--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -5,6 +5,7 @@
 use super::discovery::ReplicaUpdate;
 use super::idempotency::{IdempotencyKey, KeyOutcome, KeyRequest, StoredAnswer};
 use super::message::{KeyCall, PeerMessage, VmIntroduction};
+use super::quarantine::{RunLoss, TrialNumber};
 use super::services::{ServiceAsk, ServiceResult};
 use super::slots::{EngineEnd, PlacementAsk, PlacementResult, RequestId};
 use crate::blackboard::{Fingerprint, Incarnation, ReplicaId};
@@ -136,14 +137,28 @@
         /// Requests it holds.
         load: u32,
     },
-    /// A request was running on an upstream as it died.
-    RequestDied {
+    /// A run ended with the connection to its upstream.
+    RequestLost {
+        /// Who waits until it is noted.
+        ticket: ReplyTicket,
+        /// Which run.
+        loss: RunLoss,
+    },
+    /// A request under which upstreams ended wants to run.
+    TrialWanted {
+        /// Who waits.
+        ticket: ReplyTicket,
         /// The request's content.
         fingerprint: Fingerprint,
-        /// Which upstream.
-        upstream: Arc<str>,
-        /// Which start of the upstream.
-        boot: u64,
+        /// When it must have been answered.
+        deadline: Moment,
+    },
+    /// Such a run is over, or was given up before it began.
+    TrialDone {
+        /// The request's content.
+        fingerprint: Fingerprint,
+        /// Which run of this node.
+        number: TrialNumber,
     },
     /// A request ran to its end.
     RequestCompleted {
@@ -255,7 +270,9 @@
     ServiceWanted = "service_wanted",
     ServiceDone = "service_done",
     LoadReported = "load_reported",
-    RequestDied = "request_died",
+    RequestLost = "request_lost",
+    TrialWanted = "trial_wanted",
+    TrialDone = "trial_done",
     RequestCompleted = "request_completed",
     KeyWanted = "key_wanted",
     KeyClaimed = "key_claimed",
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -4,6 +4,7 @@
 
 use super::discovery::{ListRevision, ReplicaUpdate};
 use super::idempotency::{HandoffRecord, StoredAnswer};
+use super::quarantine::{CaseRecord, DeathStrike, TrialNumber};
 use super::slots::{EngineEnd, EngineGroup, HeldSlot, PlacementAsk, PlacementResult, RequestId};
 use crate::blackboard::{Fingerprint, Incarnation, OwnIdentity, ReplicaId};
 use crate::prelude::*;
@@ -135,6 +136,23 @@
     Refused(RefusalNotice),
 }
 
+/// Whether a suspected request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialVerdict {
+    /// It may.
+    Granted {
+        /// How far it is suspected.
+        level: u32,
+    },
+    /// Another run of it is under way.
+    Busy,
+    /// It is held back.
+    Held {
+        /// For how long, in milliseconds.
+        span_ms: u64,
+    },
+}
+
 /// The VMs that a process takes for alive, in short.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct MemberView {
@@ -157,6 +175,8 @@
         store_age_ms: u64,
         /// The VMs that it takes for alive.
         view: MemberView,
+        /// A hash of the requests under which upstreams ended.
+        case_digest: u64,
         /// Whether it is leaving.
         leaving: bool,
         /// Whether it wants a heartbeat back.
@@ -251,20 +271,52 @@
         /// How it went.
         result: PlacementResult,
     },
-    /// A request was running on an upstream as it died.
+    /// An upstream ended under a request.
     Strike {
         /// The request's content.
         fingerprint: Fingerprint,
-        /// Which upstream.
-        upstream: Arc<str>,
-        /// Which start of the upstream.
-        boot: u64,
+        /// The end.
+        strike: DeathStrike,
     },
-    /// A suspect request ran to its end.
+    /// Whole runs have cleared a request.
     Cleared {
         /// The request's content.
         fingerprint: Fingerprint,
+        /// The highest level of the strikes that it is cleared of.
+        level: u32,
+    },
+    /// A suspected request ran to its end, to the VM that lets its runs begin.
+    RunWhole {
+        /// The request's content.
+        fingerprint: Fingerprint,
+    },
+    /// The sender wants to run a suspected request.
+    TrialAsk {
+        /// The request's content.
+        fingerprint: Fingerprint,
+        /// The sender's number for the run.
+        number: TrialNumber,
+        /// How long the request has until it must have been answered, in milliseconds.
+        remaining_ms: u64,
+    },
+    /// The answer to it.
+    TrialAnswer {
+        /// The number of the run.
+        number: TrialNumber,
+        /// The answer.
+        verdict: TrialVerdict,
+    },
+    /// The sender's run of a suspected request is over.
+    TrialDone {
+        /// The request's content.
+        fingerprint: Fingerprint,
+        /// The sender's number for the run.
+        number: TrialNumber,
     },
+    /// The sender wants to know of all requests under which upstreams ended.
+    CasesWanted,
+    /// Requests under which upstreams ended.
+    CasesContent(Vec<CaseRecord>),
     /// A run-once call for the owner of its key.
     KeyCall(KeyCall),
     /// The owner's answer.
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -55,6 +55,13 @@
     Answer(idempotency::StoredAnswer),
     /// The key was revoked.
     Revoked,
+    /// What was told is noted, and the view of the board shows it.
+    Noted,
+    /// A request under which upstreams ended may run.
+    TrialGranted {
+        /// How far it is suspected.
+        level: u32,
+    },
     /// A refusal.
     Refused(RefusalNotice),
 }
@@ -140,6 +147,7 @@
             list_revision: self.board.list_revision,
             store_age_ms: self.board.store_heard_at.until_ms(self.now),
             view: self.board.live_view(self.now).member_view,
+            case_digest: self.board.case_digest,
             leaving: self.board.drain.is_some(),
             wants_echo,
         }
--- /dev/null
+++ b/src/controllers/quarantine/mod.rs
@@ -0,0 +1,385 @@
+//! Queries of death: a request that ends the upstreams that run it is run carefully, and then held back for a while.
+//!
+//! Each end of an upstream under a request is a strike. Strikes are told around the ring of VMs, kept by all of them and
+//! told to those that begin, so that a hold outlives the node that saw them. The level of a strike is one more than the
+//! level that was known as the run began: copies that ran side by side, as equal reads do when a rack loses power, count
+//! as one. From the first strike on the request runs once at a time in the whole fleet; from level two on it is held.
+
+mod case;
+mod losses;
+mod sharing;
+mod trials;
+
+use std::sync::Arc;
+
+use case::DeathCase;
+pub use case::DeathStrike;
+use losses::OpenLosses;
+pub use losses::{RunLoss, UpstreamFate};
+pub use sharing::CaseRecord;
+use sharing::{CASES_EACH, CaseComparison, digest_of};
+use trials::{TrialDesk, trial_owner};
+
+use super::message::PeerMessage;
+use crate::blackboard::{Fingerprint, ReplicaId, Suspicion};
+use crate::controllers::Reply;
+use crate::prelude::*;
+
+/// Numbers a careful run at the node that makes it; the number of the ticket with which it was asked for.
+pub type TrialNumber = u64;
+
+/// How long an upstream that ended is passed over, in milliseconds.
+const DOWN_MS: u64 = 2_000;
+
+/// Requests that are remembered. Each has had an upstream end under it, so a flood of other requests makes none.
+const MOST_CASES: usize = 4_096;
+
+/// How far apart in time two ends under runs of one request that overlapped must lie to have no cause in common, in
+/// milliseconds: some times what tasks and the system take to notice an end.
+const APART_MS: u64 = 20;
+
+/// Keeps the cases of all requests under which upstreams ended, and the board's suspicions.
+#[derive(Debug, Default)]
+pub struct QuarantineController {
+    cases: FastMap<Fingerprint, DeathCase>,
+    losses: OpenLosses,
+    trials: TrialDesk,
+    comparison: CaseComparison,
+    /// Runs of this node that ended with their upstreams, to compare others with.
+    own_losses: FastMap<Fingerprint, Vec<OwnLoss>>,
+    /// When the first case can be forgotten; `None` while there is none.
+    next_forget: Option<Moment>,
+}
+
+/// A run of this node that ended with its upstream.
+#[derive(Clone, Copy, Debug)]
+struct OwnLoss {
+    began_at: Moment,
+    lost_at: Moment,
+    level: u32,
+}
+
+impl OwnLoss {
+    /// Whether another run of the same request, which overlapped this one, ended later for a reason of its own: a common
+    /// cause ends both at once, whenever they began.
+    fn is_before(&self, loss: &RunLoss) -> bool {
+        let apart_ms = self.lost_at.until_ms(loss.lost_at);
+        let starts_ms = self.began_at.0.abs_diff(loss.began_at.0);
+        apart_ms >= APART_MS && apart_ms >= starts_ms / 2
+    }
+}
+
+impl QuarantineController {
+    /// Takes a run that ended with the connection to its upstream.
+    fn take_loss(&mut self, loss: &RunLoss, turn: &mut Turn<'_>) {
+        if !is_staying(&loss.upstream, turn.board) {
+            // It was about to leave, so its end is not the request's doing.
+            return;
+        }
+        if loss.fate != UpstreamFate::Ended {
+            let facts = turn.board.replicas.get(&loss.upstream);
+            let address = facts.map(|facts| facts.record.address);
+            self.losses.push(loss.clone(), address, turn.now);
+            return;
+        }
+        let (upstream, incarnation) = (loss.upstream.clone(), loss.incarnation);
+        self.strike_own(loss, turn);
+        let explained = self
+            .losses
+            .take_explained(|open| open.loss.upstream == upstream && open.loss.incarnation == incarnation);
+        explained.iter().for_each(|loss| self.strike_own(loss, turn));
+    }
+
+    /// Notes that an upstream ended under a run of this node.
+    fn strike_own(&mut self, loss: &RunLoss, turn: &mut Turn<'_>) {
+        let earlier = self.own_losses.entry(loss.fingerprint).or_default();
+        let before = earlier.iter().filter(|earlier| earlier.is_before(loss));
+        let highest = before.map(|earlier| earlier.level).max().unwrap_or_default();
+        let level = loss.known_level.max(highest) + 1;
+        earlier.push(OwnLoss {
+            began_at: loss.began_at,
+            lost_at: loss.lost_at,
+            level,
+        });
+        let strike = DeathStrike {
+            upstream: loss.upstream.clone(),
+            incarnation: loss.incarnation,
+            level,
+            ended_at: loss.lost_at,
+            seen_by: turn.board.own.name.clone(),
+        };
+        if self.take_strike(loss.fingerprint, &strike, "own", turn) {
+            // The VM that lets careful runs begin has to know before the run counts as over there.
+            let owner = trial_owner(loss.fingerprint, turn);
+            let fingerprint = loss.fingerprint;
+            turn.send_to(&owner, PeerMessage::Strike { fingerprint, strike });
+        }
+    }
+
+    /// Notes a strike, and passes it on where it is news.
+    fn take_strike(
+        &mut self,
+        fingerprint: Fingerprint,
+        strike: &DeathStrike,
+        source: &str,
+        turn: &mut Turn<'_>,
+    ) -> bool {
+        if !self.cases.contains_key(&fingerprint) {
+            self.make_room();
+        }
+        let case = self.cases.entry(fingerprint).or_default();
+        if !case.note_strike(strike) {
+            return false;
+        }
+        turn.log(format!(
+            "event=request_struck fingerprint={fingerprint:016x} upstream={} incarnation={} level={} age_ms={} seen_by={} source={source}",
+            strike.upstream,
+            strike.incarnation,
+            strike.level,
+            strike.ended_at.until_ms(turn.now),
+            strike.seen_by
+        ));
+        // One that has just ended gets nothing until it has had time to come back.
+        let down_until = strike.ended_at.after_ms(DOWN_MS);
+        if !turn.now.reached(down_until) {
+            turn.board.upstream_mut(&strike.upstream).down_until = Some(down_until);
+        }
+        self.show(fingerprint, turn);
+        turn.send_to_neighbors(&PeerMessage::Strike {
+            fingerprint,
+            strike: strike.clone(),
+        });
+        true
+    }
+
+    /// Makes room for another case.
+    fn make_room(&mut self) {
+        if self.cases.len() < MOST_CASES {
+            return;
+        }
+        let is_less = |(_, case): &(&Fingerprint, &DeathCase)| {
+            let level = if case.is_cleared() { 0 } else { case.level() };
+            (level, case.forget_at())
+        };
+        let least = self
+            .cases
+            .iter()
+            .min_by_key(is_less)
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(fingerprint) = least {
+            self.cases.remove(&fingerprint);
+            self.own_losses.remove(&fingerprint);
+        }
+    }
+
+    /// Brings the board in line with a case.
+    fn show(&mut self, fingerprint: Fingerprint, turn: &mut Turn<'_>) {
+        let case = self.cases.get(&fingerprint);
+        let suspicion = case.and_then(DeathCase::suspicion);
+        let known = turn.board.suspicions.get(&fingerprint).copied();
+        if let Some(forget_at) = case.map(DeathCase::forget_at) {
+            self.next_forget = Some(self.next_forget.map_or(forget_at, |next| next.min(forget_at)));
+        }
+        if suspicion == known {
+            return;
+        }
+        let suspicions = Arc::make_mut(&mut turn.board.suspicions);
+        match suspicion {
+            Some(suspicion) => suspicions.insert(fingerprint, suspicion),
+            None => suspicions.remove(&fingerprint),
+        };
+        turn.board.case_digest = digest_of(self.cases.iter());
+        if let Some(Suspicion { level, held_until }) = suspicion
+            && !turn.now.reached(held_until)
+        {
+            turn.log(format!(
+                "event=request_quarantined fingerprint={fingerprint:016x} level={level} hold_ms={}",
+                turn.now.until_ms(held_until)
+            ));
+        }
+        turn.publish();
+    }
+
+    /// Takes a whole run of a suspected request; the VM that lets its careful runs begin counts them.
+    fn take_whole_run(&mut self, fingerprint: Fingerprint, turn: &mut Turn<'_>) {
+        let owner = trial_owner(fingerprint, turn);
+        if owner != turn.board.own.name {
+            turn.send_to(&owner, PeerMessage::RunWhole { fingerprint });
+            return;
+        }
+        self.count_whole_run(fingerprint, turn);
+    }
+
+    fn count_whole_run(&mut self, fingerprint: Fingerprint, turn: &mut Turn<'_>) {
+        let Some(case) = self.cases.get_mut(&fingerprint) else {
+            return;
+        };
+        if case.note_whole_run() {
+            let level = case.level();
+            self.clear(fingerprint, level, "own", turn);
+        }
+    }
+
+    /// Clears a request of strikes up to a level; what is news is passed on.
+    fn clear(&mut self, fingerprint: Fingerprint, level: u32, source: &str, turn: &mut Turn<'_>) {
+        let case = self.cases.get_mut(&fingerprint);
+        if !case.is_some_and(|case| case.clear(level)) {
+            return;
+        }
+        self.own_losses.remove(&fingerprint);
+        turn.log(format!(
+            "event=request_cleared fingerprint={fingerprint:016x} level={level} source={source}"
+        ));
+        self.show(fingerprint, turn);
+        turn.send_to_neighbors(&PeerMessage::Cleared { fingerprint, level });
+    }
+
+    /// Takes what shows that an upstream's start is over.
+    fn explain_losses(&mut self, turn: &mut Turn<'_>) {
+        if self.losses.is_empty() {
+            return;
+        }
+        let replicas = turn.board.replicas.clone();
+        let explained = self.losses.take_explained(|open| {
+            let loss = &open.loss;
+            let is_restarted = replicas
+                .get(&loss.upstream)
+                .is_some_and(|facts| facts.record.started_epoch_ms > loss.incarnation);
+            let is_succeeded = open.address.is_some_and(|address| {
+                let others = replicas.values().map(|facts| &facts.record);
+                let mut others = others.filter(|record| record.id != loss.upstream);
+                others.any(|record| record.address == address && record.started_epoch_ms > loss.incarnation)
+            });
+            is_restarted || is_succeeded
+        });
+        explained.iter().for_each(|loss| self.strike_own(loss, turn));
+    }
+
+    fn take_replaced(&mut self, replica: &ReplicaId, turn: &mut Turn<'_>) {
+        let explained = self.losses.take_explained(|open| open.loss.upstream == *replica);
+        explained.iter().for_each(|loss| self.strike_own(loss, turn));
+    }
+
+    fn compare(&mut self, from: &VmAddress, digest: u64, turn: &mut Turn<'_>) {
+        if self
+            .comparison
+            .should_ask(turn.board.case_digest, digest, turn.now)
+        {
+            turn.send_to(from, PeerMessage::CasesWanted);
+        }
+    }
+
+    fn tell_cases(&self, to: &VmAddress, turn: &mut Turn<'_>) {
+        let records: Vec<CaseRecord> = self
+            .cases
+            .iter()
+            .map(|(fingerprint, case)| CaseRecord {
+                fingerprint: *fingerprint,
+                is_cleared: case.is_cleared(),
+                strikes: case.strikes().to_vec(),
+            })
+            .collect();
+        for part in records.chunks(CASES_EACH) {
+            turn.send_to(to, PeerMessage::CasesContent(part.to_vec()));
+        }
+    }
+
+    fn take_cases(&mut self, from: &VmAddress, records: &[CaseRecord], turn: &mut Turn<'_>) {
+        for record in records {
+            let fingerprint = record.fingerprint;
+            if record.is_cleared {
+                let level = record.strikes.iter().map(|strike| strike.level).max();
+                self.clear(fingerprint, level.unwrap_or_default(), from, turn);
+                continue;
+            }
+            for strike in &record.strikes {
+                self.take_strike(fingerprint, strike, from, turn);
+            }
+        }
+    }
+
+    fn forget_old(&mut self, turn: &mut Turn<'_>) {
+        self.losses.forget_old(turn.now);
+        if self.next_forget.is_none_or(|at| !turn.now.reached(at)) {
+            return;
+        }
+        let old = self
+            .cases
+            .iter()
+            .filter(|(_, case)| turn.now.reached(case.forget_at()));
+        let old: Vec<Fingerprint> = old.map(|(fingerprint, _)| *fingerprint).collect();
+        self.next_forget = None;
+        for fingerprint in old {
+            self.cases.remove(&fingerprint);
+            self.own_losses.remove(&fingerprint);
+            self.show(fingerprint, turn);
+        }
+        self.next_forget = self.cases.values().map(DeathCase::forget_at).min();
+    }
+
+    fn take_message(&mut self, from: &VmAddress, message: &PeerMessage, turn: &mut Turn<'_>) {
+        match message {
+            PeerMessage::Strike { fingerprint, strike } => {
+                self.take_strike(*fingerprint, strike, from, turn);
+            }
+            PeerMessage::Cleared { fingerprint, level } => self.clear(*fingerprint, *level, from, turn),
+            PeerMessage::RunWhole { fingerprint } => self.count_whole_run(*fingerprint, turn),
+            PeerMessage::TrialAsk {
+                fingerprint,
+                number,
+                remaining_ms,
+            } => self
+                .trials
+                .answer(from, *fingerprint, *number, *remaining_ms, turn),
+            PeerMessage::TrialAnswer { number, verdict } => {
+                self.trials.take_answer(from, *number, *verdict, turn);
+            }
+            PeerMessage::TrialDone { fingerprint, number } => {
+                self.trials.take_done(from, *fingerprint, *number);
+            }
+            PeerMessage::Heartbeat { case_digest, .. } => self.compare(from, *case_digest, turn),
+            PeerMessage::CasesWanted => self.tell_cases(from, turn),
+            PeerMessage::CasesContent(records) => self.take_cases(from, records, turn),
+            PeerMessage::ReplicasContent(_) => self.explain_losses(turn),
+            _ => {}
+        }
+    }
+}
+
+/// Whether an upstream is one that is not about to leave.
+fn is_staying(upstream: &Arc<str>, board: &Blackboard) -> bool {
+    match board.register.register.upstream(upstream) {
+        Some(listed) => !listed.leaving,
+        None => board.is_staying(upstream),
+    }
+}
+
+impl Controller for QuarantineController {
+    fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
+        match event {
+            Event::Tick { .. } => {
+                self.forget_old(turn);
+                self.trials.tick(turn);
+            }
+            Event::RequestLost { ticket, loss } => {
+                self.take_loss(loss, turn);
+                turn.reply(*ticket, Reply::Noted);
+            }
+            Event::RequestCompleted { fingerprint } => self.take_whole_run(*fingerprint, turn),
+            Event::TrialWanted {
+                ticket,
+                fingerprint,
+                deadline,
+            } => self.trials.want(*ticket, *fingerprint, *deadline, turn),
+            Event::TrialDone { fingerprint, number } => self.trials.finish(*fingerprint, *number, turn),
+            Event::ReplicaReplaced { replica } => self.take_replaced(replica, turn),
+            Event::ReplicasRead { .. } => self.explain_losses(turn),
+            Event::PeerMessage { from, message, .. } => self.take_message(from, message, turn),
+            _ => {}
+        }
+    }
+
+    fn wake_at(&self, _board: &Blackboard, _now: Moment) -> Option<Moment> {
+        self.next_forget.into_iter().chain(self.trials.wake_at()).min()
+    }
+}
--- /dev/null
+++ b/src/controllers/quarantine/trials.rs
@@ -0,0 +1,280 @@
+//! Careful runs: a suspected request runs once at a time in the whole fleet.
+//!
+//! The live VM that ranks first for the request lets one run begin, and the next one once it hears how that ended. A VM
+//! that can't reach it decides for itself, so that no request waits for a VM that is gone.
+
+use super::TrialNumber;
+use crate::blackboard::Fingerprint;
+use crate::controllers::Reply;
+use crate::controllers::message::{PeerMessage, TrialVerdict};
+use crate::controllers::rendezvous;
+use crate::prelude::*;
+
+/// How long the VM that lets runs begin may take to answer, in milliseconds: a round trip between zones and some work on
+/// a small VM.
+const ANSWER_LIMIT_MS: u64 = 120;
+
+/// How long a request waits before it asks again while another run is under way, in milliseconds.
+const ASK_AGAIN_MS: u64 = 30;
+
+/// How long a request waits for another run of it at most, in milliseconds; some times what a plain call takes.
+const LONGEST_WAIT_MS: u64 = 400;
+
+/// When to come back to a request that runs somewhere else, in milliseconds.
+const COME_BACK_MS: u64 = 500;
+
+/// How long after its request's deadline a run counts as over though nobody said so, in milliseconds.
+const OVERDUE_MS: u64 = 1_000;
+
+/// A run that was let begin.
+#[derive(Debug)]
+struct RunningTrial {
+    /// The VM that runs it; `None` for this one.
+    holder: Option<VmAddress>,
+    number: TrialNumber,
+    over_at: Moment,
+}
+
+/// A request of this node that waits to be run.
+#[derive(Debug)]
+struct WaitingTrial {
+    fingerprint: Fingerprint,
+    /// When the request must have been answered.
+    deadline: Moment,
+    give_up_at: Moment,
+    /// Whom it asked; `None` while it waits to ask again.
+    asked: Option<VmAddress>,
+    /// When that VM counts as gone, or when it asks again.
+    next_at: Moment,
+}
+
+/// The runs that this VM let begin, and the requests of this node that wait.
+#[derive(Debug, Default)]
+pub struct TrialDesk {
+    running: FastMap<Fingerprint, RunningTrial>,
+    waiting: FastMap<TrialNumber, WaitingTrial>,
+}
+
+impl TrialDesk {
+    /// Lets a request of this node run, now or after a wait, or refuses it.
+    pub fn want(
+        &mut self,
+        ticket: ReplyTicket,
+        fingerprint: Fingerprint,
+        deadline: Moment,
+        turn: &mut Turn<'_>,
+    ) {
+        let waiting = WaitingTrial {
+            fingerprint,
+            deadline,
+            give_up_at: deadline.min(turn.now.after_ms(LONGEST_WAIT_MS)),
+            asked: None,
+            next_at: turn.now,
+        };
+        let number = ticket.0;
+        self.waiting.insert(number, waiting);
+        self.advance(number, turn);
+    }
+
+    /// Asks for a waiting request, or ends its wait.
+    fn advance(&mut self, number: TrialNumber, turn: &mut Turn<'_>) {
+        let Some(waiting) = self.waiting.get(&number) else {
+            return;
+        };
+        let (fingerprint, deadline) = (waiting.fingerprint, waiting.deadline);
+        let Some(suspicion) = turn.board.suspicions.get(&fingerprint).copied() else {
+            // It was cleared meanwhile.
+            self.grant(number, 0, turn);
+            return;
+        };
+        if suspicion.is_held(turn.now) {
+            let span_ms = turn.now.until_ms(suspicion.held_until);
+            self.refuse(number, span_ms, turn);
+            return;
+        }
+        if turn.now.reached(waiting.give_up_at) {
+            self.refuse(number, COME_BACK_MS, turn);
+            return;
+        }
+        // A VM that did not answer in time counts as gone for this request.
+        let is_silent = waiting.asked.is_some();
+        let owner = trial_owner(fingerprint, turn);
+        if is_silent || owner == turn.board.own.name {
+            match self.decide(None, fingerprint, number, deadline, turn) {
+                TrialVerdict::Granted { level } => self.grant(number, level, turn),
+                TrialVerdict::Busy => self.wait_again(number, turn),
+                TrialVerdict::Held { span_ms } => self.refuse(number, span_ms, turn),
+            }
+            return;
+        }
+        if let Some(waiting) = self.waiting.get_mut(&number) {
+            waiting.asked = Some(owner.clone());
+            waiting.next_at = turn.now.after_ms(ANSWER_LIMIT_MS);
+        }
+        let message = PeerMessage::TrialAsk {
+            fingerprint,
+            number,
+            remaining_ms: turn.now.until_ms(deadline),
+        };
+        turn.send_to(&owner, message);
+    }
+
+    fn wait_again(&mut self, number: TrialNumber, turn: &Turn<'_>) {
+        if let Some(waiting) = self.waiting.get_mut(&number) {
+            waiting.asked = None;
+            waiting.next_at = turn.now.after_ms(ASK_AGAIN_MS);
+        }
+    }
+
+    fn grant(&mut self, number: TrialNumber, level: u32, turn: &mut Turn<'_>) {
+        if self.waiting.remove(&number).is_some() {
+            turn.reply(ReplyTicket(number), Reply::TrialGranted { level });
+        }
+    }
+
+    fn refuse(&mut self, number: TrialNumber, span_ms: u64, turn: &mut Turn<'_>) {
+        if let Some(waiting) = self.waiting.remove(&number) {
+            let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{:016x}", waiting.fingerprint));
+            turn.reply(
+                ReplyTicket(number),
+                Reply::Refused(notice.retry_after_ms(span_ms)),
+            );
+        }
+    }
+
+    /// Decides as the VM that lets runs begin.
+    fn decide(
+        &mut self,
+        holder: Option<VmAddress>,
+        fingerprint: Fingerprint,
+        number: TrialNumber,
+        deadline: Moment,
+        turn: &mut Turn<'_>,
+    ) -> TrialVerdict {
+        let Some(suspicion) = turn.board.suspicions.get(&fingerprint).copied() else {
+            return TrialVerdict::Granted { level: 0 };
+        };
+        if suspicion.is_held(turn.now) {
+            let span_ms = turn.now.until_ms(suspicion.held_until);
+            return TrialVerdict::Held { span_ms };
+        }
+        let granted = TrialVerdict::Granted {
+            level: suspicion.level,
+        };
+        self.forget_over(fingerprint, turn);
+        if let Some(running) = self.running.get(&fingerprint) {
+            let is_same = running.number == number && running.holder == holder;
+            return if is_same { granted } else { TrialVerdict::Busy };
+        }
+        turn.log(format!(
+            "event=trial_begun fingerprint={fingerprint:016x} vm={} level={}",
+            holder.as_ref().unwrap_or(&turn.board.own.name),
+            suspicion.level
+        ));
+        let running = RunningTrial {
+            holder,
+            number,
+            over_at: deadline.after_ms(OVERDUE_MS),
+        };
+        self.running.insert(fingerprint, running);
+        granted
+    }
+
+    /// Forgets a run that nobody will end any more.
+    fn forget_over(&mut self, fingerprint: Fingerprint, turn: &Turn<'_>) {
+        let vms = &turn.board.vms;
+        let is_gone = |name: &VmAddress| vms.get(name).is_none_or(|vm| !vm.is_live(turn.now));
+        let is_over = |running: &RunningTrial| {
+            turn.now.reached(running.over_at) || running.holder.as_ref().is_some_and(is_gone)
+        };
+        if self.running.get(&fingerprint).is_some_and(is_over) {
+            self.running.remove(&fingerprint);
+        }
+    }
+
+    /// Answers a VM that asks to run a request.
+    pub fn answer(
+        &mut self,
+        from: &VmAddress,
+        fingerprint: Fingerprint,
+        number: TrialNumber,
+        remaining_ms: u64,
+        turn: &mut Turn<'_>,
+    ) {
+        let deadline = turn.now.after_ms(remaining_ms);
+        let verdict = self.decide(Some(from.clone()), fingerprint, number, deadline, turn);
+        turn.send_to(from, PeerMessage::TrialAnswer { number, verdict });
+    }
+
+    /// Takes the answer to a request of this node.
+    pub fn take_answer(
+        &mut self,
+        from: &VmAddress,
+        number: TrialNumber,
+        verdict: TrialVerdict,
+        turn: &mut Turn<'_>,
+    ) {
+        let waiting = self.waiting.get(&number);
+        if waiting.is_none_or(|waiting| waiting.asked.as_ref() != Some(from)) {
+            return;
+        }
+        match verdict {
+            TrialVerdict::Granted { level } => {
+                let fingerprint = waiting.map(|waiting| waiting.fingerprint).unwrap_or_default();
+                let suspicion = turn.board.suspicions.get(&fingerprint);
+                let own_level = suspicion.map_or(0, |suspicion| suspicion.level);
+                self.grant(number, level.max(own_level), turn);
+            }
+            TrialVerdict::Busy => self.wait_again(number, turn),
+            TrialVerdict::Held { span_ms } => self.refuse(number, span_ms, turn),
+        }
+    }
+
+    /// Ends a run of this node, here or at the VM that let it begin.
+    pub fn finish(&mut self, fingerprint: Fingerprint, number: TrialNumber, turn: &mut Turn<'_>) {
+        // A request that was given up while it waited has nothing to end.
+        self.waiting.remove(&number);
+        self.end_running(None, fingerprint, number);
+        let owner = trial_owner(fingerprint, turn);
+        if owner != turn.board.own.name {
+            turn.send_to(&owner, PeerMessage::TrialDone { fingerprint, number });
+        }
+    }
+
+    /// Takes a peer's word that a run of it is over.
+    pub fn take_done(&mut self, from: &VmAddress, fingerprint: Fingerprint, number: TrialNumber) {
+        self.end_running(Some(from), fingerprint, number);
+    }
+
+    fn end_running(&mut self, holder: Option<&VmAddress>, fingerprint: Fingerprint, number: TrialNumber) {
+        let is_it = |running: &RunningTrial| running.number == number && running.holder.as_ref() == holder;
+        if self.running.get(&fingerprint).is_some_and(is_it) {
+            self.running.remove(&fingerprint);
+        }
+    }
+
+    /// Goes on with the requests whose time has come.
+    pub fn tick(&mut self, turn: &mut Turn<'_>) {
+        let due = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| turn.now.reached(waiting.next_at));
+        let numbers: Vec<TrialNumber> = due.map(|(number, _)| *number).collect();
+        numbers.into_iter().for_each(|number| self.advance(number, turn));
+        self.running
+            .retain(|_, running| !turn.now.reached(running.over_at));
+    }
+
+    /// When the next waiting request wants to go on.
+    pub fn wake_at(&self) -> Option<Moment> {
+        self.waiting.values().map(|waiting| waiting.next_at).min()
+    }
+}
+
+/// The VM that lets runs of a request begin, as this node sees it.
+pub fn trial_owner(fingerprint: Fingerprint, turn: &Turn<'_>) -> VmAddress {
+    let view = turn.board.live_view(turn.now);
+    let staying = view.vms.iter().filter(|vm| !vm.leaving).map(|vm| &*vm.name);
+    let owner = rendezvous::owner(&format!("{fingerprint:016x}"), staying);
+    owner.map_or_else(|| turn.board.own.name.clone(), VmAddress::from)
+}
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -99,9 +99,8 @@
     }
 
     fn refuse(&mut self, ask: &PlacementAsk, turn: &Turn<'_>) -> Option<RefusalNotice> {
-        if let Some(until) = turn.board.is_quarantined(ask.fingerprint, turn.now) {
-            let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{:016x}", ask.fingerprint));
-            return Some(notice.retry_after_ms(turn.now.until_ms(until)));
+        if let Some(notice) = refuse_held(ask, turn.board, turn.now) {
+            return Some(notice);
         }
         if turn.now.reached(ask.deadline) {
             return Some(RefusalNotice::new(
@@ -352,6 +351,13 @@
     }
 }
 
+/// The refusal of a request that is held back, since upstreams ended under it.
+pub(super) fn refuse_held(ask: &PlacementAsk, board: &Blackboard, now: Moment) -> Option<RefusalNotice> {
+    let until = board.held_until(ask.fingerprint, now)?;
+    let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{:016x}", ask.fingerprint));
+    Some(notice.retry_after_ms(now.until_ms(until)))
+}
+
 pub(super) fn release_of(key: &EngineGroup, request: &RequestId, result: PlacementResult) -> PeerMessage {
     PeerMessage::SlotRelease {
         group: key.clone(),
--- a/src/controllers/slots/ledger/choice.rs
+++ b/src/controllers/slots/ledger/choice.rs
@@ -37,23 +37,19 @@
         ask.avoid.contains(name) && self.decode.keys().any(is_other)
     }
 
-    /// Whether an engine may take this request: usable, not tried before, and no two suspects together.
-    fn may_take(
-        &self,
-        name: &Arc<str>,
-        ask: &PlacementAsk,
-        is_suspect: bool,
-        board: &Blackboard,
-        now: Moment,
-    ) -> bool {
-        let has_suspect = |lease: &SlotLease| {
-            lease.is_suspect
-                && (lease.decode == *name || (lease.is_prefilling && lease.prefill.as_ref() == Some(name)))
-        };
+    /// Whether an engine may take this request: usable, and not tried before.
+    fn may_take(&self, name: &Arc<str>, ask: &PlacementAsk, board: &Blackboard, now: Moment) -> bool {
         let is_open = board.is_engine_usable(name, now) && !ask.barred.contains(name);
-        is_open
-            && !self.is_avoided(name, ask, board, now)
-            && !(is_suspect && self.leases.values().any(has_suspect))
+        is_open && !self.is_avoided(name, ask, board, now)
+    }
+
+    /// Whether an engine runs a request under which others ended.
+    fn has_suspect(&self, name: &Arc<str>, board: &Blackboard) -> bool {
+        let is_at = |lease: &SlotLease| {
+            lease.decode == *name || (lease.is_prefilling && lease.prefill.as_ref() == Some(name))
+        };
+        let mut leases = self.leases.values();
+        leases.any(|lease| is_at(lease) && lease.fingerprint.is_some_and(|known| board.is_suspect(known)))
     }
 
     pub(super) fn choose_decode(
@@ -68,15 +64,17 @@
         self.decode
             .iter()
             .filter(|(_, replica)| replica.has_room(load, now))
-            .filter(|(name, _)| self.may_take(name, ask, is_suspect, board, now))
+            .filter(|(name, _)| self.may_take(name, ask, board, now))
             .min_by_key(|(name, replica)| {
+                // Of two suspects on one engine that ends, the innocent one could not be told.
+                let is_shared = is_suspect && self.has_suspect(name, board);
                 let far_fill = if replica.zone == ask.zone {
                     0
                 } else {
                     FAR_DECODE_FILL
                 };
                 let fill = replica.fill_with(load) + far_fill;
-                (fill * known_pace(replica), (*name).clone())
+                (is_shared, fill * known_pace(replica), (*name).clone())
             })
             .map(|(name, _)| name.clone())
     }
@@ -92,10 +90,16 @@
         board: &Blackboard,
         now: Moment,
     ) -> PrefillChoice {
-        let candidates: Vec<(u64, u32, &Arc<str>)> = self
+        let open: Vec<_> = self
             .prefill
             .iter()
-            .filter(|(name, _)| self.may_take(name, ask, is_suspect, board, now))
+            .filter(|(name, _)| self.may_take(name, ask, board, now))
+            .collect();
+        let is_alone = |name: &Arc<str>| !is_suspect || !self.has_suspect(name, board);
+        let has_alone = open.iter().any(|(name, _)| is_alone(name));
+        let candidates: Vec<(u64, u32, &Arc<str>)> = open
+            .into_iter()
+            .filter(|(name, _)| !has_alone || is_alone(name))
             .map(|(name, replica)| {
                 let cached = replica.memory.cached_tokens(&ask.prefix);
                 let uncached = u64::from(ask.prompt_tokens.saturating_sub(cached));
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -9,13 +9,14 @@
 use admission::{CrowdGauge, spread_return_ms};
 use choice::PrefillChoice;
 
+use super::client::refuse_held;
 use super::queue::{QUEUE_LIMIT, WaitingQueue};
 use super::replica::{DecodeReplica, PrefillReplica};
 use super::{
     EngineEnd, EngineGroup, HeldSlot, MemoryLoad, PlacementAsk, PlacementResult, RequestId, group_count,
     group_members,
 };
-use crate::blackboard::{EngineView, ReplicaFacts, ReplicaId};
+use crate::blackboard::{EngineView, Fingerprint, ReplicaFacts, ReplicaId};
 use crate::controllers::message::SlotVerdict;
 use crate::controllers::services::smooth;
 use crate::prelude::*;
@@ -50,7 +51,8 @@
     prefill: Option<Arc<str>>,
     is_prefilling: bool,
     uncached_tokens: u64,
-    is_suspect: bool,
+    /// The request's content; `None` where an earlier owner granted the slot.
+    fingerprint: Option<Fingerprint>,
     deadline: Moment,
 }
 
@@ -164,6 +166,10 @@
         if self.queue.contains(&ask.request) {
             return SlotVerdict::Queued;
         }
+        // The asking VM may not have heard yet what this one knows.
+        if let Some(refusal) = refuse_held(ask, board, now) {
+            return SlotVerdict::Refused(refusal);
+        }
         let ahead = self.queue.ahead_of(ask.priority);
         if let Some(refusal) = self.refuse_early(ask, ahead, now) {
             return SlotVerdict::Refused(refusal);
@@ -201,7 +207,10 @@
         board: &Blackboard,
         now: Moment,
     ) -> Option<SlotVerdict> {
-        let is_suspect = board.is_suspect(ask.fingerprint, now);
+        let is_suspect = board.is_suspect(ask.fingerprint);
+        if is_suspect && self.is_running(ask.fingerprint) {
+            return None;
+        }
         let load = ask.memory_load(now.after_ms(self.prefill_ms(ask)));
         let decode = self.choose_decode(ask, &load, is_suspect, board, now)?;
         let decode_zone = self.decode.get(&decode).map(|replica| replica.zone.clone());
@@ -228,13 +237,19 @@
             prefill: prefill.clone(),
             is_prefilling: prefill.is_some(),
             uncached_tokens,
-            is_suspect,
+            fingerprint: Some(ask.fingerprint),
             deadline: ask.deadline,
         };
         self.book(&ask.request, lease);
         Some(SlotVerdict::Granted { decode, prefill })
     }
 
+    /// Whether a request of this content holds slots.
+    fn is_running(&self, fingerprint: Fingerprint) -> bool {
+        let mut leases = self.leases.values();
+        leases.any(|lease| lease.fingerprint == Some(fingerprint))
+    }
+
     /// Counts a slot that an earlier owner granted.
     pub fn adopt(
         &mut self,
@@ -255,7 +270,7 @@
             prefill: None,
             is_prefilling: false,
             uncached_tokens: 0,
-            is_suspect: false,
+            fingerprint: None,
             deadline: held.deadline,
         };
         self.book(&held.request, lease);
--- a/src/peers/convert/mod.rs
+++ b/src/peers/convert/mod.rs
@@ -2,11 +2,16 @@
 
 mod keys;
 mod members;
+mod quarantine;
 mod replicas;
 mod slots;
 
 use keys::{fill_handoff_frame, to_answer, to_answer_frame, to_call, to_call_frame, to_handoff};
 use members::{to_bytes, to_incarnation};
+use quarantine::{
+    cases_body, cleared_message, strike_body, strike_message, to_cases, to_trial_answer, to_trial_frame,
+    trial_answer_body,
+};
 use replicas::{to_replica_update, to_replicas_frame};
 use slots::{
     to_ask, to_ask_frame, to_engine_end, to_group, to_group_frame, to_release_frame, to_slot_answer,
@@ -16,9 +21,9 @@
 use crate::controllers::message::{MemberView, PeerMessage, VmIntroduction};
 use crate::controllers::slots::{HeldSlot, MemoryLoad, PlacementResult};
 use crate::peers::wire::{
-    ClearedFrame, EngineBusyFrame, FrameBody, HandoffFrame, HeartbeatFrame, IntroductionFrame, PeerFrame,
-    RegisterContentFrame, RegisterWantedFrame, ReplicaLeavingFrame, ReplicasWantedFrame, SlotHeldFrame,
-    StrikeFrame, VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
+    CasesWantedFrame, ClearedFrame, EngineBusyFrame, FrameBody, HandoffFrame, HeartbeatFrame,
+    IntroductionFrame, PeerFrame, RegisterContentFrame, RegisterWantedFrame, ReplicaLeavingFrame,
+    ReplicasWantedFrame, RunWholeFrame, SlotHeldFrame, VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
 };
 use crate::prelude::*;
 
@@ -34,6 +39,7 @@
             list_revision,
             store_age_ms,
             view,
+            case_digest,
             leaving,
             wants_echo,
         } => FrameBody::Heartbeat(HeartbeatFrame {
@@ -42,6 +48,7 @@
             store_age_ms: *store_age_ms,
             live_vms: view.count,
             live_digest: view.digest,
+            case_digest: *case_digest,
             leaving: *leaving,
             wants_echo: *wants_echo,
         }),
@@ -103,18 +110,25 @@
             request,
             result,
         } => FrameBody::SlotRelease(to_release_frame(group, request, *result)),
-        PeerMessage::Strike {
-            fingerprint,
-            upstream,
-            boot,
-        } => FrameBody::Strike(StrikeFrame {
+        PeerMessage::Strike { fingerprint, strike } => strike_body(*fingerprint, strike, now),
+        PeerMessage::Cleared { fingerprint, level } => FrameBody::Cleared(ClearedFrame {
             fingerprint: *fingerprint,
-            upstream: upstream.to_string(),
-            boot: *boot,
+            level: *level,
         }),
-        PeerMessage::Cleared { fingerprint } => FrameBody::Cleared(ClearedFrame {
+        PeerMessage::RunWhole { fingerprint } => FrameBody::RunWhole(RunWholeFrame {
             fingerprint: *fingerprint,
         }),
+        PeerMessage::TrialAsk {
+            fingerprint,
+            number,
+            remaining_ms,
+        } => FrameBody::TrialAsk(to_trial_frame(*fingerprint, *number, *remaining_ms)),
+        PeerMessage::TrialAnswer { number, verdict } => trial_answer_body(*number, *verdict),
+        PeerMessage::TrialDone { fingerprint, number } => {
+            FrameBody::TrialDone(to_trial_frame(*fingerprint, *number, 0))
+        }
+        PeerMessage::CasesWanted => FrameBody::CasesWanted(CasesWantedFrame {}),
+        PeerMessage::CasesContent(records) => cases_body(records, now),
         PeerMessage::KeyCall(call) => FrameBody::KeyCall(to_call_frame(call, now)),
         PeerMessage::KeyAnswer { call_id, answer } => FrameBody::KeyAnswer(to_answer_frame(*call_id, answer)),
         PeerMessage::Handoff {
@@ -159,6 +173,7 @@
                 count: frame.live_vms,
                 digest: frame.live_digest,
             },
+            case_digest: frame.case_digest,
             leaving: frame.leaving,
             wants_echo: frame.wants_echo,
         }),
@@ -209,14 +224,23 @@
                 decode: to_engine_end(frame.decode_end)?,
             },
         }),
-        FrameBody::Strike(frame) => Ok(PeerMessage::Strike {
+        FrameBody::Strike(frame) => Ok(strike_message(frame, now)),
+        FrameBody::Cleared(frame) => Ok(cleared_message(&frame)),
+        FrameBody::RunWhole(frame) => Ok(PeerMessage::RunWhole {
+            fingerprint: frame.fingerprint,
+        }),
+        FrameBody::TrialAsk(frame) => Ok(PeerMessage::TrialAsk {
             fingerprint: frame.fingerprint,
-            upstream: frame.upstream.into(),
-            boot: frame.boot,
+            number: frame.number,
+            remaining_ms: frame.remaining_ms,
         }),
-        FrameBody::Cleared(frame) => Ok(PeerMessage::Cleared {
+        FrameBody::TrialAnswer(frame) => to_trial_answer(&frame),
+        FrameBody::TrialDone(frame) => Ok(PeerMessage::TrialDone {
             fingerprint: frame.fingerprint,
+            number: frame.number,
         }),
+        FrameBody::CasesWanted(CasesWantedFrame {}) => Ok(PeerMessage::CasesWanted),
+        FrameBody::CasesContent(frame) => Ok(to_cases(frame, now)),
         FrameBody::KeyCall(frame) => to_call(frame, now),
         FrameBody::KeyAnswer(frame) => to_answer(frame),
         FrameBody::Handoff(frame) => to_handoff(frame),
--- a/src/peers/wire/keys.rs
+++ b/src/peers/wire/keys.rs
@@ -1,31 +1,9 @@
-//! Frames about run-once calls, their outcomes, and queries of death.
+//! Frames about run-once calls and their outcomes.
 
 use prost::Message;
 
 use super::RefusalFrame;
 
-/// A request was running on an upstream as it died.
-#[derive(Clone, PartialEq, Message)]
-pub struct StrikeFrame {
-    /// A hash of the content.
-    #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
-    /// The upstream.
-    #[prost(string, tag = "2")]
-    pub upstream: String,
-    /// Which start of it.
-    #[prost(fixed64, tag = "3")]
-    pub boot: u64,
-}
-
-/// A suspect request ran to its end.
-#[derive(Clone, PartialEq, Message)]
-pub struct ClearedFrame {
-    /// A hash of the content.
-    #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
-}
-
 /// A run-once call.
 #[derive(Clone, PartialEq, Message)]
 pub struct KeyCallFrame {
--- a/src/peers/wire/members.rs
+++ b/src/peers/wire/members.rs
@@ -112,6 +112,9 @@
     /// How long ago it, or a VM that it heard of, has read the store, in milliseconds.
     #[prost(uint64, tag = "7")]
     pub store_age_ms: u64,
+    /// A hash of the requests under which upstreams ended.
+    #[prost(fixed64, tag = "8")]
+    pub case_digest: u64,
 }
 
 /// A VM can't be reached.
--- a/src/peers/wire/mod.rs
+++ b/src/peers/wire/mod.rs
@@ -2,16 +2,21 @@
 
 mod keys;
 mod members;
+mod quarantine;
 mod replicas;
 mod slots;
 
 use prost::{Message, Oneof};
 
-pub use keys::{ClearedFrame, HandedAnswerFrame, HandoffFrame, KeyAnswerFrame, KeyCallFrame, StrikeFrame};
+pub use keys::{HandedAnswerFrame, HandoffFrame, KeyAnswerFrame, KeyCallFrame};
 pub use members::{
     ChallengeFrame, HeartbeatFrame, HelloFrame, IntroductionFrame, ProofFrame, VmSuspectedFrame,
     VmsKnownFrame, VmsWantedFrame,
 };
+pub use quarantine::{
+    CaseFrame, CasesContentFrame, CasesWantedFrame, ClearedFrame, RunWholeFrame, StrikeFrame,
+    TrialAnswerFrame, TrialFrame,
+};
 pub use replicas::{
     EngineBusyFrame, RegisterContentFrame, RegisterWantedFrame, ReplicaFrame, ReplicaLeavingFrame,
     ReplicasContentFrame, ReplicasWantedFrame,
@@ -24,7 +29,7 @@
     /// Its content.
     #[prost(
         oneof = "FrameBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
     )]
     pub body: Option<FrameBody>,
 }
@@ -65,10 +70,10 @@
     /// Slots are given back.
     #[prost(message, tag = "11")]
     SlotRelease(SlotReleaseFrame),
-    /// A request was running on an upstream as it died.
+    /// An upstream ended under a request.
     #[prost(message, tag = "12")]
     Strike(StrikeFrame),
-    /// A suspect request ran to its end.
+    /// Whole runs have cleared a request.
     #[prost(message, tag = "13")]
     Cleared(ClearedFrame),
     /// A run-once call for the owner of its key.
@@ -101,4 +106,22 @@
     /// A replica is about to leave.
     #[prost(message, tag = "23")]
     ReplicaLeaving(ReplicaLeavingFrame),
+    /// A suspected request ran to its end.
+    #[prost(message, tag = "24")]
+    RunWhole(RunWholeFrame),
+    /// The sender wants to run a suspected request.
+    #[prost(message, tag = "25")]
+    TrialAsk(TrialFrame),
+    /// The answer to it.
+    #[prost(message, tag = "26")]
+    TrialAnswer(TrialAnswerFrame),
+    /// The sender's run of it is over.
+    #[prost(message, tag = "27")]
+    TrialDone(TrialFrame),
+    /// All requests under which upstreams ended are wanted.
+    #[prost(message, tag = "28")]
+    CasesWanted(CasesWantedFrame),
+    /// Requests under which upstreams ended.
+    #[prost(message, tag = "29")]
+    CasesContent(CasesContentFrame),
 }
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -110,16 +110,26 @@
         let _ = self.events.send(event);
     }
 
+    /// A ticket that no other task has.
+    pub fn new_ticket(&self) -> ReplyTicket {
+        ReplyTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Asks the control thread; `make` puts the ticket into the event.
     pub async fn ask(&self, make: impl FnOnce(ReplyTicket) -> Event) -> Option<Reply> {
-        let ticket = ReplyTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
+        let ticket = self.new_ticket();
+        self.ask_as(ticket, make(ticket)).await
+    }
+
+    /// Asks the control thread with an event that holds a ticket.
+    pub async fn ask_as(&self, ticket: ReplyTicket, event: Event) -> Option<Reply> {
         let (sender, receiver) = oneshot::channel();
         let guard = WaiterGuard {
             ticket,
             waiters: self.waiters.clone(),
         };
         lock(&self.waiters).insert(ticket, sender);
-        self.tell(make(ticket));
+        self.tell(event);
         let reply = receiver.await.ok();
         drop(guard);
         reply
@@ -215,7 +225,6 @@
 
     fn handle(&mut self, event: &Event) {
         let now = clock::now();
-        let mut is_changed = false;
         self.event_tally[event.kind() as usize].fetch_add(1, Ordering::Relaxed);
         // One event that a controller can't deal with must not end the control of this node.
         let handled = std::panic::catch_unwind(AssertUnwindSafe(|| self.core.handle(event, now)));
@@ -229,13 +238,11 @@
             );
             return;
         };
-        for action in actions {
-            is_changed |= matches!(action, Action::Publish);
-            self.carry_out(action);
-        }
-        if is_changed {
+        // A task that is answered sees what its answer rests on.
+        if actions.iter().any(|action| matches!(action, Action::Publish)) {
             self.publish(now);
         }
+        actions.into_iter().for_each(|action| self.carry_out(action));
     }
 
     fn publish(&self, now: Moment) {
--- /dev/null
+++ b/src/runtime/run_permit.rs
@@ -0,0 +1,139 @@
+//! Leave to run a request on an upstream. A request under which upstreams ended runs once at a time in the whole fleet,
+//! and its leave is given back in whatever way the run ends.
+
+use std::sync::Arc;
+
+use super::ControlHandle;
+use crate::blackboard::Fingerprint;
+use crate::clock;
+use crate::controllers::Reply;
+use crate::controllers::quarantine::{RunLoss, TrialNumber, UpstreamFate};
+use crate::prelude::*;
+
+/// A run that ended with the connection to its upstream, as the task saw it.
+#[derive(Clone, Debug)]
+pub struct LostRun {
+    /// Which upstream.
+    pub upstream: Arc<str>,
+    /// Which start of the upstream; zero where that is not known.
+    pub incarnation: u64,
+    /// When the request was sent.
+    pub began_at: Moment,
+    /// When the connection ended.
+    pub lost_at: Moment,
+    /// What a look at the upstream showed.
+    pub fate: UpstreamFate,
+}
+
+/// Leave to run a request.
+pub struct RunPermit {
+    control: ControlHandle,
+    fingerprint: Fingerprint,
+    /// How far the request was suspected as the leave was given.
+    level: u32,
+    /// The careful run, where it is one.
+    trial: Option<TrialNumber>,
+}
+
+impl RunPermit {
+    /// Waits for leave to run a request; a request that is held back is refused at once.
+    pub async fn acquire(
+        control: &ControlHandle,
+        fingerprint: Fingerprint,
+        deadline: Moment,
+    ) -> Result<Self, RefusalNotice> {
+        let Some(suspicion) = control.snapshot().suspicion(fingerprint) else {
+            return Ok(Self::free(control, fingerprint));
+        };
+        let now = clock::now();
+        if suspicion.is_held(now) {
+            let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{fingerprint:016x}"));
+            return Err(notice.retry_after_ms(now.until_ms(suspicion.held_until)));
+        }
+        let ticket = control.new_ticket();
+        let mut permit = Self::free(control, fingerprint);
+        permit.trial = Some(ticket.0);
+        let wanted = Event::TrialWanted {
+            ticket,
+            fingerprint,
+            deadline,
+        };
+        match control.ask_as(ticket, wanted).await {
+            Some(Reply::TrialGranted { level }) => {
+                permit.level = level;
+                Ok(permit)
+            }
+            Some(Reply::Refused(notice)) => Err(notice),
+            _ => Err(RefusalNotice::new(
+                ResultCode::Quarantined,
+                "the control thread gave no answer",
+            )),
+        }
+    }
+
+    /// Leave for one more copy of a request that runs; `None` where it is suspected.
+    pub fn for_copy(control: &ControlHandle, fingerprint: Fingerprint) -> Option<Self> {
+        let is_clean = control.snapshot().suspicion(fingerprint).is_none();
+        is_clean.then(|| Self::free(control, fingerprint))
+    }
+
+    fn free(control: &ControlHandle, fingerprint: Fingerprint) -> Self {
+        Self {
+            control: control.clone(),
+            fingerprint,
+            level: 0,
+            trial: None,
+        }
+    }
+
+    /// Whether upstreams have ended under the request, so that it must not run twice at a time.
+    pub fn is_careful(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Tells that the run ended with the connection to its upstream, and waits until that is in force here.
+    pub async fn note_loss(&self, lost: LostRun) {
+        note_loss(&self.control, self.fingerprint, self.level, lost).await;
+    }
+
+    /// Tells that the run came to its end.
+    pub fn note_whole(&self) {
+        note_whole(&self.control, self.fingerprint);
+    }
+
+    /// How far the request was suspected as the leave was given.
+    pub fn level(&self) -> u32 {
+        self.level
+    }
+}
+
+/// Tells that a request ran to its end, where it is suspected.
+pub fn note_whole(control: &ControlHandle, fingerprint: Fingerprint) {
+    if control.snapshot().suspicion(fingerprint).is_some() {
+        control.tell(Event::RequestCompleted { fingerprint });
+    }
+}
+
+/// Tells that a run ended with the connection to its upstream, and waits until that is in force here.
+pub async fn note_loss(control: &ControlHandle, fingerprint: Fingerprint, known_level: u32, lost: LostRun) {
+    let loss = RunLoss {
+        fingerprint,
+        upstream: lost.upstream,
+        incarnation: lost.incarnation,
+        began_at: lost.began_at,
+        lost_at: lost.lost_at,
+        known_level,
+        fate: lost.fate,
+    };
+    // The thread ends only with the process, so that no answer needs none.
+    let _ = control.ask(|ticket| Event::RequestLost { ticket, loss }).await;
+}
+
+impl Drop for RunPermit {
+    fn drop(&mut self) {
+        if let Some(number) = self.trial {
+            let fingerprint = self.fingerprint;
+            self.control.tell(Event::TrialDone { fingerprint, number });
+        }
+    }
+}
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::super::controllers::rendezvous;
-use crate::blackboard::{ReplicaFacts, ReplicaId};
+use crate::blackboard::{Fingerprint, ReplicaFacts, ReplicaId, Suspicion, SuspicionMap};
 use crate::controllers::discovery::ListRevision;
 use crate::controllers::message::VmIntroduction;
 use crate::controllers::readers::reads_store;
@@ -36,8 +36,8 @@
     pub known_vms: usize,
     /// Until when new work is taken; `None` while the node is not leaving.
     pub accept_until: Option<Moment>,
-    /// Requests that are held back.
-    pub quarantined: usize,
+    /// Requests under which upstreams ended.
+    pub suspicions: Arc<SuspicionMap>,
 }
 
 impl Snapshot {
@@ -60,7 +60,7 @@
 
             known_vms: board.vms.len() + 1,
             accept_until: board.drain.map(|drain| drain.accept_until),
-            quarantined: board.quarantine.len(),
+            suspicions: board.suspicions.clone(),
         }
     }
 
@@ -69,6 +69,17 @@
         self.live_vms.iter().any(|vm| *vm.name == *name)
     }
 
+    /// How far a request is suspected; `None` where no upstream ended under it.
+    pub fn suspicion(&self, fingerprint: Fingerprint) -> Option<Suspicion> {
+        self.suspicions.get(&fingerprint).copied()
+    }
+
+    /// How many requests are held back.
+    pub fn held_count(&self, now: Moment) -> usize {
+        let suspicions = self.suspicions.values();
+        suspicions.filter(|suspicion| suspicion.is_held(now)).count()
+    }
+
     /// Whether a VM ranks first for an upstream among the live ones.
     pub fn owns(&self, own_name: &str, upstream: &str) -> bool {
         let staying = self.live_vms.iter().filter(|vm| !vm.leaving).map(|vm| &*vm.name);
--- a/src/traffic/call/lookup.rs
+++ b/src/traffic/call/lookup.rs
@@ -5,11 +5,12 @@
 
 use futures::future::{Either, select};
 
-use super::replica::{CallEnd, call_replica, choose_replica};
+use super::replica::{CallEnd, ReplicaCall, call_replica, choose_replica};
 use super::{ASK_AGAIN_MS, CheckedCall};
 use crate::clock;
 use crate::controllers::idempotency::StoredAnswer;
 use crate::prelude::*;
+use crate::runtime::RunPermit;
 use crate::traffic::TrafficContext;
 
 /// An idempotent call: tried on one replica after another, and on a second one when the first is slow.
@@ -29,16 +30,16 @@
             };
             return Err(RefusalNotice::new(code, "").retry_after_ms(ASK_AGAIN_MS));
         }
-        let replica = match choose_replica(context, &call.scope, &avoid, !avoid.is_empty()).await {
-            Ok(replica) => replica,
+        let (replica, permit) = match choose(context, call, &avoid).await {
+            Ok(chosen) => chosen,
             Err(notice) if is_sent => {
                 let failed = RefusalNotice::new(ResultCode::UpstreamFailed, notice.detail);
-                return Err(failed.retry_after_ms(ASK_AGAIN_MS));
+                return Err(failed.retry_after_ms(notice.retry_after_ms.unwrap_or(ASK_AGAIN_MS)));
             }
             Err(notice) => return Err(notice),
         };
         avoid.push(replica.clone());
-        match call_hedged(context, call, replica, &mut avoid).await {
+        match call_hedged(context, call, replica, permit, &mut avoid).await {
             CallEnd::Answered(answer) => {
                 context
                     .metrics
@@ -52,26 +53,45 @@
     }
 }
 
+/// Leave to run a call, and a replica for it.
+async fn choose(
+    context: &Arc<TrafficContext>,
+    call: &CheckedCall,
+    avoid: &[Arc<str>],
+) -> Result<(Arc<str>, RunPermit), RefusalNotice> {
+    let permit = RunPermit::acquire(&context.control, call.fingerprint, call.deadline).await?;
+    let replica = choose_replica(context, &call.scope, avoid, !avoid.is_empty()).await?;
+    Ok((replica, permit))
+}
+
 /// Calls a replica, and after a while without an answer a second one; the first answer counts.
 async fn call_hedged(
     context: &Arc<TrafficContext>,
     call: &CheckedCall,
     replica: Arc<str>,
+    permit: RunPermit,
     avoid: &mut Vec<Arc<str>>,
 ) -> CallEnd {
-    let first = spawn_call(context, call, replica);
+    let is_careful = permit.is_careful();
+    let first = spawn_call(context, call, replica, permit);
+    if is_careful {
+        return first.await;
+    }
     let hedge_after = Duration::from_millis(context.hedge_delay_ms(&call.scope));
     let pause = std::pin::pin!(async_std::task::sleep(hedge_after));
     let first = match select(first, pause).await {
         Either::Left((end, _)) => return end,
         Either::Right((_, first)) => first,
     };
+    let Some(permit) = RunPermit::for_copy(&context.control, call.fingerprint) else {
+        return first.await;
+    };
     let Ok(replica) = choose_replica(context, &call.scope, avoid, true).await else {
         return first.await;
     };
     avoid.push(replica.clone());
     context.metrics.note_hedge();
-    let second = spawn_call(context, call, replica);
+    let second = spawn_call(context, call, replica, permit);
     match select(first, second).await {
         Either::Left((CallEnd::Answered(answer), _)) | Either::Right((CallEnd::Answered(answer), _)) => {
             CallEnd::Answered(answer)
@@ -86,12 +106,21 @@
     context: &Arc<TrafficContext>,
     call: &CheckedCall,
     replica: Arc<str>,
+    permit: RunPermit,
 ) -> async_std::task::JoinHandle<CallEnd> {
     let context = context.clone();
     let scope = call.scope.clone();
     let payload = call.payload.clone();
     let deadline = call.deadline;
     async_std::task::spawn(async move {
-        call_replica(&context, &replica, &scope, &payload, None, deadline, deadline).await
+        let call = ReplicaCall {
+            scope: &scope,
+            payload: &payload,
+            key: None,
+            start_by: deadline,
+            answer_by: deadline,
+            permit: &permit,
+        };
+        call_replica(&context, &replica, &call).await
     })
 }
--- a/src/traffic/call/mod.rs
+++ b/src/traffic/call/mod.rs
@@ -14,6 +14,7 @@
 use super::answer::json_answer;
 use super::request::{CallBody, check_deadline, check_workspace, read_json};
 use super::routes::refuse_when_leaving;
+use crate::blackboard::{Fingerprint, hash_parts};
 use crate::controllers::idempotency::KeyScope;
 use crate::prelude::*;
 use crate::register::OperationRule;
@@ -27,6 +28,7 @@
 struct CheckedCall {
     scope: KeyScope,
     payload: Arc<str>,
+    fingerprint: Fingerprint,
     deadline: Moment,
 }
 
@@ -78,14 +80,23 @@
     check_workspace(&snapshot, &body.workspace)?;
     let repeat = find_operation(&snapshot.register, &body.service, &body.operation)?.repeat;
     let (_, deadline) = check_deadline(body.deadline_ms)?;
+    let scope = KeyScope {
+        workspace: body.workspace.into(),
+        service: body.service.into(),
+        operation: body.operation.into(),
+    };
+    let payload: Arc<str> = body.payload.to_string().into();
     let call = CheckedCall {
-        scope: KeyScope {
-            workspace: body.workspace.into(),
-            service: body.service.into(),
-            operation: body.operation.into(),
-        },
-        payload: body.payload.to_string().into(),
+        fingerprint: fingerprint(&scope, &payload),
+        scope,
+        payload,
         deadline,
     };
     Ok((call, repeat))
 }
+
+/// Stands for a call's content.
+fn fingerprint(scope: &KeyScope, payload: &str) -> Fingerprint {
+    let parts = [&*scope.workspace, &*scope.service, &*scope.operation, payload];
+    hash_parts(&parts.map(str::as_bytes))
+}
--- a/src/traffic/call/replica.rs
+++ b/src/traffic/call/replica.rs
@@ -7,7 +7,9 @@
 use crate::controllers::idempotency::{KeyScope, StoredAnswer};
 use crate::controllers::services::{ServiceAsk, ServiceResult};
 use crate::prelude::*;
+use crate::runtime::{LostRun, RunPermit};
 use crate::traffic::TrafficContext;
+use crate::traffic::diagnosis::{diagnose, is_answering};
 use crate::traffic::upstream::{UpstreamError, connect, post_json, read_body, send};
 
 /// The longest answer of a service, in bytes.
@@ -20,18 +22,38 @@
     Lost,
 }
 
+/// What one replica is to be called with.
+pub(super) struct ReplicaCall<'a> {
+    /// The operation.
+    pub scope: &'a KeyScope,
+    /// Its content.
+    pub payload: &'a str,
+    /// The key of a call that runs once.
+    pub key: Option<&'a str>,
+    /// When it must have been sent.
+    pub start_by: Moment,
+    /// How long its answer is awaited.
+    pub answer_by: Moment,
+    /// Leave to run it.
+    pub permit: &'a RunPermit,
+}
+
 /// Calls one replica over a new connection.
 pub(super) async fn call_replica(
     context: &TrafficContext,
     replica: &Arc<str>,
-    scope: &KeyScope,
-    payload: &str,
-    key: Option<&str>,
-    start_by: Moment,
-    answer_by: Moment,
+    call: &ReplicaCall<'_>,
 ) -> CallEnd {
+    // A replica that had ended before a careful run tells nothing of the call.
+    let is_silent = call.permit.is_careful() && !is_answering(context, replica).await;
     let began_at = clock::now();
-    let outcome = exchange_with_replica(context, replica, scope, payload, key, start_by, answer_by).await;
+    let outcome = if is_silent {
+        Err(UpstreamError::Connect {
+            address: replica.to_string(),
+        })
+    } else {
+        exchange_with_replica(context, replica, call).await
+    };
     let result = match &outcome {
         Ok(_) => ServiceResult::Answered((clock::now().0 - began_at.0) * 1_000),
         Err(UpstreamError::Deadline { .. }) => {
@@ -44,21 +66,47 @@
         result,
     });
     match outcome {
-        Ok(answer) => CallEnd::Answered(answer),
+        Ok(answer) => {
+            call.permit.note_whole();
+            CallEnd::Answered(answer)
+        }
         Err(error) if error.is_unsent() => CallEnd::Unsent,
-        Err(_) => CallEnd::Lost,
+        Err(error) => {
+            if matches!(error, UpstreamError::Broken { .. }) {
+                note_broken(context, replica, call.permit, began_at).await;
+            }
+            CallEnd::Lost
+        }
     }
 }
 
+/// Looks at a replica that broke a call off, and tells what it finds.
+async fn note_broken(context: &TrafficContext, replica: &Arc<str>, permit: &RunPermit, began_at: Moment) {
+    let lost_at = clock::now();
+    let look = diagnose(context, replica).await;
+    let lost = LostRun {
+        upstream: replica.clone(),
+        incarnation: look.incarnation,
+        began_at,
+        lost_at,
+        fate: look.fate,
+    };
+    permit.note_loss(lost).await;
+}
+
 async fn exchange_with_replica(
     context: &TrafficContext,
     replica: &str,
-    scope: &KeyScope,
-    payload: &str,
-    key: Option<&str>,
-    start_by: Moment,
-    answer_by: Moment,
+    call: &ReplicaCall<'_>,
 ) -> Result<StoredAnswer, UpstreamError> {
+    let ReplicaCall {
+        scope,
+        payload,
+        key,
+        start_by,
+        answer_by,
+        ..
+    } = *call;
     let snapshot = context.snapshot();
     let upstream = snapshot.register.upstream(replica);
     let address = upstream
--- a/src/traffic/call/run_once.rs
+++ b/src/traffic/call/run_once.rs
@@ -4,14 +4,15 @@
 
 use rand::Rng;
 
-use super::replica::{CallEnd, call_replica, choose_replica};
-use super::{ASK_AGAIN_MS, CheckedCall};
+use super::replica::{CallEnd, ReplicaCall, call_replica, choose_replica};
+use super::{ASK_AGAIN_MS, CheckedCall, fingerprint};
 use crate::blackboard::hash_parts;
 use crate::clock;
 use crate::controllers::Reply;
 use crate::controllers::idempotency::{IdempotencyKey, KeyOutcome, KeyScope, StoredAnswer};
 use crate::controllers::message::KeyCall;
 use crate::prelude::*;
+use crate::runtime::RunPermit;
 use crate::traffic::TrafficContext;
 
 /// How long after its caller's deadline the answer of a started run-once call is still awaited, in milliseconds.
@@ -144,24 +145,23 @@
     let mut avoid = Vec::new();
     let mut is_sent = false;
     loop {
-        let replica = match choose_replica(context, scope, &avoid, !avoid.is_empty()).await {
-            Ok(replica) => replica,
+        let chosen = choose(context, scope, payload, start_by, &avoid).await;
+        let (replica, permit) = match chosen {
+            Ok(chosen) => chosen,
             Err(_) if is_sent => return KeyOutcome::Unknown,
             Err(notice) => return KeyOutcome::Unstarted(as_not_run(notice)),
         };
         avoid.push(replica.clone());
         let answer_by = start_by.after_ms(LATE_ANSWER_MS);
-        let end = call_replica(
-            context,
-            &replica,
+        let call = ReplicaCall {
             scope,
             payload,
-            Some(key_text),
+            key: Some(key_text),
             start_by,
             answer_by,
-        )
-        .await;
-        match end {
+            permit: &permit,
+        };
+        match call_replica(context, &replica, &call).await {
             CallEnd::Answered(answer) => return KeyOutcome::Answered(answer),
             CallEnd::Lost if may_repeat => is_sent = true,
             CallEnd::Lost => return KeyOutcome::Unknown,
@@ -176,6 +176,19 @@
     }
 }
 
+/// Leave to run a call, and a replica for it.
+async fn choose(
+    context: &TrafficContext,
+    scope: &KeyScope,
+    payload: &str,
+    start_by: Moment,
+    avoid: &[Arc<str>],
+) -> Result<(Arc<str>, RunPermit), RefusalNotice> {
+    let permit = RunPermit::acquire(&context.control, fingerprint(scope, payload), start_by).await?;
+    let replica = choose_replica(context, scope, avoid, !avoid.is_empty()).await?;
+    Ok((replica, permit))
+}
+
 /// The refusal of a call of which no byte has left, whatever the reason.
 fn as_not_run(notice: RefusalNotice) -> RefusalNotice {
     if notice.effect == RunEffect::NotRun {
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use http_types::Response;
+
 use crate::blackboard::OwnIdentity;
 use crate::controllers::hedging::LatencyWindow;
 use crate::controllers::idempotency::KeyScope;
@@ -72,10 +74,15 @@
         boots.get(upstream).copied().unwrap_or_default()
     }
 
-    /// Notes the number of an upstream's present start.
-    pub fn note_boot(&self, upstream: &Arc<str>, boot: u64) {
-        let mut boots = self.boots.lock().expect("no holder of this lock panics");
-        boots.insert(upstream.clone(), boot);
+    /// Notes which start of an upstream answered, where it says so.
+    pub fn note_start(&self, upstream: &Arc<str>, response: &Response) {
+        let boot = response
+            .header("x-boot")
+            .and_then(|values| values.last().as_str().parse().ok());
+        if let Some(boot) = boot {
+            let mut boots = self.boots.lock().expect("no holder of this lock panics");
+            boots.insert(upstream.clone(), boot);
+        }
     }
 
     fn with_latencies<T>(&self, scope: &KeyScope, work: impl FnOnce(&mut LatencyWindow) -> T) -> T {
--- a/src/traffic/generate/attempt.rs
+++ b/src/traffic/generate/attempt.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
-use super::diagnosis::{EngineFate, diagnose};
 use super::engine::{self, EngineEvent, EngineStream};
 use super::placement::Placement;
 use super::session::StreamSession;
 use super::token::TokenMaker;
 use crate::clock;
-use crate::controllers::slots::RequestId;
+use crate::controllers::quarantine::UpstreamFate;
+use crate::controllers::slots::{PlacementGrant, RequestId};
+use crate::traffic::diagnosis::{UpstreamLook, diagnose, is_answering};
 use crate::traffic::sse::StreamItem;
 
 /// How often a stream is taken up again without a new token before the attempt is given up.
@@ -38,8 +39,8 @@
     Failed {
         /// Which.
         engine: Arc<str>,
-        /// What became of it.
-        fate: EngineFate,
+        /// What a look at it showed; `None` where nothing was sent to it.
+        look: Option<UpstreamLook>,
     },
 }
 
@@ -60,6 +61,8 @@
 impl StreamSession {
     /// Runs one attempt.
     pub(super) async fn run_attempt(&mut self, source: StreamSource) -> AttemptEnd {
+        self.run_began_at = clock::now();
+        self.known_level = 0;
         match source {
             StreamSource::Attached { request, stream } => self.relay_with_resume(&request, stream).await,
             StreamSource::Placed(mut placement) => self.run_placed(&mut placement).await,
@@ -67,7 +70,13 @@
     }
 
     async fn run_placed(&mut self, placement: &mut Placement) -> AttemptEnd {
+        self.known_level = placement.permit.level();
         let prefill = placement.grant.prefill_engine();
+        if placement.permit.is_careful()
+            && let Some(silent) = self.find_silent(&placement.grant).await
+        {
+            return not_sent(&silent);
+        }
         self.running = Some((placement.grant.clone(), placement.request().clone()));
         let exported = match self.run_prefill(placement).await {
             Ok(exported) => exported,
@@ -83,7 +92,8 @@
             engine::start_decode(&self.context, decode, placement.request(), &self.work, kv, skip).await;
         let end = match opened {
             Ok(stream) => self.relay_with_resume(placement.request(), stream).await,
-            Err(_) => not_taken_up(decode),
+            Err(error) if error.is_unsent() => not_sent(decode),
+            Err(_) => self.lose(decode).await,
         };
         if matches!(end, AttemptEnd::Failed { .. }) && self.delivered == delivered_before {
             self.context
@@ -104,7 +114,8 @@
         let opened = engine::start_prefill(&self.context, name, placement.request(), &self.work).await;
         let mut stream = match opened {
             Ok(stream) => stream,
-            Err(_) => return Err(not_taken_up(name)),
+            Err(error) if error.is_unsent() => return Err(not_sent(name)),
+            Err(_) => return Err(self.lose(name).await),
         };
         loop {
             match stream.events.next().await {
@@ -153,14 +164,18 @@
             } else {
                 tries + 1
             };
-            let fate = diagnose(&self.context, &name).await;
-            if matches!(fate, EngineFate::Died { .. }) || tries > ATTACH_TRIES {
+            let look = diagnose(&self.context, &name).await;
+            let failed = AttemptEnd::Failed {
+                engine: name.clone(),
+                look: Some(look),
+            };
+            if look.fate == UpstreamFate::Ended || tries > ATTACH_TRIES {
                 self.cancel_later(&name, request);
-                return AttemptEnd::Failed { engine: name, fate };
+                return failed;
             }
             match engine::attach(&self.context, &name, request, self.delivered).await {
                 Ok(attached) => stream = attached,
-                Err(_) => return AttemptEnd::Failed { engine: name, fate },
+                Err(_) => return failed,
             }
         }
     }
@@ -209,18 +224,28 @@
     async fn lose(&self, name: &Arc<str>) -> AttemptEnd {
         AttemptEnd::Failed {
             engine: name.clone(),
-            fate: diagnose(&self.context, name).await,
+            look: Some(diagnose(&self.context, name).await),
+        }
+    }
+
+    /// A granted engine that does not answer. One that had ended before a careful run tells nothing of the request.
+    async fn find_silent(&self, grant: &PlacementGrant) -> Option<Arc<str>> {
+        for engine in std::iter::once(&grant.decode).chain(&grant.prefill) {
+            if !is_answering(&self.context, engine).await {
+                return Some(engine.clone());
+            }
         }
+        None
     }
 }
 
-/// The end of an attempt that its engine never took up: a death before that is not this request's doing.
-fn not_taken_up(name: &Arc<str>) -> AttemptEnd {
+/// The end of an attempt of which nothing was sent to an engine.
+fn not_sent(name: &Arc<str>) -> AttemptEnd {
     AttemptEnd::Failed {
         engine: name.clone(),
-        fate: EngineFate::Unclear,
+        look: None,
     }
 }
 
 /// What an attempt holds on engines, for a cancellation.
-pub type RunningAttempt = (crate::controllers::slots::PlacementGrant, RequestId);
+pub type RunningAttempt = (PlacementGrant, RequestId);
--- a/src/traffic/generate/engine.rs
+++ b/src/traffic/generate/engine.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::{Response, StatusCode};
+use http_types::StatusCode;
 use serde::{Deserialize, Serialize};
 
 use super::attempt::StreamSource;
@@ -98,7 +98,7 @@
     let request = post_json(&address, path, body).ok_or_else(unsent)?;
     let deadline = clock::now().after_ms(HEAD_LIMIT_MS);
     let mut response = exchange(&address, request, deadline).await?;
-    note_boot(context, engine, &response);
+    context.note_start(engine, &response);
     if response.status() != StatusCode::Ok {
         return Err(UpstreamError::Broken { address });
     }
@@ -108,16 +108,6 @@
     })
 }
 
-/// Notes which start of the engine answered.
-pub fn note_boot(context: &TrafficContext, engine: &Arc<str>, response: &Response) {
-    let boot = response
-        .header("x-boot")
-        .and_then(|values| values.last().as_str().parse().ok());
-    if let Some(boot) = boot {
-        context.note_boot(engine, boot);
-    }
-}
-
 /// Starts a prefill.
 pub async fn start_prefill(
     context: &TrafficContext,
--- a/src/traffic/generate/mod.rs
+++ b/src/traffic/generate/mod.rs
@@ -1,7 +1,6 @@
 //! Generations: prefill on one engine, its KV cache to another, and the tokens back to the caller.
 
 mod attempt;
-mod diagnosis;
 mod engine;
 mod placement;
 mod session;
--- a/src/traffic/generate/placement.rs
+++ b/src/traffic/generate/placement.rs
@@ -7,7 +7,7 @@
     EngineEnd, PlacementAsk, PlacementGrant, PlacementResult, RequestId, hash_prefix,
 };
 use crate::prelude::*;
-use crate::runtime::PlacementHold;
+use crate::runtime::{PlacementHold, RunPermit};
 use crate::traffic::TrafficContext;
 use crate::traffic::request::GenerateWork;
 
@@ -17,6 +17,8 @@
 /// A request's hold on its engines.
 pub struct Placement {
     hold: PlacementHold,
+    /// Leave to run it on them.
+    pub permit: RunPermit,
     /// The engines.
     pub grant: PlacementGrant,
 }
@@ -29,6 +31,7 @@
         avoid: &[Arc<str>],
         is_retry: bool,
     ) -> Result<Self, RefusalNotice> {
+        let permit = RunPermit::acquire(&context.control, work.fingerprint, work.deadline).await?;
         let ask = PlacementAsk {
             request: context.next_request_id(),
             workspace: work.workspace.clone(),
@@ -53,7 +56,7 @@
         let placed = PlacementHold::acquire(&context.control, ask).await;
         context.metrics.note_queue_wait(work, asked_at);
         let (hold, grant) = placed?;
-        Ok(Self { hold, grant })
+        Ok(Self { hold, permit, grant })
     }
 
     /// The attempt.
--- a/src/traffic/generate/session.rs
+++ b/src/traffic/generate/session.rs
@@ -8,16 +8,16 @@
 use futures::future::{Either, select};
 
 use super::attempt::{AttemptEnd, RunningAttempt, StreamSource};
-use super::diagnosis::EngineFate;
 use super::engine;
 use super::placement::Placement;
 use super::token::TokenMaker;
 use crate::clock;
 use crate::controllers::slots::PlacementResult;
 use crate::prelude::*;
-use crate::runtime::RequestGuard;
+use crate::runtime::{LostRun, RequestGuard, note_loss, note_whole};
 use crate::traffic::TrafficContext;
 use crate::traffic::caller_watch::caller_gone;
+use crate::traffic::diagnosis::UpstreamLook;
 use crate::traffic::request::GenerateWork;
 
 /// The most attempts at one request.
@@ -41,6 +41,10 @@
     accepted_at: Moment,
     first_token_at: Option<Moment>,
     last_token_at: Moment,
+    /// When the present attempt began.
+    pub(super) run_began_at: Moment,
+    /// How far the request was suspected as the present attempt began.
+    pub(super) known_level: u32,
     _guard: RequestGuard,
 }
 
@@ -64,6 +68,8 @@
             accepted_at,
             first_token_at: None,
             last_token_at: accepted_at,
+            run_began_at: accepted_at,
+            known_level: 0,
             _guard: context.control.hold_request(),
         }
     }
@@ -98,7 +104,7 @@
             match self.run_attempt(source).await {
                 AttemptEnd::Complete => return Some(Ok(())),
                 AttemptEnd::CallerGone => return None,
-                AttemptEnd::Failed { engine, fate } => self.note_failure(&engine, fate, &mut avoid),
+                AttemptEnd::Failed { engine, look } => self.note_failure(&engine, look, &mut avoid).await,
             }
             match Placement::acquire(&self.context, &self.work, &avoid, true).await {
                 Ok(placement) => source = StreamSource::Placed(placement),
@@ -112,21 +118,31 @@
         Some(Err(notice.retry_after_ms(RETRY_AFTER_MS)))
     }
 
-    fn note_failure(&self, engine: &Arc<str>, fate: EngineFate, avoid: &mut Vec<Arc<str>>) {
+    async fn note_failure(&self, engine: &Arc<str>, look: Option<UpstreamLook>, avoid: &mut Vec<Arc<str>>) {
         self.context.metrics.note_retry(&self.work);
         spdlog::info!(
-            "event=attempt_failed engine={engine} fate={fate:?} delivered={}",
+            "event=attempt_failed engine={engine} fate={:?} delivered={}",
+            look.map(|look| look.fate),
             self.delivered
         );
         if !avoid.contains(engine) {
             avoid.push(engine.clone());
         }
-        if let EngineFate::Died { boot } = fate {
-            self.context.control.tell(Event::RequestDied {
-                fingerprint: self.work.fingerprint,
+        if let Some(look) = look {
+            let lost = LostRun {
                 upstream: engine.clone(),
-                boot,
-            });
+                incarnation: look.incarnation,
+                began_at: self.run_began_at,
+                lost_at: clock::now(),
+                fate: look.fate,
+            };
+            note_loss(
+                &self.context.control,
+                self.work.fingerprint,
+                self.known_level,
+                lost,
+            )
+            .await;
         }
     }
 
@@ -213,9 +229,7 @@
         // A caller that is gone comes back with its last token and gets this event from the engine's copy.
         let _ = self.sender.send(event.into_bytes()).await;
         self.context.metrics.note_end(&self.work, "complete");
-        self.context.control.tell(Event::RequestCompleted {
-            fingerprint: self.work.fingerprint,
-        });
+        note_whole(&self.context.control, self.work.fingerprint);
     }
 
     async fn send_refusal(&mut self, notice: &RefusalNotice) {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod caller_watch;
 mod context;
+mod diagnosis;
 mod generate;
 mod key;
 mod listener;
--- a/src/transport/http_stream.rs
+++ b/src/transport/http_stream.rs
@@ -23,10 +23,10 @@
 #[derive(Debug, Snafu)]
 pub enum StreamError {
     /// No connection came about, so no byte has left.
-    #[snafu(display("no connection: {reason}"))]
+    #[snafu(display("no connection: {kind}"))]
     Connect {
         /// Why.
-        reason: String,
+        kind: io::ErrorKind,
     },
     /// The connection ended in order before the message did.
     #[snafu(display("the connection ended"))]
@@ -53,6 +53,16 @@
     pub fn is_end(&self) -> bool {
         matches!(self, Self::Closed | Self::Broken { .. })
     }
+
+    /// Whether nothing listens at the other end.
+    pub fn is_refusal(&self) -> bool {
+        matches!(
+            self,
+            Self::Connect {
+                kind: io::ErrorKind::ConnectionRefused
+            }
+        )
+    }
 }
 
 impl From<io::Error> for StreamError {
@@ -87,11 +97,9 @@
     pub async fn connect(address: SocketAddr, deadline: Moment) -> Result<Self, StreamError> {
         match until(deadline, TcpStream::connect(address)).await {
             Some(Ok(stream)) => Ok(Self::new(stream)),
-            Some(Err(error)) => Err(StreamError::Connect {
-                reason: error.kind().to_string(),
-            }),
+            Some(Err(error)) => Err(StreamError::Connect { kind: error.kind() }),
             None => Err(StreamError::Connect {
-                reason: "deadline passed".to_owned(),
+                kind: io::ErrorKind::TimedOut,
             }),
         }
     }
--- a/tests/platform/query_of_death.rs
+++ b/tests/platform/query_of_death.rs
@@ -185,8 +185,8 @@
             .sum()
     };
     println!(
-        "events told: request_died {}, request_completed {}, placement_wanted {}",
-        events("request_died"),
+        "events told: request_lost {}, request_completed {}, placement_wanted {}",
+        events("request_lost"),
         events("request_completed"),
         events("placement_wanted")
     );
