Tell the quarantine of requests that end replicas of the gateway, and heed it before each send

What callers saw: one request that comes again and again took a service down: 59 replicas ended in 16 s, and half of the other calls failed. Cause: QuarantineController ran in each gateway and nobody told it anything. No task of the gateway said that a request was lost or came to its end, and placements carried fingerprint zero, so no hold could ever begin. The class: a decision that is there and that a path never feeds. Ruled out: a wrong decision; the same controller holds on the entry interface. Losses that a replica survives (resets) are no strikes: after a lost connection one look at the replica's port tells a refused connection from a live one. Change: each send of a call, a prompt and a stream, also hedges, repeats and resumed streams, takes leave by its fingerprint (method, host, target, credentials, body), and tells how its run ended. A suspected request is sent over a new connection and not hedged. Its refusal is 503 with the hold's rest before anything was sent, and 502 with it after. A prompt whose engine ended is placed anew rather than left to the decode engine.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
 use super::answer::write_answer;
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerEnd, COME_BACK_MS, CallerRequest, refuse};
-use super::loss::{RunStage, note_loss};
+use super::loss::{RunStage, report_loss};
 use super::relay::{note_broken, relay_long};
 use super::trace::RequestOutcome;
 use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest, exchange};
@@ -23,6 +23,7 @@
 use crate::http::ResponseHead;
 use crate::prelude::*;
 use crate::register::RouteKind;
+use crate::runtime::RunPermit;
 use crate::transport::until;
 
 /// The longest body of an answer that is read whole before it is passed on, in bytes. A shorter one that breaks off can
@@ -37,7 +38,7 @@
     /// The replica's own answer.
     Answer(ResponseHead, Vec<u8>),
     /// The replica's own answer, of which this much was read; too long to be held.
-    LongAnswer(UpstreamAnswer, Vec<u8>, DispatchLease),
+    LongAnswer(UpstreamAnswer, Vec<u8>, SendLeave),
     /// The replica's own report of a failure.
     OwnError(ResponseHead, Vec<u8>),
     /// The request has certainly not run there.
@@ -59,6 +60,14 @@
     in_doubt: bool,
     /// A failure that a replica reported of its own.
     own_error: Option<(ResponseHead, Vec<u8>)>,
+    /// Why it must not run any more.
+    held: Option<RefusalNotice>,
+}
+
+/// What one send needs.
+struct SendLeave {
+    lease: DispatchLease,
+    permit: RunPermit,
 }
 
 /// One call's way from replica to replica.
@@ -86,11 +95,11 @@
 
 impl CallServer<'_> {
     async fn run(&mut self) -> AnswerEnd {
-        while let Some(lease) = self.choose_next() {
+        while let Some(leave) = self.choose_next().await {
             let end = match self.request.rule.kind {
-                RouteKind::Idempotent => self.send_hedged(lease).await,
-                RouteKind::RunOnce | RouteKind::Stream { .. } => {
-                    send_once(self.context, self.request, lease).await
+                RouteKind::Idempotent if !leave.permit.is_careful() => self.send_hedged(leave).await,
+                RouteKind::Idempotent | RouteKind::RunOnce | RouteKind::Stream { .. } => {
+                    send_once(self.context, self.request, leave).await
                 }
             };
             if let Some(end) = self.take_end(end).await {
@@ -100,17 +109,39 @@
         self.give_up().await
     }
 
-    /// A place for the next send, where there may be one.
-    fn choose_next(&mut self) -> Option<DispatchLease> {
+    /// Whether another send may follow.
+    fn may_send(&self) -> bool {
         let (request, progress) = (self.request, &self.progress);
         let rule = &request.rule;
-        let may_send = progress.sends < rule.attempts
+        progress.sends < rule.attempts
             && progress.failed_connects < MOST_CONNECTS
             && (!progress.in_doubt || rule.kind.may_repeat())
-            && !clock::now().reached(request.deadline);
-        if !may_send {
+            && !clock::now().reached(request.deadline)
+    }
+
+    /// Leave and a place for the next send, where there may be one.
+    async fn choose_next(&mut self) -> Option<SendLeave> {
+        if !self.may_send() {
             return None;
         }
+        let (control, request) = (&self.context.control, self.request);
+        match RunPermit::acquire(control, request.fingerprint, request.deadline).await {
+            Ok(permit) => self.choose_place(permit),
+            Err(notice) => {
+                self.progress.held = Some(notice);
+                None
+            }
+        }
+    }
+
+    /// Leave and a place for a second send beside the first, where there may be one.
+    fn choose_copy(&mut self) -> Option<SendLeave> {
+        let permit = RunPermit::for_copy(&self.context.control, self.request.fingerprint)?;
+        self.may_send().then(|| self.choose_place(permit)).flatten()
+    }
+
+    fn choose_place(&mut self, permit: RunPermit) -> Option<SendLeave> {
+        let (request, progress) = (self.request, &self.progress);
         let ask = DispatchAsk {
             service: &request.service,
             role: ReplicaRole::Plain,
@@ -122,28 +153,28 @@
         }
         self.progress.tried.push(lease.id().clone());
         self.progress.sends += 1;
-        Some(lease)
+        Some(SendLeave { lease, permit })
     }
 
     /// Sends to a replica, and after a while without an answer to a second one; the first answer of use counts.
-    async fn send_hedged(&mut self, lease: DispatchLease) -> SendEnd {
+    async fn send_hedged(&mut self, leave: SendLeave) -> SendEnd {
         let (context, request) = (self.context, self.request);
         let delay_ms = context.hedge_delay_ms(&request.service);
-        let first = std::pin::pin!(send_once(context, request, lease));
+        let first = std::pin::pin!(send_once(context, request, leave));
         let pause = std::pin::pin!(async_std::task::sleep(Duration::from_millis(delay_ms)));
         let first = match select(first, pause).await {
             Either::Left((end, _)) => return end,
             Either::Right(((), first)) => first,
         };
-        let Some(lease) = self.choose_next() else {
+        let Some(leave) = self.choose_copy() else {
             return first.await;
         };
         spdlog::info!(
             "event=hedged request={} replica={} after_ms={delay_ms}",
             request.facts.id,
-            lease.id()
+            leave.lease.id()
         );
-        let second = std::pin::pin!(send_once(context, request, lease));
+        let second = std::pin::pin!(send_once(context, request, leave));
         match select(first, second).await {
             Either::Left((end, second)) if !is_of_use(&end) => {
                 self.take_failure(end);
@@ -162,8 +193,17 @@
     async fn take_end(&mut self, end: SendEnd) -> Option<AnswerEnd> {
         match end {
             SendEnd::Answer(head, body) => Some(self.pass_on(&head, &body).await),
-            SendEnd::LongAnswer(answer, begun, lease) => {
-                let relayed = relay_long(self.context, self.socket, self.request, answer, begun, lease);
+            SendEnd::LongAnswer(answer, begun, leave) => {
+                let SendLeave { lease, permit } = leave;
+                let relayed = relay_long(
+                    self.context,
+                    self.socket,
+                    self.request,
+                    answer,
+                    begun,
+                    lease,
+                    permit,
+                );
                 Some(relayed.await)
             }
             failure => {
@@ -221,7 +261,11 @@
         let return_ms = first_return.map_or(COME_BACK_MS, |first| now.until_ms(first));
         let notice = match (progress.in_doubt, is_late) {
             (true, true) => RefusalNotice::new(ResultCode::DeadlineDuringRun, ""),
-            (true, false) => RefusalNotice::new(ResultCode::UpstreamFailed, ""),
+            (true, false) => failed_notice(progress.held.as_ref()),
+            (false, false) if progress.held.is_some() => {
+                let held = progress.held.take();
+                held.unwrap_or_else(|| RefusalNotice::new(ResultCode::Quarantined, ""))
+            }
             (false, true) => RefusalNotice::new(ResultCode::DeadlineTooNear, ""),
             (false, false) if progress.sends > 0 => {
                 RefusalNotice::new(ResultCode::QueueFull, "").retry_after_ms(return_ms)
@@ -238,8 +282,20 @@
     matches!(end, SendEnd::Answer(..) | SendEnd::LongAnswer(..))
 }
 
-async fn send_once(context: &Arc<GatewayContext>, request: &CallerRequest, lease: DispatchLease) -> SendEnd {
+/// The refusal of a request that may have run, and why no other replica is asked where it is held back.
+pub fn failed_notice(held: Option<&RefusalNotice>) -> RefusalNotice {
+    let Some(held) = held else {
+        return RefusalNotice::new(ResultCode::UpstreamFailed, "");
+    };
+    let notice = RefusalNotice::new(ResultCode::UpstreamFailed, held.code.entry().name);
+    notice.retry_after_ms(held.retry_after_ms.unwrap_or(COME_BACK_MS))
+}
+
+async fn send_once(context: &Arc<GatewayContext>, request: &CallerRequest, leave: SendLeave) -> SendEnd {
+    let SendLeave { lease, permit } = leave;
     let choice = match request.rule.kind {
+        // What ends with a new connection ends with its request, and not before.
+        _ if permit.is_careful() => ConnectionChoice::Fresh,
         RouteKind::Idempotent => ConnectionChoice::Kept,
         RouteKind::RunOnce | RouteKind::Stream { .. } => ConnectionChoice::Proven,
     };
@@ -277,7 +333,7 @@
     match outcome {
         Ok(answer) => {
             let verdict = judge(&answer, &request.facts.id);
-            finish_send(context, request, lease, answer, verdict).await
+            finish_send(context, request, SendLeave { lease, permit }, answer, verdict).await
         }
         Err(ExchangeError::Unsent { .. }) => {
             lease.finish(SendOutcome::Failed);
@@ -288,10 +344,11 @@
             SendEnd::NotRun { was_sent: false }
         }
         Err(ExchangeError::Lost { is_ended, .. }) => {
+            let (replica, began_at) = (lease.replica().clone(), lease.began_at());
+            lease.finish(SendOutcome::Failed);
             if is_ended {
-                note_loss(request, lease.replica(), RunStage::Call, lease.began_at());
+                report_loss(request, &permit, &replica, RunStage::Call, began_at).await;
             }
-            lease.finish(SendOutcome::Failed);
             SendEnd::InDoubt
         }
         Err(ExchangeError::Deadline) => {
@@ -305,10 +362,11 @@
 async fn finish_send(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
-    lease: DispatchLease,
+    leave: SendLeave,
     mut answer: UpstreamAnswer,
     verdict: AnswerVerdict,
 ) -> SendEnd {
+    let SendLeave { lease, permit } = leave;
     if let Some(load) = answer.facts.load {
         context.with_book(|book| book.note_load(lease.id(), load, clock::now()));
     }
@@ -330,10 +388,11 @@
         AnswerVerdict::Final | AnswerVerdict::OwnError => {}
     }
     match until(request.deadline, answer.read_up_to(WHOLE_BODY_BYTES)).await {
-        Some(Ok((begun, false))) => SendEnd::LongAnswer(answer, begun, lease),
+        Some(Ok((begun, false))) => SendEnd::LongAnswer(answer, begun, SendLeave { lease, permit }),
         Some(Ok((body, true))) => {
             let head = answer.head.clone();
             answer.release(context, lease.id());
+            permit.note_whole();
             if verdict == AnswerVerdict::OwnError {
                 lease.finish(SendOutcome::Errored);
                 return SendEnd::OwnError(head, body);
@@ -342,7 +401,7 @@
             SendEnd::Answer(head, body)
         }
         Some(Err(error)) => {
-            note_broken(request, lease, &error);
+            note_broken(request, lease, &permit, &error).await;
             SendEnd::InDoubt
         }
         None => SendEnd::InDoubt,
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 
 use super::exchange::CallerRequest;
-use super::loss::{RunStage, note_loss};
+use super::loss::{RunStage, report_loss};
 use super::upstream::{ConnectionChoice, ExchangeError, UpstreamRequest, ask};
 use super::verdict::PrefillEnd;
 use super::{GatewayContext, KvTicket, SendOrder, SendPurpose};
 use crate::blackboard::ReplicaRecord;
 use crate::clock;
+use crate::controllers::quarantine::UpstreamFate;
 use crate::prelude::*;
+use crate::runtime::RunPermit;
 
 /// How long giving something back may take, in milliseconds.
 const RELEASE_LIMIT_MS: u64 = 1_000;
@@ -72,6 +74,7 @@
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     replica: &Arc<ReplicaRecord>,
+    permit: &RunPermit,
     deadline: Moment,
 ) -> PrefillEnd {
     let order = SendOrder {
@@ -115,10 +118,13 @@
         Err(ExchangeError::Unsent { .. }) => PrefillEnd::Unsent,
         Err(ExchangeError::Withheld) => PrefillEnd::Withheld,
         Err(ExchangeError::Lost { is_ended, .. }) => {
-            if is_ended {
-                note_loss(request, replica, RunStage::Prefill, began_at);
+            if !is_ended {
+                return PrefillEnd::Failed;
+            }
+            match report_loss(request, permit, replica, RunStage::Prefill, began_at).await {
+                UpstreamFate::Ended => PrefillEnd::EngineEnded,
+                UpstreamFate::Alive | UpstreamFate::Unclear => PrefillEnd::Failed,
             }
-            PrefillEnd::Failed
         }
         Err(ExchangeError::Deadline) => PrefillEnd::Late,
     }
--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -3,7 +3,13 @@
 use super::exchange::CallerRequest;
 use crate::blackboard::ReplicaRecord;
 use crate::clock;
+use crate::controllers::quarantine::UpstreamFate;
 use crate::prelude::*;
+use crate::runtime::{LostRun, RunPermit};
+use crate::transport::HttpStream;
+
+/// How long a look at a replica may take, in milliseconds: a round trip between zones, a few times.
+const LOOK_LIMIT_MS: u64 = 40;
 
 /// What a replica was doing for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,15 +33,42 @@
     }
 }
 
-/// Notes that the connection ended over which a replica was to answer a request.
-pub fn note_loss(request: &CallerRequest, replica: &ReplicaRecord, stage: RunStage, began_at: Moment) {
+/// Looks at a replica with which a request was lost, and tells what it finds. The next send of the request, wherever it
+/// is, heeds it.
+pub async fn report_loss(
+    request: &CallerRequest,
+    permit: &RunPermit,
+    replica: &ReplicaRecord,
+    stage: RunStage,
+    began_at: Moment,
+) -> UpstreamFate {
+    let lost_at = clock::now();
+    let fate = look_at(replica, lost_at).await;
     spdlog::error!(
-        "event=request_lost request={} fingerprint={:016x} stage={} replica={} replica_start={} run_ms={}",
+        "event=request_lost request={} fingerprint={:016x} stage={} replica={} replica_start={} run_ms={} fate={fate:?}",
         request.facts.id,
         request.fingerprint,
         stage.as_str(),
         replica.id,
         replica.started_epoch_ms,
-        began_at.until_ms(clock::now())
+        began_at.until_ms(lost_at)
     );
+    let lost = LostRun {
+        upstream: replica.id.clone(),
+        incarnation: replica.started_epoch_ms,
+        began_at,
+        lost_at,
+        fate,
+    };
+    permit.note_loss(lost).await;
+    fate
+}
+
+/// A process that ended leaves nobody who takes connections.
+async fn look_at(replica: &ReplicaRecord, now: Moment) -> UpstreamFate {
+    match HttpStream::connect(replica.address, now.after_ms(LOOK_LIMIT_MS)).await {
+        Ok(_) => UpstreamFate::Alive,
+        Err(error) if error.is_refusal() => UpstreamFate::Ended,
+        Err(_) => UpstreamFate::Unclear,
+    }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -127,7 +127,7 @@
         model: request.service.clone(),
         priority: rule.priority,
         zone: context.own.zone.clone(),
-        fingerprint: 0,
+        fingerprint: request.fingerprint,
         prompt_tokens: facts.prompt_tokens,
         max_tokens: facts.output_tokens,
         expected_tokens: expected_tokens(facts),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,13 +9,14 @@
 use super::answer::{AfterAnswer, write_chunked_head, write_closing_head};
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerEnd, CallerRequest};
-use super::loss::{RunStage, note_loss};
+use super::loss::{RunStage, report_loss};
 use super::trace::RequestOutcome;
 use super::upstream::UpstreamAnswer;
 use crate::clock;
 use crate::controllers::dispatch::SendOutcome;
 use crate::http::{LAST_CHUNK, ResponseHead, write_chunk};
 use crate::prelude::*;
+use crate::runtime::RunPermit;
 use crate::transport::{StreamError, until};
 
 /// Writes an answer piece by piece.
@@ -94,16 +95,22 @@
 }
 
 /// Notes that a replica's answer broke off.
-pub fn note_broken(request: &CallerRequest, lease: DispatchLease, error: &StreamError) {
+pub async fn note_broken(
+    request: &CallerRequest,
+    lease: DispatchLease,
+    permit: &RunPermit,
+    error: &StreamError,
+) {
     spdlog::error!(
         "event=answer_broken request={} replica={} reason=\"{error}\"",
         request.facts.id,
         lease.id()
     );
+    let (replica, began_at) = (lease.replica().clone(), lease.began_at());
+    lease.finish(SendOutcome::Failed);
     if error.is_end() {
-        note_loss(request, lease.replica(), RunStage::Call, lease.began_at());
+        report_loss(request, permit, &replica, RunStage::Call, began_at).await;
     }
-    lease.finish(SendOutcome::Failed);
 }
 
 /// Passes on a body that is too long to be held, as it comes, after what was read of it.
@@ -114,6 +121,7 @@
     mut answer: UpstreamAnswer,
     begun: Vec<u8>,
     lease: DispatchLease,
+    permit: RunPermit,
 ) -> AnswerEnd {
     let head = answer.head.clone();
     let mut writer = AnswerWriter::new(context, socket, request, &head);
@@ -130,11 +138,12 @@
             Some(Ok(None)) => {
                 let elapsed_ms = lease.elapsed_ms();
                 lease.finish(SendOutcome::Served(elapsed_ms));
+                permit.note_whole();
                 request.trace.end(RequestOutcome::Served, head.status);
                 return writer.finish().await;
             }
             Some(Err(error)) => {
-                note_broken(request, lease, &error);
+                note_broken(request, lease, &permit, &error).await;
                 request.trace.end(RequestOutcome::Cut, head.status);
                 return writer.cut();
             }
@@ -142,7 +151,7 @@
         }
     }
     // The replica had all the time that the request has, and its answer is not whole.
-    note_broken(request, lease, &StreamError::Deadline);
+    note_broken(request, lease, &permit, &StreamError::Deadline).await;
     request.trace.end(RequestOutcome::Cut, head.status);
     writer.cut()
 }
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -4,10 +4,10 @@
 
 use async_std::net::TcpStream;
 
-use super::call::{note_send, take_budget};
+use super::call::{failed_notice, note_send, take_budget};
 use super::engine_call::{TicketLease, run_prefill};
 use super::exchange::{AnswerEnd, COME_BACK_MS, CallerRequest, refuse};
-use super::loss::{RunStage, note_loss};
+use super::loss::{RunStage, report_loss};
 use super::place::EnginePlace;
 use super::relay::AnswerWriter;
 use super::sse::{EventCutter, count_events, last_event_id};
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::controllers::slots::EngineEnd;
 use crate::prelude::*;
+use crate::runtime::RunPermit;
 use crate::transport::until;
 
 /// The share of the latency objective within which a prefill engine must have run a prompt of usual size, in percent; a
@@ -41,6 +42,7 @@
         request,
         tried: Vec::new(),
         sends: 0,
+        ended_prefills: 0,
         in_doubt: false,
         writer: None,
         last_event: None,
@@ -59,6 +61,22 @@
     Broken,
 }
 
+/// A run on a decode engine.
+struct DecodeRun {
+    began_at: Moment,
+    permit: RunPermit,
+}
+
+/// How the prompt of an attempt was dealt with.
+enum PromptStep {
+    /// Its KV cache waits at an engine.
+    Ready(TicketLease),
+    /// The decode engine runs it itself.
+    Left,
+    /// Its engine ended under it, which is to be weighed before another one gets the request.
+    EngineEnded,
+}
+
 /// One stream's progress.
 struct StreamServer<'a> {
     context: &'a Arc<GatewayContext>,
@@ -68,6 +86,8 @@
     tried: Vec<ReplicaId>,
     /// Sends of which bytes left.
     sends: u32,
+    /// Engines that ended while they ran its prompt.
+    ended_prefills: u32,
     /// Whether some engine may have begun to run it.
     in_doubt: bool,
     /// The answer, once its head has been chosen.
@@ -94,10 +114,22 @@
     async fn attempt(&mut self) -> Option<StreamEnd> {
         let rule = &self.request.rule;
         let may_send = self.sends < rule.attempts
+            && self.ended_prefills < rule.attempts
             && (!self.in_doubt || rule.kind.may_repeat())
             && !clock::now().reached(self.request.deadline);
+        if !may_send {
+            return None;
+        }
+        let (control, fingerprint) = (&self.context.control, self.request.fingerprint);
+        let permit = match RunPermit::acquire(control, fingerprint, self.request.deadline).await {
+            Ok(permit) => permit,
+            Err(notice) => {
+                self.refusal = Some(notice);
+                return None;
+            }
+        };
         let is_covered = self.sends == 0 || take_budget(self.context, self.request);
-        if !may_send || !is_covered {
+        if !is_covered {
             return None;
         }
         let mut place = match EnginePlace::acquire(self.context, self.request, &self.tried).await {
@@ -107,14 +139,21 @@
                 return None;
             }
         };
-        let ticket = self.prefill(&mut place).await;
+        let ticket = match self.prefill(&mut place, &permit).await {
+            PromptStep::Ready(ticket) => Some(ticket),
+            PromptStep::Left => None,
+            PromptStep::EngineEnded => {
+                self.ended_prefills += 1;
+                return Some(StreamEnd::NotRun);
+            }
+        };
         if self.sends >= rule.attempts {
             // The refused prefill used the last send up.
             return None;
         }
         self.sends += 1;
         self.tried.push(place.decode.id.clone());
-        Some(self.decode(place, ticket).await)
+        Some(self.decode(place, ticket, permit).await)
     }
 
     /// How long the prompt may take at a prefill engine, in milliseconds.
@@ -128,20 +167,23 @@
     }
 
     /// Has the prompt run; without a ticket the decode engine runs it itself.
-    async fn prefill(&mut self, place: &mut EnginePlace) -> Option<TicketLease> {
-        let replica = place.prefill.clone()?;
+    async fn prefill(&mut self, place: &mut EnginePlace, permit: &RunPermit) -> PromptStep {
+        let Some(replica) = place.prefill.clone() else {
+            return PromptStep::Left;
+        };
         let began_at = clock::now();
         let deadline = self
             .request
             .deadline
             .min(began_at.after_ms(self.prefill_limit_ms()));
-        let end = run_prefill(self.context, self.request, &replica, deadline).await;
+        let end = run_prefill(self.context, self.request, &replica, permit, deadline).await;
         let (word, engine_end) = match &end {
             PrefillEnd::Done(_) => ("done", EngineEnd::Fine),
             PrefillEnd::Refused => ("refused", EngineEnd::Full),
             PrefillEnd::Unsent => ("unsent", EngineEnd::Unreachable),
             PrefillEnd::Withheld => ("withheld", EngineEnd::Full),
             PrefillEnd::Failed => ("failed", EngineEnd::Failed),
+            PrefillEnd::EngineEnded => ("engine_ended", EngineEnd::Failed),
             PrefillEnd::Late => ("late", EngineEnd::Failed),
         };
         spdlog::info!(
@@ -162,17 +204,25 @@
         }
         place.finish_prefill(engine_end);
         match end {
-            PrefillEnd::Done(ticket) => Some(ticket),
+            PrefillEnd::Done(ticket) => PromptStep::Ready(ticket),
             PrefillEnd::Refused => {
                 self.sends += 1;
-                None
+                PromptStep::Left
+            }
+            PrefillEnd::Unsent | PrefillEnd::Withheld | PrefillEnd::Failed | PrefillEnd::Late => {
+                PromptStep::Left
             }
-            PrefillEnd::Unsent | PrefillEnd::Withheld | PrefillEnd::Failed | PrefillEnd::Late => None,
+            PrefillEnd::EngineEnded => PromptStep::EngineEnded,
         }
     }
 
     /// Has the answer generated and passes it on.
-    async fn decode(&mut self, mut place: EnginePlace, ticket: Option<TicketLease>) -> StreamEnd {
+    async fn decode(
+        &mut self,
+        mut place: EnginePlace,
+        ticket: Option<TicketLease>,
+        permit: RunPermit,
+    ) -> StreamEnd {
         let request = self.request;
         let replica = place.decode.clone();
         let began_at = clock::now();
@@ -225,7 +275,8 @@
                     ticket.into_iter().for_each(TicketLease::taken);
                 }
                 place.note_handover(began_at.until_ms(clock::now()));
-                self.pass_on(place, answer, verdict, began_at).await
+                self.pass_on(place, answer, verdict, DecodeRun { began_at, permit })
+                    .await
             }
             Err(ExchangeError::Unsent { .. }) => {
                 place.note_decode(EngineEnd::Unreachable);
@@ -239,7 +290,7 @@
             }
             Err(ExchangeError::Lost { is_ended, .. }) => {
                 if is_ended {
-                    note_loss(request, &replica, RunStage::Decode, began_at);
+                    report_loss(request, &permit, &replica, RunStage::Decode, began_at).await;
                 }
                 place.note_decode(EngineEnd::Failed);
                 StreamEnd::Broken
@@ -253,7 +304,7 @@
         mut place: EnginePlace,
         mut answer: UpstreamAnswer,
         verdict: AnswerVerdict,
-        began_at: Moment,
+        run: DecodeRun,
     ) -> StreamEnd {
         if self.writer.is_some() && answer.head.status != 200 {
             // The caller has begun to read a stream, which a failure can't go on.
@@ -288,11 +339,14 @@
                     self.request.trace.end(RequestOutcome::Served, answer.head.status);
                     let (events, span_ms) = self.request.trace.record().stream_span();
                     place.note_pace(events, span_ms);
+                    run.permit.note_whole();
                     return StreamEnd::Done(self.finish(&answer, cutter.rest()).await);
                 }
                 Some(Err(error)) => {
                     if error.is_end() {
-                        note_loss(self.request, &place.decode, RunStage::Decode, began_at);
+                        let replica = place.decode.clone();
+                        let stage = RunStage::Decode;
+                        report_loss(self.request, &run.permit, &replica, stage, run.began_at).await;
                     }
                     return self.break_off(&mut place, &error.to_string());
                 }
@@ -356,6 +410,12 @@
         }
     }
 
+    /// Why it must not run any more; `None` where it may.
+    fn held(&self) -> Option<&RefusalNotice> {
+        let refusal = self.refusal.as_ref();
+        refusal.filter(|notice| notice.code == ResultCode::Quarantined)
+    }
+
     /// Ends a stream for which nothing more can be done.
     async fn give_up(&mut self) -> AnswerEnd {
         let request = self.request;
@@ -366,7 +426,7 @@
         let is_late = clock::now().reached(request.deadline);
         let notice = match (self.in_doubt, is_late) {
             (true, true) => RefusalNotice::new(ResultCode::DeadlineDuringRun, ""),
-            (true, false) => RefusalNotice::new(ResultCode::UpstreamFailed, ""),
+            (true, false) => failed_notice(self.held()),
             (false, true) => RefusalNotice::new(ResultCode::DeadlineTooNear, ""),
             (false, false) => self.refusal.take().unwrap_or_else(|| {
                 RefusalNotice::new(ResultCode::QueueFull, "").retry_after_ms(COME_BACK_MS)
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -65,6 +65,8 @@
     Withheld,
     /// The engine broke off, or answered with a failure.
     Failed,
+    /// The engine's process ended while it ran the prompt.
+    EngineEnded,
     /// The engine did not answer in time.
     Late,
 }
