--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -38,7 +38,7 @@
     /// The replica's own answer.
     Answer(ResponseHead, Vec<u8>),
     /// The replica's own answer, of which this much was read; too long to be held.
-    LongAnswer(UpstreamAnswer, Vec<u8>, SendLeave),
+    LongAnswer(Box<UpstreamAnswer>, Vec<u8>, SendLeave),
     /// The replica's own report of a failure.
     OwnError(ResponseHead, Vec<u8>),
     /// The request has certainly not run there.
@@ -65,9 +65,11 @@
 }
 
 /// What one send needs.
-struct SendLeave {
-    lease: DispatchLease,
-    permit: RunPermit,
+pub struct SendLeave {
+    /// A place at a replica.
+    pub lease: DispatchLease,
+    /// Leave to run the request there.
+    pub permit: RunPermit,
 }
 
 /// One call's way from replica to replica.
@@ -194,16 +196,7 @@
         match end {
             SendEnd::Answer(head, body) => Some(self.pass_on(&head, &body).await),
             SendEnd::LongAnswer(answer, begun, leave) => {
-                let SendLeave { lease, permit } = leave;
-                let relayed = relay_long(
-                    self.context,
-                    self.socket,
-                    self.request,
-                    answer,
-                    begun,
-                    lease,
-                    permit,
-                );
+                let relayed = relay_long(self.context, self.socket, self.request, *answer, begun, leave);
                 Some(relayed.await)
             }
             failure => {
@@ -388,7 +381,7 @@
         AnswerVerdict::Final | AnswerVerdict::OwnError => {}
     }
     match until(request.deadline, answer.read_up_to(WHOLE_BODY_BYTES)).await {
-        Some(Ok((begun, false))) => SendEnd::LongAnswer(answer, begun, SendLeave { lease, permit }),
+        Some(Ok((begun, false))) => SendEnd::LongAnswer(Box::new(answer), begun, SendLeave { lease, permit }),
         Some(Ok((body, true))) => {
             let head = answer.head.clone();
             answer.release(context, lease.id());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 
 use super::GatewayContext;
 use super::answer::{AfterAnswer, write_chunked_head, write_closing_head};
+use super::call::SendLeave;
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerEnd, CallerRequest};
 use super::loss::{RunStage, report_loss};
@@ -120,9 +121,9 @@
     request: &CallerRequest,
     mut answer: UpstreamAnswer,
     begun: Vec<u8>,
-    lease: DispatchLease,
-    permit: RunPermit,
+    leave: SendLeave,
 ) -> AnswerEnd {
+    let SendLeave { lease, permit } = leave;
     let head = answer.head.clone();
     let mut writer = AnswerWriter::new(context, socket, request, &head);
     if !writer.write(&begun).await {
