Play deadly requests in the simulated fleet, and forget what the bound on cases drops

Change: dropping and forgetting a case both take it off the board; the digest of cases is kept up by what changes.

--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -17,7 +17,7 @@
 use losses::OpenLosses;
 pub use losses::{RunLoss, UpstreamFate};
 pub use sharing::CaseRecord;
-use sharing::{CASES_EACH, CaseComparison, digest_of};
+use sharing::{CASES_EACH, CaseComparison, case_hash};
 use trials::{TrialDesk, trial_owner};
 
 use super::message::PeerMessage;
@@ -125,7 +125,7 @@
         turn: &mut Turn<'_>,
     ) -> bool {
         if !self.cases.contains_key(&fingerprint) {
-            self.make_room();
+            self.make_room(turn);
         }
         let case = self.cases.entry(fingerprint).or_default();
         if !case.note_strike(strike) {
@@ -153,7 +153,7 @@
     }
 
     /// Makes room for another case.
-    fn make_room(&mut self) {
+    fn make_room(&mut self, turn: &mut Turn<'_>) {
         if self.cases.len() < MOST_CASES {
             return;
         }
@@ -167,11 +167,16 @@
             .min_by_key(is_less)
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = least {
-            self.cases.remove(&fingerprint);
-            self.own_losses.remove(&fingerprint);
+            self.forget(fingerprint, turn);
         }
     }
 
+    fn forget(&mut self, fingerprint: Fingerprint, turn: &mut Turn<'_>) {
+        self.cases.remove(&fingerprint);
+        self.own_losses.remove(&fingerprint);
+        self.show(fingerprint, turn);
+    }
+
     /// Brings the board in line with a case.
     fn show(&mut self, fingerprint: Fingerprint, turn: &mut Turn<'_>) {
         let case = self.cases.get(&fingerprint);
@@ -188,7 +193,10 @@
             Some(suspicion) => suspicions.insert(fingerprint, suspicion),
             None => suspicions.remove(&fingerprint),
         };
-        turn.board.case_digest = digest_of(self.cases.iter());
+        for level in [known, suspicion].into_iter().flatten().map(|shown| shown.level) {
+            // A case that was shown before leaves the digest as it came into it.
+            turn.board.case_digest ^= case_hash(fingerprint, level);
+        }
         if let Some(Suspicion { level, held_until }) = suspicion
             && !turn.now.reached(held_until)
         {
@@ -310,9 +318,7 @@
         let old: Vec<Fingerprint> = old.map(|(fingerprint, _)| *fingerprint).collect();
         self.next_forget = None;
         for fingerprint in old {
-            self.cases.remove(&fingerprint);
-            self.own_losses.remove(&fingerprint);
-            self.show(fingerprint, turn);
+            self.forget(fingerprint, turn);
         }
         self.next_forget = self.cases.values().map(DeathCase::forget_at).min();
     }
--- a/src/controllers/quarantine/sharing.rs
+++ b/src/controllers/quarantine/sharing.rs
@@ -1,6 +1,6 @@
 //! How nodes make up what they know of deadly requests: those that begin, wake from a freeze or were cut off ask others.
 
-use super::case::{DeathCase, DeathStrike};
+use super::case::DeathStrike;
 use crate::blackboard::Fingerprint;
 use crate::controllers::rendezvous::weight;
 use crate::prelude::*;
@@ -27,12 +27,9 @@
     pub strikes: Vec<DeathStrike>,
 }
 
-/// A hash of all live cases, in whatever order.
-pub fn digest_of<'a>(cases: impl Iterator<Item = (&'a Fingerprint, &'a DeathCase)>) -> u64 {
-    let live = cases.filter(|(_, case)| !case.is_cleared());
-    live.fold(0, |digest, (fingerprint, case)| {
-        digest ^ weight(&fingerprint.to_string(), &case.level().to_string())
-    })
+/// What a suspected request adds to the digest of all of them.
+pub fn case_hash(fingerprint: Fingerprint, level: u32) -> u64 {
+    weight(&fingerprint.to_string(), &level.to_string())
 }
 
 /// When this node asks others for their cases.
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -1,5 +1,6 @@
 //! What many nodes believe of each other and of the list of replicas, on a clock of their own, with messages that are lost.
 
+mod deaths;
 mod simulated_fleet;
 
 use std::collections::BTreeMap;
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 
 use dotterelspan::blackboard::OwnIdentity;
-use dotterelspan::controllers::ControlCore;
 use dotterelspan::controllers::discovery::{DiscoveryController, ReplicaUpdate};
 use dotterelspan::controllers::membership::MembershipController;
 use dotterelspan::controllers::message::{PeerMessage, VmIntroduction};
+use dotterelspan::controllers::quarantine::QuarantineController;
 use dotterelspan::controllers::readers::reads_store;
+use dotterelspan::controllers::{ControlCore, Reply};
 use dotterelspan::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -58,6 +59,8 @@
     entries_told: usize,
     /// What other messages between nodes say of nodes, by the node that sent them.
     introductions_told: Vec<usize>,
+    /// Answers to waiting tasks, with the nodes that gave them.
+    replies: Vec<(usize, ReplyTicket, Reply)>,
 }
 
 fn name_of(index: usize) -> String {
@@ -83,6 +86,7 @@
         vec![
             Box::new(MembershipController::default()),
             Box::new(DiscoveryController::default()),
+            Box::new(QuarantineController::default()),
         ],
     );
     SimulatedNode {
@@ -107,6 +111,7 @@
             random: StdRng::seed_from_u64(seed),
             entries_told: 0,
             introductions_told: vec![0; count],
+            replies: Vec::new(),
         };
         for index in 0..count {
             fleet.starts += 1;
@@ -184,6 +189,22 @@
         }
     }
 
+    /// A task of a node tells its controllers something; what follows goes its way.
+    pub fn tell(&mut self, index: usize, event: &Event) {
+        self.event(index, event);
+        self.deliver_all();
+    }
+
+    /// The answers to waiting tasks since this was last asked.
+    pub fn take_replies(&mut self) -> Vec<(usize, ReplyTicket, Reply)> {
+        std::mem::take(&mut self.replies)
+    }
+
+    /// A node's own clock.
+    pub fn clock_of(&self, index: usize) -> Moment {
+        self.clock(&self.nodes[index])
+    }
+
     /// Entries of the list that nodes told each other so far.
     pub fn entries_told(&self) -> usize {
         self.entries_told
@@ -316,6 +337,7 @@
                         message,
                     });
                 }
+                Action::Reply { ticket, reply } => self.replies.push((index, ticket, reply)),
                 Action::ResetLink { vm } => {
                     let other: usize = vm
                         .strip_prefix("vm-")
