Log first strikes at the VM that saw them only

Cause: on a grown site a series of crashes wrote 26,055 lines of strikes at 110 VMs, for 276 strikes. Change: a VM logs its own strikes and, of others, those that hold a request back. Conclusion: explain reads all VMs' logs, so nothing is lost by it.

--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -131,14 +131,17 @@
         if !case.note_strike(strike) {
             return false;
         }
-        turn.log(format!(
-            "event=request_struck fingerprint={fingerprint:016x} upstream={} incarnation={} level={} age_ms={} seen_by={} source={source}",
-            strike.upstream,
-            strike.incarnation,
-            strike.level,
-            strike.ended_at.until_ms(turn.now),
-            strike.seen_by
-        ));
+        // Most first strikes are of innocent requests, and stand in the log of the VM that saw them.
+        if strike.level > 1 || strike.seen_by == turn.board.own.name {
+            turn.log(format!(
+                "event=request_struck fingerprint={fingerprint:016x} upstream={} incarnation={} level={} age_ms={} seen_by={} source={source}",
+                strike.upstream,
+                strike.incarnation,
+                strike.level,
+                strike.ended_at.until_ms(turn.now),
+                strike.seen_by
+            ));
+        }
         // One that has just ended gets nothing until it has had time to come back.
         let down_until = strike.ended_at.after_ms(DOWN_MS);
         if !turn.now.reached(down_until) {
