Place a prompt anew whose engine ended, also where one attempt is allowed

Cause: an ended prompt counted against the route's attempts, although it is none. Change: it has a bound of its own; a second end holds the request back by itself. Figures: the new test is refused with 503 before and served after.

--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -30,6 +30,10 @@
 /// given up just before it is done would be run once more, at half the speed.
 const PREFILL_MARGIN_PERCENT: u64 = 150;
 
+/// Engines that may end while they run the prompt of one request. After the second its request is held back, unless
+/// they were about to leave.
+const MOST_ENDED_PREFILLS: u32 = 3;
+
 /// Serves a generation.
 pub async fn serve_stream(
     context: &Arc<GatewayContext>,
@@ -114,7 +118,7 @@
     async fn attempt(&mut self) -> Option<StreamEnd> {
         let rule = &self.request.rule;
         let may_send = self.sends < rule.attempts
-            && self.ended_prefills < rule.attempts
+            && self.ended_prefills < MOST_ENDED_PREFILLS
             && (!self.in_doubt || rule.kind.may_repeat())
             && !clock::now().reached(self.request.deadline);
         if !may_send {
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -221,3 +221,33 @@
         engines.node.log().contains("event=engine_down engine=i-d1")
     });
 }
+
+#[test]
+fn a_prompt_whose_engine_ends_is_run_by_another_one_though_one_attempt_is_allowed() {
+    let engines = Engines::start();
+    engines.prefills[0].set_mood(ReplicaMood::SlowPrompts);
+    engines.prefills[1].set_mood(ReplicaMood::SlowPrompts);
+    let text = request(
+        "POST",
+        "shop.example",
+        "/stream/single",
+        "q-1",
+        "X-Token-Count: 900,50\r\n",
+        "a prompt",
+    );
+    let address = engines.node.callers();
+    let running = std::thread::spawn(move || crate::wire::exchange(address, &text));
+    let has_it = |engine: &&StandInReplica| !engine.seen("q-1").is_empty();
+    wait_until("an engine runs the prompt", || {
+        engines.prefills.iter().any(|engine| has_it(&engine))
+    });
+    let first = engines.prefills.iter().find(has_it).expect("one runs it");
+    first.life.end();
+    let answer = running.join().expect("the caller's thread").expect("an answer");
+    assert_eq!(
+        (answer.status(), answer.is_whole),
+        (200, true),
+        "{}",
+        engines.node.log()
+    );
+}
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -213,6 +213,9 @@
     };
     let mut stream = route("talk", "/stream", "streaming", "llm");
     stream["targetGapMs"] = 2000.into();
+    let mut single = route("single", "/stream/single", "streaming", "llm");
+    single["targetGapMs"] = 2000.into();
+    single["attempts"] = 1.into();
     let mut resumable = route("resume", "/stream/resume", "streaming", "llm");
     resumable["targetGapMs"] = 100.into();
     resumable["targetLatencyMs"] = 300.into();
@@ -224,6 +227,7 @@
             route("book", "/book", "once", "desk"),
             route("empty", "/empty", "safe", "nobody"),
             stream,
+            single,
             resumable,
         ],
         "services": [
