Explain a held request by the ends of replicas, and count held and careful ones

What operators lacked: a refusal with code 2004 named a hash and nothing that led from it to the replicas. Change: explain lists the lines of requests of the same content, from all VMs and times, and names replica, start, time and the VM that saw each end; metrics suspected_requests (held, careful) and held_refusals.

--- a/src/command_line/commands.rs
+++ b/src/command_line/commands.rs
@@ -230,6 +230,7 @@
     println!("cause: {}\n{sentence}", cause.as_str());
     print_lines("steps", &story.steps);
     print_lines("beliefs", &story.beliefs);
+    print_lines("requests of its content", &story.suspicion);
     ExitStatus::Done
 }
 
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -119,6 +119,7 @@
             ),
         ),
         "refused" => match story.last("refused") {
+            Some(refused) if refused.field("reason") == "quarantined" => cause_of_hold(story, refused),
             Some(refused) => cause_of_refusal(refused),
             None => (
                 FailureCause::Unknown,
@@ -131,6 +132,43 @@
     }
 }
 
+/// A request that was held back, with the ends of replicas that are why.
+fn cause_of_hold(story: &RequestStory<'_>, refused: &LogLine) -> (FailureCause, String) {
+    let (cause, sentence) = cause_of_refusal(refused);
+    let mut ends: Vec<String> = Vec::new();
+    for line in story
+        .suspicion
+        .iter()
+        .filter(|line| line.event == "request_struck")
+    {
+        if line.field("source") != "own" {
+            // The VM that saw it has a line of its own.
+            continue;
+        }
+        let ended_at = line.time - line.number("age_ms") as f64 / 1_000.0;
+        let end = format!(
+            "{} (start {}) at {ended_at:.3}, seen by {}",
+            line.field("upstream"),
+            line.field("incarnation"),
+            line.field("seen_by")
+        );
+        if !ends.contains(&end) {
+            ends.push(end);
+        }
+    }
+    if ends.is_empty() {
+        return (
+            cause,
+            format!("{sentence} The logs don't tell which replicas had ended under its content."),
+        );
+    }
+    let told = format!(
+        "{sentence} Replicas that had ended under its content: {}.",
+        ends.join(", ")
+    );
+    (cause, told)
+}
+
 fn cause_of_refusal(refused: &LogLine) -> (FailureCause, String) {
     let reason = refused.field("reason");
     let cause = match reason {
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -13,6 +13,7 @@
     lines: Vec<LogLine>,
     by_request: FastMap<String, Vec<usize>>,
     by_place: FastMap<String, Vec<usize>>,
+    by_fingerprint: FastMap<String, Vec<usize>>,
 }
 
 impl LogSet {
@@ -20,7 +21,11 @@
     pub fn add(&mut self, text: &str, default_vm: &str) {
         for line in text.lines().filter_map(|line| LogLine::parse(line, default_vm)) {
             let index = self.lines.len();
-            for (name, map) in [("request", &mut self.by_request), ("place", &mut self.by_place)] {
+            for (name, map) in [
+                ("request", &mut self.by_request),
+                ("place", &mut self.by_place),
+                ("fingerprint", &mut self.by_fingerprint),
+            ] {
                 let key = line.field(name);
                 if !key.is_empty() && key != "-" {
                     map.entry(key.to_owned()).or_default().push(index);
@@ -61,7 +66,25 @@
         let mut steps: Vec<&LogLine> = indexes.iter().map(|index| &self.lines[*index]).collect();
         steps.sort_by(|left, right| left.time.total_cmp(&right.time));
         let beliefs = self.beliefs_around(&steps);
-        RequestStory { steps, beliefs }
+        let suspicion = self.suspicion_of(&steps);
+        RequestStory {
+            steps,
+            beliefs,
+            suspicion,
+        }
+    }
+
+    /// What was believed of requests of the same content, whenever it was: why one is held back may lie hours before.
+    fn suspicion_of(&self, steps: &[&LogLine]) -> Vec<&LogLine> {
+        let mut fingerprints = steps.iter().map(|step| step.field("fingerprint"));
+        let Some(fingerprint) = fingerprints.find(|fingerprint| !fingerprint.is_empty()) else {
+            return Vec::new();
+        };
+        let indexes = self.by_fingerprint.get(fingerprint).into_iter().flatten();
+        let lines = indexes.map(|index| &self.lines[*index]);
+        let mut lines: Vec<&LogLine> = lines.filter(|line| line.field("request").is_empty()).collect();
+        lines.sort_by(|left, right| left.time.total_cmp(&right.time));
+        lines
     }
 
     /// What was believed about the VMs and replicas that a request met, around its time.
@@ -138,6 +161,8 @@
     pub steps: Vec<&'a LogLine>,
     /// What was believed of what it met.
     pub beliefs: Vec<&'a LogLine>,
+    /// What was believed of requests of its content.
+    pub suspicion: Vec<&'a LogLine>,
 }
 
 impl RequestStory<'_> {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -10,6 +10,7 @@
 use super::trace::{RequestOutcome, TraceRecord};
 use crate::clock;
 use crate::event_log::EventLog;
+use crate::prelude::*;
 use crate::register::RouteKind;
 use crate::reports::{ControlEventGauge, MeterRegistry, MetricError};
 use crate::runtime::{ControlHandle, Snapshot};
@@ -46,6 +47,8 @@
     vms: Gauge<u64>,
     replicas: Gauge<u64>,
     active: Gauge<u64>,
+    suspected: Gauge<u64>,
+    held_refusals: Counter<u64>,
     log_lines: Gauge<u64>,
     control_events: ControlEventGauge,
 }
@@ -84,6 +87,11 @@
             list_age: meters.gauge("list_unread_ms", "How long the store has not been read."),
             vms: meters.gauge("vms", "VMs by state."),
             replicas: meters.gauge("replicas", "Listed replicas by state."),
+            suspected: meters.gauge(
+                "suspected_requests",
+                "Requests under which replicas ended, by what becomes of them.",
+            ),
+            held_refusals: meters.counter("held_refusals", "Refusals of requests that are held back."),
             active: meters.gauge("active_requests", "Requests that this VM holds."),
             log_lines: meters.gauge("log_lines", "Log lines by what became of them."),
             control_events: ControlEventGauge::new(&meters),
@@ -128,6 +136,12 @@
                 .record(count as u64, &[KeyValue::new("state", state)]);
         }
         self.active.record(active_requests, &[]);
+        let held = snapshot.held_count(now);
+        let careful = snapshot.suspicions.len() - held;
+        for (state, count) in [("held", held), ("careful", careful)] {
+            self.suspected
+                .record(count as u64, &[KeyValue::new("state", state)]);
+        }
         let tally = EventLog::tally();
         for (fate, count) in [("taken", tally.taken), ("dropped", tally.dropped)] {
             self.log_lines.record(count, &[KeyValue::new("fate", fate)]);
@@ -144,6 +158,9 @@
             self.duration.record(total_ms as f64, &labels);
             self.first_event.record(record.first_ms as f64, &labels);
         }
+        if record.code == ResultCode::Quarantined.number() {
+            self.held_refusals.add(1, &[]);
+        }
         if record.sends > 1 {
             self.extra_sends.add(u64::from(record.sends - 1), &[]);
         }
--- a/stand_ins/src/service.rs
+++ b/stand_ins/src/service.rs
@@ -12,6 +12,9 @@
 use crate::http::{self, read_json};
 use crate::journal::Journal;
 
+/// A call whose id has this word ends each service that begins to run it.
+pub const DESK_DEATH_WORD: &str = "query-of-death-desk";
+
 /// How the service misbehaves.
 #[derive(Clone, Debug, Default)]
 struct ServiceFault {
@@ -100,7 +103,7 @@
         json!({ "operation": operation, "replica": state.name }),
     );
     async_std::task::sleep(state.latency + Duration::from_millis(fault.before_ms)).await;
-    if fault.dies_before {
+    if fault.dies_before || subject.contains(DESK_DEATH_WORD) {
         std::process::exit(9);
     }
     let mut answer = run_or_repeat(state, operation, &subject, &key, &payload);
--- a/tests/platform/query_of_death.rs
+++ b/tests/platform/query_of_death.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::node::{GatewayNode, publish_config};
+use crate::node::{GatewayNode, publish_config, wait_until};
 use crate::replica::{DEATH_WORD, ReplicaMood, StandInReplica};
 use crate::store::StandInStore;
 use crate::wire::{exchange, request};
@@ -227,3 +227,115 @@
     });
     assert_contained(&fleet, &outcome);
 }
+
+#[test]
+fn a_node_that_was_frozen_does_not_let_a_deadly_call_through() {
+    let mut fleet = Fleet::start();
+    let outcome = attack(&mut fleet, "/read", "", |fleet, number| match number {
+        0 => fleet.nodes[2].signal("STOP"),
+        20 => fleet.nodes[2].signal("CONT"),
+        _ => {}
+    });
+    assert_contained(&fleet, &outcome);
+}
+
+fn send_deadly(node: &GatewayNode, path: &str, id: &str) -> u16 {
+    node.ask(&request("POST", "shop.example", path, id, "", DEATH_WORD))
+        .status()
+}
+
+#[test]
+fn a_hold_outlives_the_node_that_saw_the_ends() {
+    let mut fleet = Fleet::start();
+    wait_until("the call is held back", || {
+        send_deadly(&fleet.nodes[0], "/book", "d-0");
+        fleet.nodes[0].log().contains("event=request_quarantined")
+    });
+    let ends = fleet.ends().len();
+    fleet.nodes[0].kill();
+    for (node, id) in [(1, "d-1"), (2, "d-2")] {
+        assert_eq!(send_deadly(&fleet.nodes[node], "/book", id), 503);
+    }
+    fleet.nodes[0].spawn();
+    fleet.nodes[0].wait_ready();
+    wait_until("the node has joined", || {
+        fleet.nodes[0].log().matches("event=vm_joined").count() >= 4
+    });
+    assert_eq!(
+        send_deadly(&fleet.nodes[0], "/book", "d-3"),
+        503,
+        "{}",
+        fleet.nodes[0].log()
+    );
+    assert_eq!(fleet.ends().len(), ends);
+}
+
+#[test]
+fn equal_reads_are_served_again_at_once_after_a_rack_lost_power() {
+    let fleet = Fleet::start();
+    fleet
+        .desks
+        .iter()
+        .for_each(|desk| desk.set_mood(ReplicaMood::Slow));
+    let text = |id: &str| request("POST", "shop.example", "/read", id, "", "the day's slots");
+    let running: Vec<_> = fleet
+        .nodes
+        .iter()
+        .enumerate()
+        .map(|(index, node)| {
+            let (address, text) = (node.callers(), text(&format!("first-{index}")));
+            std::thread::spawn(move || exchange(address, &text))
+        })
+        .collect();
+    let busy = || fleet.desks.iter().filter(|desk| desk.count() > 0).count();
+    wait_until("three replicas run them", || busy() >= 3);
+    let rack: Vec<_> = fleet.desks.iter().filter(|desk| desk.count() > 0).collect();
+    rack.iter().for_each(|desk| desk.life.end());
+    fleet
+        .desks
+        .iter()
+        .for_each(|desk| desk.set_mood(ReplicaMood::Well));
+    for call in running {
+        let answer = call.join().expect("a caller's thread").expect("an answer");
+        assert_eq!(answer.status(), 200, "{}", fleet.nodes[0].log());
+    }
+    for number in 0..30 {
+        let answer = fleet.nodes[number % 3].ask(&text(&format!("next-{number}")));
+        assert_eq!(answer.status(), 200, "{}", fleet.nodes[number % 3].log());
+    }
+}
+
+#[test]
+fn a_call_that_is_held_back_is_explained_from_logs_alone() {
+    let fleet = Fleet::start();
+    wait_until("the call is held back", || {
+        send_deadly(&fleet.nodes[0], "/read", "d-0");
+        send_deadly(&fleet.nodes[1], "/read", "d-1") == 503
+    });
+    let refused = fleet.nodes[2].ask(&request("POST", "shop.example", "/read", "d-2", "", DEATH_WORD));
+    let wait_s: f64 = refused
+        .header("Retry-After")
+        .and_then(|text| text.parse().ok())
+        .expect("when to come back");
+    assert!(refused.status() == 503 && wait_s > 1.0, "{refused:?}");
+    assert!(fleet.nodes[2].metric("suspected_requests", "state=\"held\"") >= 1.0);
+    wait_until("the lines are written", || {
+        fleet.nodes[2].log().contains("event=ended request=d-2")
+    });
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_dotterelspan"));
+    command.arg("explain").arg("d-2").args(fleet.log_paths());
+    let output = command.output().expect("the program can be run");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(
+        text.contains("held back") && text.contains("Replicas that had ended under its content: i-"),
+        "{text}"
+    );
+    let struck = fleet.ends().len();
+    assert!(
+        struck >= 2 && text.matches("request_struck").count() >= 2,
+        "{text}"
+    );
+    for word in ["upstream=i-", "incarnation=1", "seen_by=vm-1"] {
+        assert!(text.contains(word), "{word}: {text}");
+    }
+}
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -29,7 +29,7 @@
     Breaks,
     /// It sends two events of a stream and closes the connection.
     BreaksStream,
-    /// It sends an event each 150 milliseconds.
+    /// It sends an event each 150 milliseconds, and takes [`SLOW_CALL`] for a call.
     Slow,
     /// It runs the request and never answers.
     Silent,
@@ -54,6 +54,9 @@
 /// How long a replica that backs off wants nothing, in seconds.
 pub const BACK_OFF_S: u64 = 3;
 
+/// How long a slow replica takes for a call.
+pub const SLOW_CALL: Duration = Duration::from_millis(400);
+
 /// How much later the second copy of an answer comes.
 const SECOND_COPY_AFTER: Duration = Duration::from_millis(60);
 
@@ -277,6 +280,9 @@
                 send_stream(stream, id, mood, first)
             }
             _ => {
+                if mood == ReplicaMood::Slow {
+                    std::thread::sleep(SLOW_CALL);
+                }
                 let body = [self.id.as_bytes(), b" ", &request.body].concat();
                 let lines = [&signed[..], leaving_line(mood)].concat();
                 if mood == ReplicaMood::AnswersTwice {
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use async_std::task::{block_on, sleep, spawn};
-use stand_ins::caller::{StreamCaller, generate_body};
+use stand_ins::caller::{StreamCaller, call_body, generate_body, get_key};
 use stand_ins::engine::{DECODE_DEATH_WORD, PREFILL_DEATH_WORD, expected_tokens};
 use stand_ins::fleet::{Fleet, FleetPlan, PATIENCE};
+use stand_ins::http;
+use stand_ins::service::DESK_DEATH_WORD;
 
 /// Tokens of an innocent stream.
 const TOKENS: u32 = 80;
@@ -79,3 +81,58 @@
 fn a_prompt_that_ends_decode_engines_is_held_back() {
     block_on(assert_contained(DECODE_DEATH_WORD));
 }
+
+/// Time for a call.
+const WITHIN_MS: u64 = 10_000;
+
+/// Sends a call that ends desks to one entry after the other, as another call of its caller each time.
+async fn assert_call_contained(operation: &str) {
+    let mut plan = FleetPlan::small();
+    plan.services = 5;
+    let mut fleet = Fleet::start(plan).await;
+    for turn in 0..6 {
+        let entry = fleet.entries[turn % 3].routed.clone();
+        let key = match operation {
+            "book" => get_key(&entry, "kitamura", "desk", operation, WITHIN_MS).await,
+            _ => None,
+        };
+        let body = call_body(
+            "kitamura",
+            "desk",
+            operation,
+            DESK_DEATH_WORD,
+            key.as_deref(),
+            WITHIN_MS,
+        );
+        let answer = http::post(&entry, "/v1/call", &body).await.expect("an answer");
+        assert_ne!(answer.status, 200, "{answer:?}");
+        let innocent = call_body(
+            "kitamura",
+            "desk",
+            "lookup",
+            &format!("slot-{turn}"),
+            None,
+            WITHIN_MS,
+        );
+        let answer = http::post(&entry, "/v1/call", &innocent)
+            .await
+            .expect("an answer");
+        assert_eq!(answer.body["answer"]["id"], format!("slot-{turn}"), "{answer:?}");
+    }
+    let ended = fleet
+        .services
+        .iter_mut()
+        .map(|desk| usize::from(desk.process.ended().is_some()));
+    let ended: usize = ended.sum();
+    assert!((1..=2).contains(&ended), "{ended} desks ended");
+}
+
+#[test]
+fn a_lookup_that_ends_desks_is_held_back() {
+    block_on(assert_call_contained("lookup"));
+}
+
+#[test]
+fn a_booking_that_ends_desks_is_held_back() {
+    block_on(assert_call_contained("book"));
+}
