Share the retry reserve with VMs out of sight, and refill it after a restart

Cause: each node divided the reserve by the VMs that it took for alive, so a node that sees nobody took all of it, and a process that was started again took its part anew. Evidence: real nodes, in one window: 51 arrivals beyond the first of 180 requests where 46 are allowed (three nodes that know nobody), and 36 of 40 where 18 are (one node killed and started three times). Change: a census keeps the VMs that were alive within an hour, or a minute where they left in order. A node that has met nobody though its settings name seeds leaves the reserve alone. Unless the deployment starts for the first time, a process gets its part of the reserve in step with its age, up to a whole window; its share of its own requests is there at once. A simulated fleet of 12 parted for three minutes counts 12 everywhere. Conclusion: the sum over all VMs keeps the bound without any of them asking.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -162,6 +162,8 @@
     pub suspicions: Arc<SuspicionMap>,
     /// A hash of what is known of them, to compare with what others know.
     pub case_digest: u64,
+    /// How many VMs may be running, this one and those out of sight too.
+    pub fleet_size: usize,
     /// The drain, once it has begun.
     pub drain: Option<DrainFacts>,
 }
@@ -184,6 +186,7 @@
             is_seed: false,
             suspicions: Arc::default(),
             case_digest: 0,
+            fleet_size: 1,
             drain: None,
         }
     }
--- a/src/controllers/dispatch/budget.rs
+++ b/src/controllers/dispatch/budget.rs
@@ -1,7 +1,8 @@
 //! How many extra sends a service may get from this node.
 //!
 //! All nodes share one budget: a share of the requests, and a reserve. Each node keeps the share of its own requests and
-//! an even part of the reserve, so that no node has to ask another one.
+//! an even part of the reserve, so that no node has to ask another one. A node that can't tell how many share the reserve
+//! leaves it alone, and one that was started again gets its part over a window, since it does not know what it used.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -39,16 +40,20 @@
     share: f64,
     reserve: f64,
     part_ms: u64,
+    /// How long a process runs before it has its whole part of the reserve, in milliseconds.
+    warm_up_ms: u64,
     services: FastMap<Arc<str>, VecDeque<PartCount>>,
 }
 
 impl SendBudget {
-    /// A budget of a share of the requests and a reserve for all nodes, over a window.
-    pub fn new(share: f64, reserve: f64, window_ms: u64) -> Self {
+    /// A budget of a share of the requests and a reserve for all nodes, over a window. Before the first start of a
+    /// deployment nothing can have been used.
+    pub fn new(share: f64, reserve: f64, window_ms: u64, is_first_start: bool) -> Self {
         Self {
             share,
             reserve,
             part_ms: (window_ms / WINDOW_PARTS).max(1),
+            warm_up_ms: if is_first_start { 0 } else { window_ms },
             services: FastMap::default(),
         }
     }
@@ -78,13 +83,18 @@
         self.current(service, now).requests += 1;
     }
 
-    /// Takes one extra send where one is left; `nodes` share the reserve.
-    pub fn take(&mut self, service: &Arc<str>, nodes: usize, now: Moment) -> BudgetVerdict {
+    /// Takes one extra send where one is left; `sharers` is how many nodes share the reserve, where that is known.
+    pub fn take(&mut self, service: &Arc<str>, sharers: Option<usize>, now: Moment) -> BudgetVerdict {
         self.current(service, now);
         let parts = &self.services[service];
         let requests: u32 = parts.iter().map(|count| count.requests).sum();
         let extra: u32 = parts.iter().map(|count| count.extra).sum();
-        let reserve = self.reserve / nodes.max(1) as f64;
+        let part = sharers.map_or(0.0, |sharers| self.reserve / sharers.max(1) as f64);
+        let warmth = match self.warm_up_ms {
+            0 => 1.0,
+            span_ms => now.0.min(span_ms) as f64 / span_ms as f64,
+        };
+        let reserve = part * warmth;
         let allowed = (self.share * f64::from(requests) + reserve) * USED_PERCENT / 100.0;
         let is_covered = f64::from(extra) + 1.0 <= allowed;
         if is_covered {
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does input or output or reads a clock, so each part can be embedded, replayed and tested alone.
 
+pub mod census;
 pub mod discovery;
 pub mod dispatch;
 pub mod drain;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -421,20 +421,20 @@
 
 /// Takes one extra send of a request from the budget; whether it is covered.
 pub fn take_budget(context: &GatewayContext, request: &CallerRequest) -> bool {
-    let nodes = context.snapshot().live_vms.len();
-    let verdict = context.budget().take(&request.service, nodes, clock::now());
-    let (extra, allowed) = (verdict.extra, verdict.allowed);
+    let sharers = context.reserve_sharers();
+    let verdict = context.budget().take(&request.service, sharers, clock::now());
+    let (extra, allowed, vms) = (verdict.extra, verdict.allowed, sharers.unwrap_or_default());
     if verdict.is_covered {
         context.metrics.note_budget_taken();
         spdlog::info!(
-            "event=extra_send request={} service={} extra={extra} allowed={allowed:.1} vms={nodes}",
+            "event=extra_send request={} service={} extra={extra} allowed={allowed:.1} vms={vms}",
             request.facts.id,
             request.service
         );
     } else {
         context.metrics.note_denied();
         spdlog::error!(
-            "event=retry_denied request={} reason=budget extra={extra} allowed={allowed:.1} vms={nodes}",
+            "event=retry_denied request={} reason=budget extra={extra} allowed={allowed:.1} vms={vms}",
             request.facts.id
         );
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -59,6 +59,7 @@
             promises.retry_share,
             promises.retry_reserve,
             promises.retry_window_ms,
+            settings.is_first_start,
         );
         let book = BookState {
             book: DispatchBook::new(own.zone.clone(), own.incarnation as u64),
@@ -120,6 +121,15 @@
         work(&mut state.book)
     }
 
+    /// How many VMs share the budget's reserve; `None` while this one has met nobody though there should be others.
+    pub fn reserve_sharers(&self) -> Option<usize> {
+        let fleet_size = self.snapshot().fleet_size;
+        let settings = self.settings();
+        let own = settings.addresses.peers;
+        let has_others = settings.seeds.iter().any(|seed| *seed != own);
+        (fleet_size > 1 || !has_others).then_some(fleet_size)
+    }
+
     /// Works on the budget for extra sends.
     pub fn budget(&self) -> MutexGuard<'_, SendBudget> {
         lock(&self.budget)
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -52,6 +52,9 @@
     zone: String,
     #[serde(default)]
     seeds: Vec<SocketAddr>,
+    /// Set only as the whole deployment starts for the first time.
+    #[serde(default)]
+    bootstrap: bool,
     listen: ListenTable,
     limits: LimitsTable,
     contract_params: ParamsTable,
@@ -126,6 +129,7 @@
                 metrics,
             },
             seeds: self.seeds,
+            is_first_start: self.bootstrap,
             store: self.platform.address,
             capacity: VmCapacity {
                 memory_bytes: self.limits.memory_mb * 1_048_576,
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -34,6 +34,8 @@
     pub live_vms: Arc<[VmRecord]>,
     /// All VMs that are known, this one too.
     pub known_vms: usize,
+    /// How many VMs may be running, this one and those out of sight too.
+    pub fleet_size: usize,
     /// Until when new work is taken; `None` while the node is not leaving.
     pub accept_until: Option<Moment>,
     /// Requests under which upstreams ended.
@@ -59,6 +61,7 @@
             live_vms: view.vms.clone(),
 
             known_vms: board.vms.len() + 1,
+            fleet_size: board.fleet_size,
             accept_until: board.drain.map(|drain| drain.accept_until),
             suspicions: board.suspicions.clone(),
         }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -66,6 +66,8 @@
     pub addresses: GatewayAddresses,
     /// Peers to ask at start; the first one gives orders to engines.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// The platform's store.
     pub store: SocketAddr,
     /// What the VM gives.
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -488,3 +488,38 @@
         prop_assert_eq!(fleet.disagreement(), None);
     }
 }
+
+/// How long regions part, in milliseconds.
+const PARTED_MS: u64 = 180_000;
+
+#[test]
+fn vms_out_of_sight_still_share_what_all_may_use() {
+    const NODES: usize = 12;
+    let mut fleet = SimulatedFleet::new(NODES, 31);
+    fleet.run_ms(AGREE_MS);
+    assert!((0..NODES).all(|node| fleet.board(node).fleet_size == NODES));
+    fleet.cut(|from, to| from != to);
+    fleet.run_ms(PARTED_MS);
+    assert!((0..NODES).all(|node| fleet.board(node).live_peers(fleet.clock_of(node)).count() == 0));
+    assert!((0..NODES).all(|node| fleet.board(node).fleet_size == NODES));
+    fleet.cut(|_, _| false);
+    fleet.run_ms(AGREE_MS);
+    fleet.restart(4);
+    fleet.run_ms(AGREE_MS);
+    assert_eq!(fleet.board(4).fleet_size, NODES);
+}
+
+#[test]
+fn a_vm_that_left_in_order_soon_shares_nothing() {
+    let mut fleet = SimulatedFleet::new(6, 32);
+    fleet.run_ms(AGREE_MS);
+    fleet.begin_leaving(3);
+    fleet.run_ms(2_000);
+    fleet.kill(3);
+    fleet.run_ms(90_000);
+    assert!(
+        (0..6)
+            .filter(|node| *node != 3)
+            .all(|node| fleet.board(node).fleet_size == 5)
+    );
+}
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use dotterelspan::blackboard::OwnIdentity;
+use dotterelspan::blackboard::{DrainFacts, OwnIdentity};
+use dotterelspan::controllers::census::CensusController;
 use dotterelspan::controllers::discovery::{DiscoveryController, ReplicaUpdate};
 use dotterelspan::controllers::membership::MembershipController;
 use dotterelspan::controllers::message::{PeerMessage, VmIntroduction};
@@ -85,6 +86,7 @@
         board,
         vec![
             Box::new(MembershipController::default()),
+            Box::new(CensusController::default()),
             Box::new(DiscoveryController::default()),
             Box::new(QuarantineController::default()),
         ],
@@ -132,6 +134,16 @@
         self.nodes[index] = start_node(index, self.starts, self.now);
     }
 
+    /// A node begins to say that it leaves.
+    pub fn begin_leaving(&mut self, index: usize) {
+        let now = self.clock_of(index);
+        self.nodes[index].core.board.drain = Some(DrainFacts {
+            accept_until: now,
+            exit_at: now.after_ms(60_000),
+            handoff_at: None,
+        });
+    }
+
     pub fn freeze(&mut self, index: usize) {
         if self.nodes[index].state == NodeState::Runs {
             self.nodes[index].state = NodeState::Frozen;
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -23,6 +23,9 @@
 /// How many more arrivals all nodes may make together, as the settings say.
 pub const SHARED_RESERVE: f64 = 10.0;
 
+/// The setting of a deployment that starts for the first time.
+const FIRST_START: &str = "bootstrap = true";
+
 /// A node.
 pub struct GatewayNode {
     pub ip: Ipv4Addr,
@@ -48,7 +51,7 @@
             .map(|node| format!("\"{}\"", node.control()))
             .collect();
         let settings = format!(
-            "nodeName = \"{name}\"\nzone = \"a\"\nseeds = [{seeds}]\n\n[listen]\nfrontend = \"{ip}:8720\"\nready = \"{ip}:8722\"\n\
+            "nodeName = \"{name}\"\nzone = \"a\"\nseeds = [{seeds}]\n{FIRST_START}\n\n[listen]\nfrontend = \"{ip}:8720\"\nready = \"{ip}:8722\"\n\
              control = \"{ip}:8724\"\ndirectory = \"{ip}:8728\"\n\n[limits]\ncpuShare = 1.0\nmemoryMb = 64\nmaxFds = 1024\n\n\
              [contractParams]\ngraceS = {GRACE_S}\nretryBudgetRatio = {SHARED_SHARE}\nretryWindowS = 10\nbudgetSlack = {SHARED_RESERVE}\nttl_max_s = 5\n\n\
              [platform]\naddress = \"{}\"\n",
@@ -61,12 +64,20 @@
             folder,
             child: None,
         };
-        node.spawn();
+        node.start_process();
         node
     }
 
-    /// Starts the process, with the settings that it had before.
+    /// Starts the process again, with the settings that the platform writes then.
     pub fn spawn(&mut self) {
+        let path = self.folder.join("settings.toml");
+        let settings = std::fs::read_to_string(&path).expect("the settings are there");
+        let settings = settings.replace(FIRST_START, "bootstrap = false");
+        std::fs::write(&path, settings).expect("a file can be written");
+        self.start_process();
+    }
+
+    fn start_process(&mut self) {
         let log = std::fs::File::options()
             .create(true)
             .append(true)
