Pay for prompts that run again, or are rejected, from the retry budget

Cause: a generation took one extra send for each further attempt, whatever the attempt sent. A second prompt call, and a rejected one, cost nothing. Change: a count of arrivals as the budget sees them, of its own and without a network; each send beyond the first arrival takes from the budget. What is not covered: a further prompt is left to the decode engine, a run is not sent.

--- /dev/null
+++ b/src/controllers/dispatch/arrivals.rs
@@ -0,0 +1,30 @@
+//! One request's arrivals at replicas, counted as the shared budget counts them.
+
+/// Arrivals so far. The first prompt call that an engine takes is none; all others are, also where a replica rejects them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ArrivalCount {
+    arrivals: u32,
+    has_prompt: bool,
+}
+
+impl ArrivalCount {
+    /// Whether the next arrival is beyond the first, which the budget has to cover. A prompt call that may be rejected
+    /// counts as one that will be.
+    pub fn is_next_extra(&self) -> bool {
+        self.arrivals > 0
+    }
+
+    /// Notes a prompt call that went out.
+    pub fn note_prompt(&mut self, was_taken: bool) {
+        if was_taken && !self.has_prompt {
+            self.has_prompt = true;
+        } else {
+            self.arrivals += 1;
+        }
+    }
+
+    /// Notes a run that went out.
+    pub fn note_run(&mut self) {
+        self.arrivals += 1;
+    }
+}
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -17,6 +17,7 @@
 use super::{GatewayContext, SendOrder, SendPurpose};
 use crate::blackboard::ReplicaId;
 use crate::clock;
+use crate::controllers::dispatch::ArrivalCount;
 use crate::controllers::slots::EngineEnd;
 use crate::prelude::*;
 use crate::runtime::RunPermit;
@@ -46,6 +47,7 @@
         request,
         tried: Vec::new(),
         sends: 0,
+        arrivals: ArrivalCount::default(),
         ended_prefills: 0,
         in_doubt: false,
         writer: None,
@@ -90,6 +92,8 @@
     tried: Vec<ReplicaId>,
     /// Sends of which bytes left.
     sends: u32,
+    /// The same as the shared budget counts them, with prompts.
+    arrivals: ArrivalCount,
     /// Engines that ended while they ran its prompt.
     ended_prefills: u32,
     /// Whether some engine may have begun to run it.
@@ -132,8 +136,8 @@
                 return None;
             }
         };
-        let is_covered = self.sends == 0 || take_budget(self.context, self.request);
-        if !is_covered {
+        let is_paid = self.arrivals.is_next_extra();
+        if is_paid && !take_budget(self.context, self.request) {
             return None;
         }
         let mut place = match EnginePlace::acquire(self.context, self.request, &self.tried).await {
@@ -155,6 +159,10 @@
             // The refused prefill used the last send up.
             return None;
         }
+        let is_due = !is_paid && self.arrivals.is_next_extra();
+        if is_due && !take_budget(self.context, self.request) {
+            return None;
+        }
         self.sends += 1;
         self.tried.push(place.decode.id.clone());
         Some(self.decode(place, ticket, permit).await)
@@ -175,6 +183,10 @@
         let Some(replica) = place.prefill.clone() else {
             return PromptStep::Left;
         };
+        if self.arrivals.is_next_extra() && !take_budget(self.context, self.request) {
+            place.finish_prefill(EngineEnd::Full);
+            return PromptStep::Left;
+        }
         let began_at = clock::now();
         let deadline = self
             .request
@@ -207,6 +219,9 @@
                 .note_prefill(&self.request.service, tokens, elapsed_ms);
         }
         place.finish_prefill(engine_end);
+        if !matches!(end, PrefillEnd::Unsent | PrefillEnd::Withheld) {
+            self.arrivals.note_prompt(matches!(end, PrefillEnd::Done(_)));
+        }
         match end {
             PrefillEnd::Done(ticket) => PromptStep::Ready(ticket),
             PrefillEnd::Refused => {
@@ -272,6 +287,12 @@
             began_at.until_ms(clock::now()),
             request.received_at.until_ms(clock::now())
         );
+        if !matches!(
+            outcome,
+            Err(ExchangeError::Unsent { .. } | ExchangeError::Withheld)
+        ) {
+            self.arrivals.note_run();
+        }
         match outcome {
             Ok(answer) => {
                 let verdict = judge(&answer, &request.facts.id);
