Let controllers name what they hear, and show on real processes that it is told

Cause: the class of the incident: a controller ran where nobody told it what it decides on, and nothing could show that. Change: controllers name the kinds of events that they hear and get no others; metrics count all kinds and say which are heard. Found by it: gateways never confirmed their revision to themselves, so a VM without peers showed config_unconfirmed_ms growing while it read the store; told now.

Conclusion: the class has a guard.

--- a/src/controllers/census.rs
+++ b/src/controllers/census.rs
@@ -37,6 +37,10 @@
 }
 
 impl Controller for CensusController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[EventKind::Tick]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         if matches!(event, Event::Tick { .. }) && turn.now.reached(self.next_count) {
             self.next_count = turn.now.after_ms(COUNT_EVERY_MS);
--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -449,6 +449,17 @@
 }
 
 impl Controller for DiscoveryController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[
+            EventKind::Tick,
+            EventKind::ReplicasRead,
+            EventKind::ListReachable,
+            EventKind::ReplicaReplaced,
+            EventKind::ReplicaLeaving,
+            EventKind::PeerMessage,
+        ]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::Tick { .. } => {
--- a/src/controllers/drain.rs
+++ b/src/controllers/drain.rs
@@ -54,6 +54,10 @@
 }
 
 impl Controller for DrainController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[EventKind::Tick, EventKind::LeaveOrdered]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::LeaveOrdered {
--- a/src/controllers/idempotency/controller.rs
+++ b/src/controllers/idempotency/controller.rs
@@ -285,6 +285,20 @@
 }
 
 impl Controller for IdempotencyController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[
+            EventKind::Tick,
+            EventKind::KeyWanted,
+            EventKind::KeyClaimed,
+            EventKind::KeyFinished,
+            EventKind::KeyRevoked,
+            EventKind::KeyCallForwarded,
+            EventKind::KeyCallAnswered,
+            EventKind::PeerUnreachable,
+            EventKind::PeerMessage,
+        ]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::Tick { .. } => self.tick(turn),
--- a/src/controllers/membership/mod.rs
+++ b/src/controllers/membership/mod.rs
@@ -322,6 +322,17 @@
 }
 
 impl Controller for MembershipController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[
+            EventKind::Tick,
+            EventKind::VmsListed,
+            EventKind::PeerJoined,
+            EventKind::PeerUnreachable,
+            EventKind::LinkLost,
+            EventKind::PeerMessage,
+        ]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::Tick { .. } => self.probe(turn),
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -194,6 +194,9 @@
 
 /// A part of the decision logic.
 pub trait Controller: Send {
+    /// The kinds of events that it reacts to; it is given no others.
+    fn hears(&self) -> &'static [EventKind];
+
     /// Takes one event.
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>);
 
@@ -249,9 +252,18 @@
             now,
             actions: Vec::new(),
         };
+        let kind = event.kind();
         for controller in &mut self.controllers {
-            controller.handle(event, &mut turn);
+            if controller.hears().contains(&kind) {
+                controller.handle(event, &mut turn);
+            }
         }
         turn.actions
     }
+
+    /// The kinds of events that some part reacts to.
+    pub fn hears(&self) -> FastSet<EventKind> {
+        let kinds = self.controllers.iter().flat_map(|part| part.hears());
+        kinds.copied().collect()
+    }
 }
--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -364,6 +364,19 @@
 }
 
 impl Controller for QuarantineController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[
+            EventKind::Tick,
+            EventKind::RequestLost,
+            EventKind::RequestCompleted,
+            EventKind::TrialWanted,
+            EventKind::TrialDone,
+            EventKind::ReplicaReplaced,
+            EventKind::ReplicasRead,
+            EventKind::PeerMessage,
+        ]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::Tick { .. } => {
--- a/src/controllers/rebalance.rs
+++ b/src/controllers/rebalance.rs
@@ -254,6 +254,10 @@
 }
 
 impl Controller for RebalanceController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[EventKind::Tick, EventKind::PeerJoined, EventKind::PeerMessage]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::Tick { .. } => self.tick(turn),
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -183,6 +183,16 @@
 }
 
 impl Controller for RevisionController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[
+            EventKind::Tick,
+            EventKind::RegisterOffered,
+            EventKind::RegisterConfirmed,
+            EventKind::PeerJoined,
+            EventKind::PeerMessage,
+        ]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::RegisterOffered {
--- a/src/controllers/services.rs
+++ b/src/controllers/services.rs
@@ -99,6 +99,10 @@
 }
 
 impl Controller for ServiceController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[EventKind::ServiceWanted, EventKind::ServiceDone]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::ServiceWanted { ticket, ask } => {
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -367,6 +367,17 @@
 }
 
 impl Controller for SlotController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[
+            EventKind::Tick,
+            EventKind::PlacementWanted,
+            EventKind::PrefillDone,
+            EventKind::PlacementDone,
+            EventKind::LoadReported,
+            EventKind::PeerMessage,
+        ]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::Tick { .. } => {
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -38,8 +38,11 @@
     loop {
         let reading = follower.next(None).await;
         let newest = reading.items.iter().rev().find(|item| item.key == CONFIG_KEY);
-        if let Some(value) = newest.and_then(|item| item.value.as_deref()) {
-            offer_config(value, &control);
+        match newest.and_then(|item| item.value.as_deref()) {
+            Some(value) => offer_config(value, &control),
+            None => control.tell(Event::RegisterConfirmed {
+                revision: control.snapshot().revision,
+            }),
         }
     }
 }
--- a/src/reports/control_events.rs
+++ b/src/reports/control_events.rs
@@ -1,4 +1,4 @@
-//! How many events of each kind the controllers were given: a kind that stays at zero has nobody who tells it.
+//! How many events of each kind the controllers were given: a kind that is heard and stays at zero has nobody who tells it.
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Gauge;
@@ -24,7 +24,12 @@
     /// Takes over the counts as they are now.
     pub fn record(&self, control: &ControlHandle) {
         for (kind, count) in control.event_counts() {
-            self.events.record(count, &[KeyValue::new("kind", kind.as_str())]);
+            let heard = control.is_heard(kind);
+            let labels = [
+                KeyValue::new("kind", kind.as_str()),
+                KeyValue::new("heard", heard),
+            ];
+            self.events.record(count, &labels);
         }
     }
 }
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -71,6 +71,7 @@
     snapshot: Arc<ArcSwap<Snapshot>>,
     active_requests: Arc<AtomicU64>,
     event_tally: Arc<EventTally>,
+    heard: Arc<FastSet<EventKind>>,
 }
 
 impl ControlHandle {
@@ -88,6 +89,7 @@
             snapshot: Arc::new(ArcSwap::from_pointee(snapshot)),
             active_requests: Arc::default(),
             event_tally: Arc::new(std::array::from_fn(|_| AtomicU64::default())),
+            heard: Arc::new(core.hears()),
         };
         let thread = ControlThread {
             core,
@@ -148,6 +150,11 @@
         }
     }
 
+    /// Whether some controller of this process reacts to events of a kind.
+    pub fn is_heard(&self, kind: EventKind) -> bool {
+        self.heard.contains(&kind)
+    }
+
     /// How many events of each kind the controllers were given.
     pub fn event_counts(&self) -> impl Iterator<Item = (EventKind, u64)> {
         let counts = self.event_tally.iter().map(|count| count.load(Ordering::Relaxed));
--- a/tests/control_thread.rs
+++ b/tests/control_thread.rs
@@ -5,13 +5,17 @@
 
 use dotterelspan::blackboard::{Blackboard, OwnIdentity};
 use dotterelspan::clock::Moment;
-use dotterelspan::controllers::{Action, ControlCore, Controller, Event, Turn};
+use dotterelspan::controllers::{Action, ControlCore, Controller, Event, EventKind, Turn};
 use dotterelspan::runtime::{ControlHandle, ControlOutput, lock};
 
 /// Panics over one kind of event and ends the process over another.
 struct FragileController;
 
 impl Controller for FragileController {
+    fn hears(&self) -> &'static [EventKind] {
+        &[EventKind::ListReachable]
+    }
+
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::ListReachable { is_reachable: false } => panic!("an event that nobody thought of"),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! The product against stand-ins of the users' platform: its store, its replicas and their callers.
 
 mod calls;
+mod decisions;
 mod endless;
 mod faults;
 mod fixture;
