Soak: replicas that end, and requests that end them

Change: beside the other trouble, replicas end and come back as another start, and one request in forty ends each replica that begins to run it. A stand-in's entry names the way to it also after it is back. Seeds keep their kills: the ends have random numbers of their own.

--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -86,8 +86,10 @@
 #[derive(Clone)]
 pub struct StandInReplica {
     pub id: String,
-    /// Where it listens, or the way to it.
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Where its entry says that it listens: there, or at the beginning of a way to it.
+    listed_address: Arc<Mutex<SocketAddr>>,
     mood: Arc<Mutex<ReplicaMood>>,
     requests: Arc<Mutex<Vec<Message>>>,
     /// Ids of requests that it ran, once for each run.
@@ -111,6 +113,7 @@
         let replica = Self {
             id: id.to_owned(),
             address,
+            listed_address: Arc::new(Mutex::new(address)),
             mood: Arc::new(Mutex::new(mood)),
             requests: Arc::default(),
             runs: Arc::default(),
@@ -139,7 +142,12 @@
     }
 
     pub fn publish(&self, store: &StandInStore, service: &str, phase: Option<&str>, state: &str) {
-        self.write_entry(store, service, phase, state, 1);
+        self.write_entry(store, service, phase, state, self.life.start_number());
+    }
+
+    /// Lets its entries name the beginning of a way to it.
+    pub fn list_at(&self, address: SocketAddr) {
+        *self.listed_address.lock().expect("no holder panics") = address;
     }
 
     /// Writes the entry of a later start under the same id.
@@ -148,8 +156,9 @@
     }
 
     fn write_entry(&self, store: &StandInStore, service: &str, phase: Option<&str>, state: &str, born: u64) {
+        let address = *self.listed_address.lock().expect("no holder panics");
         let mut entry = json!({
-            "service": service, "address": self.address, "zone": "a", "slots": 4, "state": state, "born": born,
+            "service": service, "address": address, "zone": "a", "slots": 4, "state": state, "born": born,
         });
         if let Some(phase) = phase {
             entry["phase"] = phase.into();
@@ -214,6 +223,8 @@
                 let mut arrivals = self.deadly_arrivals.lock().expect("no holder panics");
                 arrivals.push(Instant::now());
                 drop(arrivals);
+                let id = request.header("X-Request-Id").unwrap_or_default();
+                self.runs.lock().expect("no holder panics").push(id.to_owned());
                 std::thread::sleep(DEATH_AFTER);
                 self.life.end();
                 return;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -1,5 +1,6 @@
 //! A randomized soak: three nodes, their replicas, their store and callers, with signals, restarts and faults in series,
-//! and at the same time with ways to the replicas and the store that are slow, broken or cut. `SOAK_SEEDS=first..last` chooses the seeds; a seed that ever failed stays in [`REGRESSIONS`].
+//! and at the same time with ways to the replicas and the store that are slow, broken or cut, replicas that end, and
+//! requests that end them. `SOAK_SEEDS=first..last` chooses the seeds; a seed that ever failed stays in [`REGRESSIONS`].
 
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,7 +13,7 @@
 use stand_ins::proxy::{ProxyRoute, RouteMode};
 
 use crate::node::{GatewayNode, publish_config, wait_until};
-use crate::replica::{ReplicaMood, STREAM_EVENTS, StandInReplica};
+use crate::replica::{DEATH_WORD, ReplicaMood, STREAM_EVENTS, StandInReplica};
 use crate::store::{StandInStore, StoreMood};
 use crate::wire::{Message, read_answer, request};
 
@@ -63,6 +64,15 @@
 /// Keeps the trouble of the ways apart from that of the processes, of which each seed has the same with other ways.
 const WAYS_SEED: u64 = 1 << 32;
 
+/// Keeps the ends of replicas apart from all other trouble.
+const ENDS_SEED: u64 = 1 << 33;
+
+/// The pauses between two ends of replicas, in milliseconds.
+const END_PAUSES_MS: std::ops::Range<u64> = 800..3_000;
+
+/// One request in so many of a caller ends each replica that begins to run it.
+const DEADLY_EVERY: u64 = 40;
+
 /// What a caller asked and got.
 struct CallRecord {
     id: String,
@@ -96,9 +106,9 @@
             ("i-d2", "llm", Some("decode")),
         ];
         let start = |(id, service, phase)| {
-            let mut replica = StandInReplica::start(&store, id, service, phase, ReplicaMood::Well);
+            let replica = StandInReplica::start(&store, id, service, phase, ReplicaMood::Well);
             let way = open_way(replica.address);
-            replica.address = way.address().parse().expect("an address");
+            replica.list_at(way.address().parse().expect("an address"));
             replica.publish(&store, service, phase, "ready");
             ways.push(way);
             (replica, service, phase)
@@ -187,6 +197,15 @@
     }
 }
 
+/// Ends replicas, one after the other, until it is told to stop.
+fn end_replicas(replicas: &[StandInReplica], seed: u64, is_over: &AtomicBool) {
+    let mut random = StdRng::seed_from_u64(seed + ENDS_SEED);
+    while !is_over.load(Ordering::Relaxed) {
+        replicas.choose(&mut random).expect("replicas").life.end();
+        std::thread::sleep(Duration::from_millis(random.random_range(END_PAUSES_MS)));
+    }
+}
+
 /// Sends requests over kept connections until it is told to stop; a connection is used until it ends.
 fn call_on(addresses: Vec<SocketAddr>, seed: u64, is_over: &AtomicBool, records: &Mutex<Vec<CallRecord>>) {
     let mut random = StdRng::seed_from_u64(seed);
@@ -202,7 +221,11 @@
             path,
             &id,
             "X-Token-Count: 300,40\r\n",
-            &id,
+            if number % DEADLY_EVERY == 0 {
+                DEATH_WORD
+            } else {
+                &id
+            },
         );
         let began = Instant::now();
         let address = *addresses.choose(&mut random).expect("addresses");
@@ -272,12 +295,22 @@
         let (ways, is_healing) = (system.ways.clone(), is_healing.clone());
         std::thread::spawn(move || disturb_ways(&ways, seed, &is_healing))
     };
+    let ends = {
+        let replicas: Vec<_> = system
+            .replicas
+            .iter()
+            .map(|(replica, ..)| replica.clone())
+            .collect();
+        let is_healing = is_healing.clone();
+        std::thread::spawn(move || end_replicas(&replicas, seed, &is_healing))
+    };
     for _ in 0..STEPS {
         system.disturb(&mut random);
         std::thread::sleep(Duration::from_millis(random.random_range(20..400)));
     }
     is_healing.store(true, Ordering::Relaxed);
     ways.join().expect("the ways' thread");
+    ends.join().expect("the ends' thread");
     system.heal();
     let serves = |node: &GatewayNode, number: u32| {
         let text = request(
