Take a replica for ended whose connections are taken and closed at once

What callers saw: behind hops that go on taking connections, a deadly generation ended six engines and 56 of 64 other generations were served. Cause: the look after a lost request took any connection for a live process; the end showed only with the list's next word. Change: the look waits 5 ms for an orderly close. A reset is none: replicas reset connections beyond their most. Both cases are tests on real nodes.

--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -6,11 +6,14 @@
 use crate::controllers::quarantine::UpstreamFate;
 use crate::prelude::*;
 use crate::runtime::{LostRun, RunPermit};
-use crate::transport::HttpStream;
+use crate::transport::{HttpStream, until};
 
 /// How long a look at a replica may take, in milliseconds: a round trip between zones, a few times.
 const LOOK_LIMIT_MS: u64 = 40;
 
+/// How long a hop takes to close a connection for which it has no other end, in milliseconds.
+const CLOSE_LIMIT_MS: u64 = 5;
+
 /// What a replica was doing for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunStage {
@@ -64,11 +67,17 @@
     fate
 }
 
-/// A process that ended leaves nobody who takes connections.
+/// A process that ended leaves nobody who takes connections, or a hop before it that takes and closes them. A replica with
+/// too many connections resets further ones instead.
 async fn look_at(replica: &ReplicaRecord, now: Moment) -> UpstreamFate {
-    match HttpStream::connect(replica.address, now.after_ms(LOOK_LIMIT_MS)).await {
-        Ok(_) => UpstreamFate::Alive,
-        Err(error) if error.is_refusal() => UpstreamFate::Ended,
-        Err(_) => UpstreamFate::Unclear,
+    let mut stream = match HttpStream::connect(replica.address, now.after_ms(LOOK_LIMIT_MS)).await {
+        Ok(stream) => stream,
+        Err(error) if error.is_refusal() => return UpstreamFate::Ended,
+        Err(_) => return UpstreamFate::Unclear,
+    };
+    match until(clock::now().after_ms(CLOSE_LIMIT_MS), stream.fill()).await {
+        Some(Ok(0)) => UpstreamFate::Ended,
+        Some(Err(_)) => UpstreamFate::Unclear,
+        Some(Ok(_)) | None => UpstreamFate::Alive,
     }
 }
--- a/tests/platform/query_of_death.rs
+++ b/tests/platform/query_of_death.rs
@@ -3,8 +3,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use stand_ins::proxy::ProxyRoute;
+
 use crate::node::{GatewayNode, publish_config, wait_until};
 use crate::replica::{DEATH_WORD, ReplicaMood, StandInReplica};
+use crate::soak::open_way;
 use crate::store::StandInStore;
 use crate::wire::{exchange, request};
 
@@ -28,7 +31,7 @@
 
 /// Three nodes and six replicas of each kind.
 struct Fleet {
-    _store: StandInStore,
+    store: StandInStore,
     nodes: Vec<GatewayNode>,
     desks: Vec<StandInReplica>,
     engines: Vec<StandInReplica>,
@@ -57,7 +60,7 @@
         let nodes = vec![first, second, third];
         nodes.iter().for_each(GatewayNode::wait_ready);
         Self {
-            _store: store,
+            store,
             nodes,
             desks,
             engines,
@@ -68,6 +71,27 @@
         self.desks.iter().chain(&self.engines)
     }
 
+    /// Puts a hop before each replica that still takes connections while the replica is away.
+    fn hide_behind_hops(&self) -> Vec<Arc<ProxyRoute>> {
+        let hide = |replica: &StandInReplica, service: &str, phase: Option<&str>| {
+            let way = open_way(replica.address);
+            replica.list_at(way.address().parse().expect("an address"));
+            replica.publish(&self.store, service, phase, "ready");
+            way
+        };
+        let desks = self.desks.iter().map(|desk| hide(desk, "desk", None));
+        let engines = self.engines.iter().map(|engine| {
+            let is_prefill = engine.id.starts_with("i-p");
+            hide(engine, "llm", Some(if is_prefill { "prefill" } else { "decode" }))
+        });
+        let ways = desks.chain(engines).collect();
+        let last = self.engines.last().expect("engines").listed_address().to_string();
+        wait_until("all nodes know the ways", || {
+            self.nodes.iter().all(|node| node.log().contains(&last))
+        });
+        ways
+    }
+
     /// All ends of replicas, in their order.
     fn ends(&self) -> Vec<Instant> {
         let mut ends: Vec<Instant> = self.replicas().flat_map(|replica| replica.life.ends()).collect();
@@ -239,6 +263,22 @@
     assert_contained(&fleet, &outcome);
 }
 
+#[test]
+fn a_call_that_ends_replicas_behind_hops_is_held_back_at_all_nodes() {
+    let mut fleet = Fleet::start();
+    let _ways = fleet.hide_behind_hops();
+    let outcome = attack(&mut fleet, "/read", "", |_, _| {});
+    assert_contained(&fleet, &outcome);
+}
+
+#[test]
+fn a_generation_that_ends_engines_behind_hops_is_held_back_at_all_nodes() {
+    let mut fleet = Fleet::start();
+    let _ways = fleet.hide_behind_hops();
+    let outcome = attack(&mut fleet, "/stream", "X-Token-Count: 900,50\r\n", |_, _| {});
+    assert_contained(&fleet, &outcome);
+}
+
 fn send_deadly(node: &GatewayNode, path: &str, id: &str) -> u16 {
     node.ask(&request("POST", "shop.example", path, id, "", DEATH_WORD))
         .status()
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -145,6 +145,11 @@
         self.write_entry(store, service, phase, state, self.life.start_number());
     }
 
+    /// Where its entry says that it listens.
+    pub fn listed_address(&self) -> SocketAddr {
+        *self.listed_address.lock().expect("no holder panics")
+    }
+
     /// Lets its entries name the beginning of a way to it.
     pub fn list_at(&self, address: SocketAddr) {
         *self.listed_address.lock().expect("no holder panics") = address;
@@ -156,7 +161,7 @@
     }
 
     fn write_entry(&self, store: &StandInStore, service: &str, phase: Option<&str>, state: &str, born: u64) {
-        let address = *self.listed_address.lock().expect("no holder panics");
+        let address = self.listed_address();
         let mut entry = json!({
             "service": service, "address": address, "zone": "a", "slots": 4, "state": state, "born": born,
         });
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -180,7 +180,7 @@
 }
 
 /// A way to a listener, with faults.
-fn open_way(target: SocketAddr) -> Arc<ProxyRoute> {
+pub fn open_way(target: SocketAddr) -> Arc<ProxyRoute> {
     let target = target.to_string();
     let opening = ProxyRoute::open("127.0.0.1:0", &target);
     async_std::task::block_on(opening).expect("a free port")
