--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -134,7 +134,7 @@
         // Most first strikes are of innocent requests, and stand in the log of the VM that saw them.
         if strike.level > 1 || strike.seen_by == turn.board.own.name {
             turn.log(format!(
-                "event=request_struck fingerprint={fingerprint:016x} upstream={} incarnation={} level={} age_ms={} seen_by={} source={source}",
+                "event=request_struck fingerprint={fingerprint:016x} upstream={} incarnation={} strikes={} age_ms={} seen_by={} source={source}",
                 strike.upstream,
                 strike.incarnation,
                 strike.level,
@@ -204,7 +204,7 @@
             && !turn.now.reached(held_until)
         {
             turn.log(format!(
-                "event=request_quarantined fingerprint={fingerprint:016x} level={level} hold_ms={}",
+                "event=request_quarantined fingerprint={fingerprint:016x} strikes={level} hold_ms={}",
                 turn.now.until_ms(held_until)
             ));
         }
@@ -239,7 +239,7 @@
         }
         self.own_losses.remove(&fingerprint);
         turn.log(format!(
-            "event=request_cleared fingerprint={fingerprint:016x} level={level} source={source}"
+            "event=request_cleared fingerprint={fingerprint:016x} strikes={level} source={source}"
         ));
         self.show(fingerprint, turn);
         turn.send_to_neighbors(&PeerMessage::Cleared { fingerprint, level });
--- a/src/controllers/quarantine/trials.rs
+++ b/src/controllers/quarantine/trials.rs
@@ -167,7 +167,7 @@
             return if is_same { granted } else { TrialVerdict::Busy };
         }
         turn.log(format!(
-            "event=trial_begun fingerprint={fingerprint:016x} vm={} level={}",
+            "event=trial_begun fingerprint={fingerprint:016x} vm={} strikes={}",
             holder.as_ref().unwrap_or(&turn.board.own.name),
             suspicion.level
         ));
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -90,11 +90,11 @@
     "replica_leaving", Belief, ["replica", "reason", "source", "list_revision"], "A replica is off the list, or said that it leaves; it gets nothing new after a moment.";
     "replica_listed", Belief, ["replica", "service", "role", "address", "zone", "draining", "list_revision"], "A replica is new on the list, or its entry changed.";
     "replica_paused", Belief, ["replica", "reason", "paused_ms"], "A replica failed and is passed over where others are left.";
-    "request_quarantined", Belief, ["fingerprint", "level", "hold_ms"], "Replicas ended under a request, one run after the other; it is held back everywhere.";
+    "request_quarantined", Belief, ["fingerprint", "strikes", "hold_ms"], "Replicas ended under a request, one run after the other; it is held back everywhere.";
     "resumed", Progress, ["request", "replica", "last_event"], "A stream goes on at another engine after the last event that its caller has.";
-    "request_struck", Belief, ["fingerprint", "upstream", "incarnation", "level", "age_ms", "seen_by", "source"], "A replica ended while it ran a request of this content.";
-    "request_cleared", Belief, ["fingerprint", "level", "source"], "Whole runs have cleared a suspected request.";
-    "trial_begun", Belief, ["fingerprint", "vm", "level"], "This VM lets one run of a suspected request begin.";
+    "request_struck", Belief, ["fingerprint", "upstream", "incarnation", "strikes", "age_ms", "seen_by", "source"], "A replica ended while it ran a request of this content.";
+    "request_cleared", Belief, ["fingerprint", "strikes", "source"], "Whole runs have cleared a suspected request.";
+    "trial_begun", Belief, ["fingerprint", "vm", "strikes"], "This VM lets one run of a suspected request begin.";
     "request_lost", Failure, ["request", "fingerprint", "stage", "replica", "replica_start", "run_ms", "fate"], "The connection ended over which a replica was to answer; fate says what a look at the replica showed.";
     "retry_denied", Failure, ["request", "reason", "extra", "allowed", "vms"], "A request was not sent again.";
     "extra_send", Progress, ["request", "service", "extra", "allowed", "vms"], "A request goes out once more, from the shared budget.";
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -41,9 +41,9 @@
         (
             "held back",
             format!(
-                "vm-3 time=90.000 level=warn event=request_struck fingerprint=f0 upstream=i-1 incarnation=7 level=1 age_ms=1 seen_by=vm-3 source=own\n\
-                 vm-2 time=91.000 level=warn event=request_struck fingerprint=f0 upstream=i-2 incarnation=8 level=2 age_ms=2 seen_by=vm-2 source=own\n\
-                 vm-1 time=91.001 level=warn event=request_struck fingerprint=f0 upstream=i-2 incarnation=8 level=2 age_ms=3 seen_by=vm-2 source=vm-2\n{}",
+                "vm-3 time=90.000 level=warn event=request_struck fingerprint=f0 upstream=i-1 incarnation=7 strikes=1 age_ms=1 seen_by=vm-3 source=own\n\
+                 vm-2 time=91.000 level=warn event=request_struck fingerprint=f0 upstream=i-2 incarnation=8 strikes=2 age_ms=2 seen_by=vm-2 source=own\n\
+                 vm-1 time=91.001 level=warn event=request_struck fingerprint=f0 upstream=i-2 incarnation=8 strikes=2 age_ms=3 seen_by=vm-2 source=vm-2\n{}",
                 refusal("quarantined", 2004).replace(
                     "request=R route=talk kind",
                     "request=R fingerprint=f0 route=talk kind"
