--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -34,6 +34,9 @@
 /// Requests that are remembered. Each has had an upstream end under it, so a flood of other requests makes none.
 const MOST_CASES: usize = 4_096;
 
+/// Runs of one request that others are compared with.
+const MOST_OWN_LOSSES: usize = 16;
+
 /// How far apart in time two ends under runs of one request that overlapped must lie to have no cause in common, in
 /// milliseconds: some times what tasks and the system take to notice an end.
 const APART_MS: u64 = 20;
@@ -96,11 +99,13 @@
         let before = earlier.iter().filter(|earlier| earlier.is_before(loss));
         let highest = before.map(|earlier| earlier.level).max().unwrap_or_default();
         let level = loss.known_level.max(highest) + 1;
-        earlier.push(OwnLoss {
-            began_at: loss.began_at,
-            lost_at: loss.lost_at,
-            level,
-        });
+        if earlier.len() < MOST_OWN_LOSSES {
+            earlier.push(OwnLoss {
+                began_at: loss.began_at,
+                lost_at: loss.lost_at,
+                level,
+            });
+        }
         let strike = DeathStrike {
             upstream: loss.upstream.clone(),
             incarnation: loss.incarnation,
--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -1,5 +1,7 @@
 //! Requests that ended with the connection to their replica.
 
+use std::sync::Arc;
+
 use super::exchange::CallerRequest;
 use crate::blackboard::ReplicaRecord;
 use crate::clock;
@@ -37,34 +39,38 @@
 }
 
 /// Looks at a replica with which a request was lost, and tells what it finds. The next send of the request, wherever it
-/// is, heeds it.
+/// is, heeds it. Goes on to its end also where the caller leaves meanwhile.
 pub async fn report_loss(
     request: &CallerRequest,
     permit: &RunPermit,
-    replica: &ReplicaRecord,
+    replica: &Arc<ReplicaRecord>,
     stage: RunStage,
     began_at: Moment,
 ) -> UpstreamFate {
     let lost_at = clock::now();
-    let fate = look_at(replica, lost_at).await;
-    spdlog::error!(
-        "event=request_lost request={} fingerprint={:016x} stage={} replica={} replica_start={} run_ms={} fate={fate:?}",
-        request.facts.id,
-        request.fingerprint,
-        stage.as_str(),
-        replica.id,
-        replica.started_epoch_ms,
-        began_at.until_ms(lost_at)
-    );
-    let lost = LostRun {
-        upstream: replica.id.clone(),
-        incarnation: replica.started_epoch_ms,
-        began_at,
-        lost_at,
-        fate,
+    let (id, fingerprint) = (request.facts.id.clone(), request.fingerprint);
+    let (replica, note) = (replica.clone(), permit.loss_note());
+    let reporting = async move {
+        let fate = look_at(&replica, lost_at).await;
+        spdlog::error!(
+            "event=request_lost request={id} fingerprint={fingerprint:016x} stage={} replica={} replica_start={} \
+             run_ms={} fate={fate:?}",
+            stage.as_str(),
+            replica.id,
+            replica.started_epoch_ms,
+            began_at.until_ms(lost_at)
+        );
+        let lost = LostRun {
+            upstream: replica.id.clone(),
+            incarnation: replica.started_epoch_ms,
+            began_at,
+            lost_at,
+            fate,
+        };
+        note.tell(lost).await;
+        fate
     };
-    permit.note_loss(lost).await;
-    fate
+    async_std::task::spawn(reporting).await
 }
 
 /// A process that ended leaves nobody who takes connections, or a hop before it that takes and closes them. A replica with
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -15,5 +15,5 @@
 pub use lock::lock;
 pub use node::{NodeError, run_node};
 pub use placement_hold::PlacementHold;
-pub use run_permit::{LostRun, RunPermit, note_loss, note_whole};
+pub use run_permit::{LossNote, LostRun, RunPermit, note_whole};
 pub use snapshot::Snapshot;
--- a/src/runtime/run_permit.rs
+++ b/src/runtime/run_permit.rs
@@ -91,9 +91,9 @@
         self.trial.is_some()
     }
 
-    /// Tells that the run ended with the connection to its upstream, and waits until that is in force here.
-    pub async fn note_loss(&self, lost: LostRun) {
-        note_loss(&self.control, self.fingerprint, self.level, lost).await;
+    /// What tells that the run ended with the connection to its upstream, also once the permit is given back.
+    pub fn loss_note(&self) -> LossNote {
+        LossNote::new(&self.control, self.fingerprint, self.level)
     }
 
     /// Tells that the run came to its end.
@@ -114,19 +114,42 @@
     }
 }
 
-/// Tells that a run ended with the connection to its upstream, and waits until that is in force here.
-pub async fn note_loss(control: &ControlHandle, fingerprint: Fingerprint, known_level: u32, lost: LostRun) {
-    let loss = RunLoss {
-        fingerprint,
-        upstream: lost.upstream,
-        incarnation: lost.incarnation,
-        began_at: lost.began_at,
-        lost_at: lost.lost_at,
-        known_level,
-        fate: lost.fate,
-    };
-    // The thread ends only with the process, so that no answer needs none.
-    let _ = control.ask(|ticket| Event::RequestLost { ticket, loss }).await;
+/// Tells that a run of a request ended with the connection to its upstream.
+pub struct LossNote {
+    control: ControlHandle,
+    fingerprint: Fingerprint,
+    known_level: u32,
+}
+
+impl LossNote {
+    /// A note for a run that began while the request was suspected to a level.
+    pub fn new(control: &ControlHandle, fingerprint: Fingerprint, known_level: u32) -> Self {
+        Self {
+            control: control.clone(),
+            fingerprint,
+            known_level,
+        }
+    }
+
+    /// Tells it, and waits until it is in force here.
+    pub async fn tell(self, lost: LostRun) {
+        let loss = RunLoss {
+            fingerprint: self.fingerprint,
+            upstream: lost.upstream,
+            incarnation: lost.incarnation,
+            began_at: lost.began_at,
+            lost_at: lost.lost_at,
+            known_level: self.known_level,
+            fate: lost.fate,
+        };
+        let reply = self
+            .control
+            .ask(|ticket| Event::RequestLost { ticket, loss })
+            .await;
+        if reply.is_none() {
+            spdlog::debug!("event=loss_unnoted fingerprint={:016x}", self.fingerprint);
+        }
+    }
 }
 
 impl Drop for RunPermit {
--- a/src/traffic/call/replica.rs
+++ b/src/traffic/call/replica.rs
@@ -91,7 +91,7 @@
         lost_at,
         fate: look.fate,
     };
-    permit.note_loss(lost).await;
+    permit.loss_note().tell(lost).await;
 }
 
 async fn exchange_with_replica(
--- a/src/traffic/generate/session.rs
+++ b/src/traffic/generate/session.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::controllers::slots::PlacementResult;
 use crate::prelude::*;
-use crate::runtime::{LostRun, RequestGuard, note_loss, note_whole};
+use crate::runtime::{LossNote, LostRun, RequestGuard, note_whole};
 use crate::traffic::TrafficContext;
 use crate::traffic::caller_watch::caller_gone;
 use crate::traffic::diagnosis::UpstreamLook;
@@ -136,13 +136,9 @@
                 lost_at: clock::now(),
                 fate: look.fate,
             };
-            note_loss(
-                &self.context.control,
-                self.work.fingerprint,
-                self.known_level,
-                lost,
-            )
-            .await;
+            LossNote::new(&self.context.control, self.work.fingerprint, self.known_level)
+                .tell(lost)
+                .await;
         }
     }
 
