Log and count statements of replicas that nothing reads, and what a call's replica was chosen on

Change: each statement of a replica on itself that nothing reads is logged once a replica and counted by name in the metrics; the line of a plain call has the requests expected at its replica and the free slots at the others. No decision changes. Test: replica_words::a_statement_that_nothing_reads_is_logged_once_for_each_replica_and_counted, on a real node.

--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -32,6 +32,15 @@
     pub avoid: &'a [ReplicaId],
 }
 
+/// What the choice of a replica was made on, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ChoiceEvidence {
+    /// Requests that were expected at the chosen one.
+    pub ahead: u32,
+    /// Free slots that were expected at the others of its service and role.
+    pub free_beside: u32,
+}
+
 /// A replica's wish to be left alone by this node.
 #[derive(Clone, Copy, Debug)]
 struct BackOff {
@@ -156,6 +165,24 @@
         best.map(|(_, record)| record)
     }
 
+    /// What the choice of a replica was made on.
+    pub fn evidence(&self, record: &ReplicaRecord, now: Moment) -> ChoiceEvidence {
+        let standings = self.standings.values();
+        let of_kind = standings.filter(|standing| {
+            standing.record.service == record.service && standing.record.role == record.role
+        });
+        let mut evidence = ChoiceEvidence::default();
+        for standing in of_kind {
+            let expected = standing.expected_requests(now);
+            if standing.record.id == record.id {
+                evidence.ahead = expected;
+            } else if !standing.is_stopped(now) {
+                evidence.free_beside += standing.record.slots.saturating_sub(expected);
+            }
+        }
+        evidence
+    }
+
     fn cost(&self, standing: &ReplicaStanding, now: Moment) -> u64 {
         let is_far = standing.record.zone != self.zone;
         let pace = standing
--- a/src/controllers/dispatch/mod.rs
+++ b/src/controllers/dispatch/mod.rs
@@ -6,6 +6,6 @@
 mod standing;
 
 pub use arrivals::ArrivalCount;
-pub use book::{DispatchAsk, DispatchBook};
+pub use book::{ChoiceEvidence, DispatchAsk, DispatchBook};
 pub use budget::{BudgetVerdict, SendBudget};
 pub use standing::{ReplicaStanding, SendOutcome};
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -100,7 +100,8 @@
     "retry_denied", Failure, ["request", "reason", "extra", "allowed", "vms"], "A request was not sent again.";
     "extra_send", Progress, ["request", "service", "extra", "allowed", "vms"], "A request goes out once more, from the shared budget.";
     "routed", Progress, ["request", "fingerprint", "route", "kind", "service", "limit_ms", "attempts", "revision"], "A route was found for a request.";
-    "sent", Progress, ["request", "route", "replica", "outcome", "send", "elapsed_ms", "total_ms"], "A replica answered a request, or did not.";
+    "sent", Progress, ["request", "route", "replica", "outcome", "send", "ahead", "free_beside", "elapsed_ms", "total_ms"], "A replica answered a request, or did not. Of a plain call also what it was chosen on: requests expected there, and free slots at the others.";
+    "statement_unknown", Belief, ["replica", "service", "name", "value"], "A replica says something of itself that nothing here reads; logged once for each replica.";
     "started", Belief, ["vm", "zone", "callers", "directory", "peers", "store", "incarnation", "version", "revision"], "The process is up.";
     "store_history_gone", Belief, ["prefix"], "The store forgot the changes since the last read; all is read anew.";
     "store_read_failed", Belief, ["prefix", "reason"], "A read of the store failed; tried again after a pause.";
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -314,12 +314,14 @@
     let outcome = exchange(context, upstream_request).await;
     let verdict = outcome.as_ref().map(|answer| judge(answer, &request.facts.id));
     spdlog::info!(
-        "event=sent request={} route={} replica={} outcome={} send={} elapsed_ms={} total_ms={}",
+        "event=sent request={} route={} replica={} outcome={} send={} ahead={} free_beside={} elapsed_ms={} total_ms={}",
         request.facts.id,
         request.rule.name,
         lease.id(),
         verdict_word(&verdict),
         request.trace.record().sends,
+        lease.evidence().ahead,
+        lease.evidence().free_beside,
         lease.elapsed_ms(),
         request.trace.elapsed_ms()
     );
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -7,6 +7,7 @@
 
 use super::WireProtocol;
 use super::metrics::GatewayMetrics;
+use super::statements::UnknownStatements;
 use super::upstream::ConnectionPool;
 use crate::blackboard::{OwnIdentity, ReplicaFacts, ReplicaId};
 use crate::clock;
@@ -36,6 +37,8 @@
     pub metrics: GatewayMetrics,
     /// Kept connections to replicas.
     pub pool: ConnectionPool,
+    /// Statements of replicas that nothing reads.
+    pub unknown_statements: UnknownStatements,
     book: Mutex<BookState>,
     budget: Mutex<SendBudget>,
     latencies: Mutex<FastMap<Arc<str>, LatencyWindow>>,
@@ -72,6 +75,7 @@
             protocol,
             metrics,
             pool: ConnectionPool::default(),
+            unknown_statements: UnknownStatements::default(),
             book: Mutex::new(book),
             budget: Mutex::new(budget),
             latencies: Mutex::default(),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -5,7 +5,7 @@
 use super::GatewayContext;
 use crate::blackboard::{ReplicaId, ReplicaRecord};
 use crate::clock;
-use crate::controllers::dispatch::{DispatchAsk, SendOutcome};
+use crate::controllers::dispatch::{ChoiceEvidence, DispatchAsk, SendOutcome};
 use crate::prelude::*;
 
 /// A booked place.
@@ -13,6 +13,7 @@
     context: Arc<GatewayContext>,
     replica: Arc<ReplicaRecord>,
     tokens: u32,
+    evidence: ChoiceEvidence,
     began_at: Moment,
     is_finished: bool,
 }
@@ -21,15 +22,17 @@
     /// Chooses a replica and books a place for some prompt tokens there.
     pub fn book(context: &Arc<GatewayContext>, ask: &DispatchAsk<'_>, tokens: u32) -> Option<Self> {
         let now = clock::now();
-        let replica = context.with_book(|book| {
+        let (replica, evidence) = context.with_book(|book| {
             let replica = book.choose(ask, now)?;
+            let evidence = book.evidence(&replica, now);
             book.begin(&replica.id, tokens);
-            Some(replica)
+            Some((replica, evidence))
         })?;
         Some(Self {
             context: context.clone(),
             replica,
             tokens,
+            evidence,
             began_at: now,
             is_finished: false,
         })
@@ -45,6 +48,11 @@
         &self.replica.id
     }
 
+    /// What the choice was made on.
+    pub fn evidence(&self) -> ChoiceEvidence {
+        self.evidence
+    }
+
     /// When the place was booked.
     pub fn began_at(&self) -> Moment {
         self.began_at
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::loss::RunStage;
+use super::statements::UnknownStatements;
 use super::trace::{RequestOutcome, TraceRecord};
 use crate::clock;
 use crate::event_log::EventLog;
@@ -50,6 +51,7 @@
     suspected: Gauge<u64>,
     held_refusals: Counter<u64>,
     log_lines: Gauge<u64>,
+    unknown_statements: Gauge<u64>,
     control_events: ControlEventGauge,
 }
 
@@ -94,15 +96,23 @@
             held_refusals: meters.counter("held_refusals", "Refusals of requests that are held back."),
             active: meters.gauge("active_requests", "Requests that this VM holds."),
             log_lines: meters.gauge("log_lines", "Log lines by what became of them."),
+            unknown_statements: meters.gauge(
+                "unknown_statements",
+                "Statements of replicas on themselves that nothing reads, by name.",
+            ),
             control_events: ControlEventGauge::new(&meters),
             meters,
         })
     }
 
     /// All metrics in the Prometheus text format.
-    pub fn render(&self, control: &ControlHandle) -> String {
+    pub fn render(&self, control: &ControlHandle, unknown_statements: &UnknownStatements) -> String {
         self.note_state(&control.snapshot(), control.active_requests());
         self.control_events.record(control);
+        for (name, count) in unknown_statements.counts() {
+            self.unknown_statements
+                .record(count, &[KeyValue::new("name", name)]);
+        }
         self.meters.render()
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod relay;
 mod split;
 mod sse;
+mod statements;
 mod trace;
 mod upstream;
 mod verdict;
@@ -27,4 +28,6 @@
 pub use metrics::GatewayMetrics;
 pub use order::give_order;
 pub use plain_server::{answer_directory, answer_metrics, answer_readiness, serve_plain};
-pub use protocol::{AnswerFacts, KvTicket, RequestFacts, SendOrder, SendPurpose, WireProtocol};
+pub use protocol::{
+    AnswerFacts, KvTicket, RequestFacts, SendOrder, SendPurpose, UnknownStatement, WireProtocol,
+};
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -125,7 +125,9 @@
     if head.path() != "/metrics" {
         return PlainAnswer::unknown();
     }
-    let text = context.metrics.render(&context.control);
+    let text = context
+        .metrics
+        .render(&context.control, &context.unknown_statements);
     PlainAnswer::text(200, &text)
 }
 
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -79,6 +79,17 @@
     pub is_leaving: bool,
     /// How long the replica wants nothing more from this VM, in milliseconds; only with a refusal.
     pub back_off_ms: Option<u64>,
+    /// Statements of the replica on itself that the adapter does not know.
+    pub unknown_statements: Vec<UnknownStatement>,
+}
+
+/// A statement of a replica on itself that the adapter does not know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownStatement {
+    /// What it is called on the wire.
+    pub name: String,
+    /// What it says.
+    pub value: String,
 }
 
 /// Reads and writes what an adapter's platform calls things on the wire.
--- /dev/null
+++ b/src/gateway/statements.rs
@@ -0,0 +1,62 @@
+//! Statements of replicas on themselves that the adapter does not know: each is logged once for each replica, and counted.
+
+use std::sync::Mutex;
+
+use super::UnknownStatement;
+use crate::blackboard::{ReplicaId, ReplicaRecord};
+use crate::prelude::*;
+use crate::runtime::lock;
+
+/// Pairs of a statement and a replica that are logged.
+const MOST_LOGGED: usize = 256;
+
+/// Statements that are counted under their own name.
+const MOST_NAMES: usize = 16;
+
+/// The longest value that is logged, in characters.
+const VALUE_CHARS: usize = 60;
+
+/// What is known of unknown statements.
+#[derive(Debug, Default)]
+pub struct UnknownStatements {
+    logged: Mutex<FastSet<(String, ReplicaId)>>,
+    counts: Mutex<FastMap<String, u64>>,
+}
+
+impl UnknownStatements {
+    /// Notes the statements in one answer of a replica.
+    pub fn note(&self, record: &ReplicaRecord, statements: &[UnknownStatement]) {
+        for statement in statements {
+            self.count(&statement.name);
+            let mut logged = lock(&self.logged);
+            let is_first =
+                logged.len() < MOST_LOGGED && logged.insert((statement.name.clone(), record.id.clone()));
+            drop(logged);
+            if is_first {
+                let value: String = statement.value.chars().take(VALUE_CHARS).collect();
+                spdlog::warn!(
+                    "event=statement_unknown replica={} service={} name={} value={value:?}",
+                    record.id,
+                    record.service,
+                    statement.name
+                );
+            }
+        }
+    }
+
+    fn count(&self, name: &str) {
+        let mut counts = lock(&self.counts);
+        let is_named = counts.len() < MOST_NAMES || counts.contains_key(name);
+        let name = if is_named { name } else { "others" };
+        *counts.entry(name.to_owned()).or_default() += 1;
+    }
+
+    /// How often each statement came.
+    pub fn counts(&self) -> Vec<(String, u64)> {
+        let counts = lock(&self.counts);
+        counts
+            .iter()
+            .map(|(name, count)| (name.clone(), *count))
+            .collect()
+    }
+}
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -273,6 +273,7 @@
         // Another replica answered, and speaks for itself.
         return;
     }
+    context.unknown_statements.note(record, &facts.unknown_statements);
     let now = clock::now();
     if let Some(span_ms) = facts.back_off_ms {
         let span_ms = span_ms.min(LONGEST_BACK_OFF_MS);
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -6,7 +6,9 @@
 
 use crate::blackboard::{ReplicaLoad, ReplicaRecord};
 use crate::controllers::rebalance::RoleOrder;
-use crate::gateway::{AnswerFacts, KvTicket, RequestFacts, SendOrder, SendPurpose, WireProtocol};
+use crate::gateway::{
+    AnswerFacts, KvTicket, RequestFacts, SendOrder, SendPurpose, UnknownStatement, WireProtocol,
+};
 use crate::http::{HeadWriter, RequestHead, ResponseHead, is_hop_header};
 use crate::register::EngineRole;
 
@@ -33,6 +35,12 @@
 /// Seconds, at times with a fraction, for which a replica wants nothing from the VM that it turned away.
 const BACK_OFF: &str = "Retry-After";
 
+/// How the names of a replica's statements on itself begin.
+const STATEMENT_PREFIXES: [&str; 2] = ["server-", "x-server-"];
+
+/// The statements that are read.
+const KNOWN_STATEMENTS: [&str; 2] = [LOAD, LEAVING];
+
 /// The status with which a replica answers what was meant for another one.
 const MISDIRECTED_STATUS: u16 = 421;
 
@@ -120,6 +128,7 @@
                 .text(BACK_OFF)
                 .filter(|_| head.status == TURNED_AWAY_STATUS)
                 .and_then(read_seconds),
+            unknown_statements: find_unknown_statements(head),
         }
     }
 
@@ -175,6 +184,23 @@
     }
 }
 
+fn find_unknown_statements(head: &ResponseHead) -> Vec<UnknownStatement> {
+    let is_unknown = |name: &str| {
+        let begins = |prefix: &&str| {
+            let begin = name.get(..prefix.len());
+            begin.is_some_and(|begin| begin.eq_ignore_ascii_case(prefix))
+        };
+        STATEMENT_PREFIXES.iter().any(begins) && !KNOWN_STATEMENTS.iter().any(|known| is_name(name, known))
+    };
+    let unknown = head.headers.iter().filter(|(name, _)| is_unknown(name));
+    unknown
+        .map(|(name, value)| UnknownStatement {
+            name: name.to_ascii_lowercase(),
+            value: String::from_utf8_lossy(value).into_owned(),
+        })
+        .collect()
+}
+
 fn write_delete(address: SocketAddr, target: &str) -> Vec<u8> {
     HeadWriter::request("DELETE", target)
         .display("Host", address)
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -96,6 +96,8 @@
     runs: Arc<Mutex<Vec<String>>>,
     /// When requests came whose body has [`DEATH_WORD`].
     deadly_arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// Whether its answers have a line that nothing reads.
+    has_unknown_line: Arc<Mutex<bool>>,
     pub life: Arc<ReplicaLife>,
 }
 
@@ -118,6 +120,7 @@
             requests: Arc::default(),
             runs: Arc::default(),
             deadly_arrivals: Arc::default(),
+            has_unknown_line: Arc::default(),
             life: Arc::new(ReplicaLife::new(address)),
         };
         replica.publish(store, service, phase, "ready");
@@ -221,6 +224,11 @@
         self.deadly_arrivals.lock().expect("no holder panics").clone()
     }
 
+    /// Lets its answers have a line that nothing reads.
+    pub fn set_unknown_line(&self, has_one: bool) {
+        *self.has_unknown_line.lock().expect("no holder panics") = has_one;
+    }
+
     fn serve(&self, stream: &mut TcpStream) {
         while let Some(request) = read_request(stream) {
             self.lock().push(request.clone());
@@ -249,11 +257,19 @@
         ) {
             self.runs.lock().expect("no holder panics").push(id.to_owned());
         }
+        let mut own_lines: Vec<(&str, &str)> = Vec::new();
+        if *self.has_unknown_line.lock().expect("no holder panics") {
+            own_lines.push(("Server-Mood", "fair"));
+        }
         let signed = [
-            ("X-Request-Id", id),
-            ("X-Response-Signature", "s"),
-            ("X-Server-Load", "1,0,4"),
-        ];
+            &[
+                ("X-Request-Id", id),
+                ("X-Response-Signature", "s"),
+                ("X-Server-Load", "1,0,4"),
+            ],
+            &own_lines[..],
+        ]
+        .concat();
         match mood {
             ReplicaMood::NotRun => {
                 write_answer(stream, 503, &[("X-Request-Id", id), ("X-Not-Executed", "1")], b"")
--- a/tests/platform/replica_words.rs
+++ b/tests/platform/replica_words.rs
@@ -141,6 +141,26 @@
     assert_eq!(leaving.map(StandInReplica::count), before, "{}", node.log());
 }
 
+#[test]
+fn a_statement_that_nothing_reads_is_logged_once_for_each_replica_and_counted() {
+    let (_store, node, replicas) = start_desk([ReplicaMood::Well, ReplicaMood::Well]);
+    replicas.iter().for_each(|replica| replica.set_unknown_line(true));
+    let all = 20;
+    (0..all).for_each(|number| {
+        node.ask(&call("/read", &format!("q-{number}")));
+    });
+    let told = replicas.iter().filter(|replica| replica.count() > 0).count();
+    wait_until("it is logged", || {
+        node.log().matches("event=statement_unknown").count() == told
+    });
+    assert!(
+        node.log().contains("name=server-mood value=\"fair\""),
+        "{}",
+        node.log()
+    );
+    assert_eq!(node.metric("unknown_statements", "server-mood"), f64::from(all));
+}
+
 #[test]
 fn a_replica_that_backs_off_is_left_alone() {
     let (_store, node, replicas) = start_desk([ReplicaMood::BacksOff, ReplicaMood::NotRun]);
