Let calls wait until a process that was suspended has heard its peers again

What callers saw: other callers' replicas ended under a request that the other VMs had already held back. Cause: a node that wakes from a freeze runs the calls that waited at it before it reads what its peers told it meanwhile. Change: the control thread marks its turns; after a gap of 0.6 s or more no run begins for 100 ms, and no second copy of one. The same mark tells of the suspension in the log. Conclusion: a freeze under 0.6 s is not noticed.

--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -117,7 +117,7 @@
     "release_failed", Progress, ["replica", "reason"], "A prefilled prompt could not be freed; the engine frees it in time.";
     "socket_option_failed", Progress, ["reason"], "A socket refused an option; it works without.";
     "vms_watch_failed", Progress, ["reason"], "The VM list could not be read; tried again after a pause.";
-    "woke_late", Belief, ["suspended_ms"], "The process was suspended; what it believed is that much older.";
+    "woke_late", Belief, ["suspended_ms"], "The process was suspended or got no processor; requests wait until it has heard its peers again.";
 }
 
 /// Writes the table as the Markdown page docs/EVENTS.md.
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -9,6 +9,7 @@
 use futures::channel::oneshot;
 
 use super::Snapshot;
+use super::catch_up::{CatchUpMark, LONGEST_WAIT};
 use super::clock_watch::ClockWatch;
 use super::lock;
 use crate::clock;
@@ -72,6 +73,7 @@
     active_requests: Arc<AtomicU64>,
     event_tally: Arc<EventTally>,
     heard: Arc<FastSet<EventKind>>,
+    catch_up: Arc<CatchUpMark>,
 }
 
 impl ControlHandle {
@@ -90,6 +92,7 @@
             active_requests: Arc::default(),
             event_tally: Arc::new(std::array::from_fn(|_| AtomicU64::default())),
             heard: Arc::new(core.hears()),
+            catch_up: Arc::new(CatchUpMark::new(clock::now())),
         };
         let thread = ControlThread {
             core,
@@ -98,6 +101,7 @@
             snapshot: handle.snapshot.clone(),
             active_requests: handle.active_requests.clone(),
             event_tally: handle.event_tally.clone(),
+            catch_up: handle.catch_up.clone(),
             output: Box::new(output),
         };
         std::thread::Builder::new()
@@ -137,6 +141,18 @@
         reply
     }
 
+    /// Waits while this process, which was stopped, has not read yet what its peers told it meanwhile.
+    pub async fn catch_up(&self) {
+        while let Some(wait_until) = self.catch_up.wait_until(clock::now()) {
+            async_std::task::sleep(clock::now().remaining(wait_until)).await;
+        }
+    }
+
+    /// Whether this process has read what its peers told it, as far as it knows.
+    pub fn has_caught_up(&self) -> bool {
+        self.catch_up.wait_until(clock::now()).is_none()
+    }
+
     /// The present view of the board.
     pub fn snapshot(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
@@ -197,6 +213,7 @@
     snapshot: Arc<ArcSwap<Snapshot>>,
     active_requests: Arc<AtomicU64>,
     event_tally: Arc<EventTally>,
+    catch_up: Arc<CatchUpMark>,
     output: Box<dyn Fn(ControlOutput) + Send>,
 }
 
@@ -210,7 +227,13 @@
             let wake = self.core.wake_at(now).unwrap_or(now.after_ms(TICK_RANGE_MS.1));
             let earliest = last_tick.after_ms(TICK_RANGE_MS.0);
             let next_tick = wake.clamp(earliest, earliest.after_ms(TICK_RANGE_MS.1));
-            match self.inbox.recv_timeout(now.remaining(next_tick)) {
+            let received = self
+                .inbox
+                .recv_timeout(now.remaining(next_tick).min(LONGEST_WAIT));
+            if let Some(stopped_ms) = self.catch_up.note_turn(clock::now()) {
+                spdlog::warn!("event=woke_late suspended_ms={stopped_ms}");
+            }
+            match received {
                 Ok(event) => self.handle(&event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,5 +1,6 @@
 //! Joins the decision logic to threads, sockets and signals.
 
+mod catch_up;
 mod clock_watch;
 mod control;
 mod gateway_node;
@@ -10,6 +11,7 @@
 mod signals;
 mod snapshot;
 
+pub use catch_up::CatchUpMark;
 pub use control::{ControlHandle, ControlOutput, RequestGuard};
 pub use gateway_node::{GatewayAdapter, SettingsReader, run_gateway};
 pub use lock::lock;
--- a/src/runtime/run_permit.rs
+++ b/src/runtime/run_permit.rs
@@ -42,6 +42,7 @@
         fingerprint: Fingerprint,
         deadline: Moment,
     ) -> Result<Self, RefusalNotice> {
+        control.catch_up().await;
         let Some(suspicion) = control.snapshot().suspicion(fingerprint) else {
             return Ok(Self::free(control, fingerprint));
         };
@@ -71,9 +72,9 @@
         }
     }
 
-    /// Leave for one more copy of a request that runs; `None` where it is suspected.
+    /// Leave for one more copy of a request that runs; `None` where it is suspected, or where that is not known for sure.
     pub fn for_copy(control: &ControlHandle, fingerprint: Fingerprint) -> Option<Self> {
-        let is_clean = control.snapshot().suspicion(fingerprint).is_none();
+        let is_clean = control.has_caught_up() && control.snapshot().suspicion(fingerprint).is_none();
         is_clean.then(|| Self::free(control, fingerprint))
     }
 
--- /dev/null
+++ b/tests/catch_up.rs
@@ -0,0 +1,35 @@
+//! When requests wait because their process was stopped.
+
+use dotterelspan::prelude::*;
+use dotterelspan::runtime::CatchUpMark;
+
+#[test]
+fn nobody_waits_while_the_control_thread_takes_its_turns() {
+    let mark = CatchUpMark::new(Moment(0));
+    for turn in 0..100 {
+        let now = Moment(turn * 250);
+        assert_eq!(mark.note_turn(now), None);
+        assert_eq!(mark.wait_until(now.after_ms(249)), None);
+    }
+}
+
+#[test]
+fn requests_that_run_before_the_control_thread_wait_too() {
+    let mark = CatchUpMark::new(Moment(0));
+    mark.note_turn(Moment(1_000));
+    let woken = Moment(5_000);
+    assert!(mark.wait_until(woken).is_some_and(|until| until > woken));
+    assert_eq!(mark.note_turn(woken), Some(4_000));
+    let wait_until = mark.wait_until(woken).expect("requests wait");
+    assert_eq!(mark.note_turn(wait_until), None);
+    assert_eq!(mark.wait_until(wait_until), None);
+}
+
+#[test]
+fn a_second_stop_makes_requests_wait_again() {
+    let mark = CatchUpMark::new(Moment(0));
+    mark.note_turn(Moment(4_000));
+    mark.note_turn(Moment(4_050));
+    assert_eq!(mark.note_turn(Moment(5_050)), Some(1_000));
+    assert!(mark.wait_until(Moment(5_060)).is_some());
+}
--- a/tests/platform/query_of_death.rs
+++ b/tests/platform/query_of_death.rs
@@ -32,6 +32,12 @@
 /// The part of the other calls that has to be served, in percent.
 const SERVED_PERCENT: usize = 90;
 
+/// Replicas that ended are back so much later.
+const AWAY_AGAIN: Duration = Duration::from_millis(2_200);
+
+/// Peers take a node that is silent so long for dead.
+const TAKEN_FOR_DEAD: Duration = Duration::from_millis(6_500);
+
 /// Three nodes and six replicas of each kind.
 struct Fleet {
     store: StandInStore,
@@ -266,6 +272,62 @@
     assert_contained(&fleet, &outcome);
 }
 
+/// How many calls wait at a node while it is frozen.
+const WAITING_CALLS: usize = 24;
+
+/// Freezes the third node, lets the others learn `silent_for` later that a call is deadly, and lets the node run again,
+/// with copies of the call waiting there. How many runs its replicas began after that.
+fn runs_after_a_freeze(fleet: &Fleet, body: &str, silent_for: Duration) -> usize {
+    let text = |id: &str| request("POST", "shop.example", "/read", id, "", body);
+    let arrivals = || -> usize {
+        let desks = fleet.desks.iter();
+        desks.map(|desk| desk.deadly_arrivals().len()).sum()
+    };
+    fleet.nodes[2].signal("STOP");
+    std::thread::sleep(silent_for);
+    wait_until("the call is held back", || {
+        (0..2).all(|node| fleet.nodes[node].ask(&text(&format!("{body}-{node}"))).status() == 503)
+    });
+    let waiting: Vec<_> = (0..WAITING_CALLS)
+        .map(|number| {
+            let (address, text) = (fleet.nodes[2].callers(), text(&format!("{body}-waits-{number}")));
+            std::thread::spawn(move || exchange(address, &text))
+        })
+        .collect();
+    std::thread::sleep(AWAY_AGAIN);
+    let before = arrivals();
+    fleet.nodes[2].signal("CONT");
+    for call in waiting {
+        let status = call
+            .join()
+            .expect("a caller's thread")
+            .map(|answer| answer.status());
+        println!("{body}: {status:?}");
+    }
+    arrivals() - before
+}
+
+#[test]
+fn a_node_that_runs_again_hears_its_peers_before_it_runs_what_waits() {
+    let fleet = Fleet::start();
+    for round in 0..4 {
+        let body = format!("{DEATH_WORD} {round}");
+        let runs = runs_after_a_freeze(&fleet, &body, Duration::ZERO);
+        assert_eq!(runs, 0, "round {round}: {}", fleet.nodes[2].log());
+        wait_until("the node is known again", || {
+            (0..2).all(|node| fleet.nodes[node].metric("vms", "state=\"live\"") >= 3.0)
+        });
+    }
+}
+
+#[test]
+fn a_node_that_was_taken_for_dead_hears_its_peers_before_it_runs_what_waits() {
+    let fleet = Fleet::start();
+    let body = format!("{DEATH_WORD} later");
+    let runs = runs_after_a_freeze(&fleet, &body, TAKEN_FOR_DEAD);
+    assert_eq!(runs, 0, "{}", fleet.nodes[2].log());
+}
+
 #[test]
 fn a_call_that_ends_replicas_behind_hops_is_held_back_at_all_nodes() {
     let mut fleet = Fleet::start();
@@ -303,7 +365,9 @@
     fleet.nodes[0].wait_ready();
     // One that has met a peer again; how it hears of the other one is not logged.
     wait_until("the node has joined", || {
-        fleet.nodes[0].log().matches("event=vm_joined").count() >= 3
+        let log = fleet.nodes[0].log();
+        let latest_start = log.rfind("event=started").unwrap_or_default();
+        log.matches("event=started").count() == 2 && log[latest_start..].contains("event=vm_joined")
     });
     std::thread::sleep(NEWS_LIMIT);
     assert_eq!(
