Keep looking for seeds that a node has not met

What callers saw: nothing yet. Two nodes that share callers could each take themselves for the owner of everything for good. Cause: a node asked its seeds only as long as it knew nobody. One that was started inside a partition never met the seeds on the other side once that ended, unless a node of the other side looked for it. Change: seeds that are not among the live nodes are asked each 2 s. Three seeds that are gone for good cost a node 1.5 connection tries a second.

--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -1,5 +1,6 @@
 //! Puts a gateway together and runs it until it has left.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -177,19 +178,26 @@
     Ok(())
 }
 
-/// Asks the seeds for peers for as long as this process knows none.
+/// Looks for the seeds that this process has not met: often while it knows nobody, and now and then later, since those on the
+/// other side of a partition that it was started in would else never be met.
 async fn seek_peers(hub: Arc<PeerHub>, context: Arc<GatewayContext>) {
     /// Time between two rounds over the seeds while no peer is known.
     const SEEK_EVERY: Duration = Duration::from_millis(250);
+    /// Time between two rounds over those that are not known while other peers are.
+    const SEEK_UNMET_EVERY: Duration = Duration::from_secs(2);
     let own = context.settings().addresses.peers;
     loop {
         let seeds = context.settings().seeds.clone();
-        if context.snapshot().live_vms.len() <= 1 {
-            for seed in seeds.iter().filter(|seed| **seed != own) {
-                async_std::task::spawn(peers::seed(hub.clone(), *seed));
-            }
+        let live_vms = context.snapshot().live_vms.clone();
+        let is_met = |seed: &SocketAddr| {
+            let address = seed.to_string();
+            live_vms.iter().any(|vm| *vm.peer_address == *address)
+        };
+        for seed in seeds.iter().filter(|seed| **seed != own && !is_met(seed)) {
+            async_std::task::spawn(peers::seed(hub.clone(), *seed));
         }
-        async_std::task::sleep(SEEK_EVERY).await;
+        let is_alone = live_vms.len() <= 1;
+        async_std::task::sleep(if is_alone { SEEK_EVERY } else { SEEK_UNMET_EVERY }).await;
     }
 }
 
--- a/tests/platform/sources.rs
+++ b/tests/platform/sources.rs
@@ -147,3 +147,22 @@
     second.wait_ready();
     assert_eq!(served_by(&second, "q-1"), "200 i-1");
 }
+
+#[test]
+fn nodes_that_met_each_other_still_look_for_a_seed_that_was_away() {
+    let store = StandInStore::start();
+    publish_config(&store, 1);
+    let mut away = GatewayNode::start(&store, "vm-1", &[]);
+    away.kill();
+    let second = GatewayNode::start(&store, "vm-2", &[&away]);
+    let third = GatewayNode::start(&store, "vm-3", &[&away, &second]);
+    wait_until("two nodes know each other", || {
+        second.metric("vms{", "state=\"live\"") == 2.0 && third.metric("vms{", "state=\"live\"") == 2.0
+    });
+    away.spawn();
+    wait_until("all nodes know each other", || {
+        [&away, &second, &third]
+            .iter()
+            .all(|node| node.metric("vms{", "state=\"live\"") == 3.0)
+    });
+}
