Give extra sends back to the retry budget that did not go out

What callers saw: refusals for a used-up budget (retry_denied) although the replicas had got few repeats. Cause: an extra send was charged as its replica was chosen. Where that could not be reached, or took nothing from this VM, nothing went out and the charge stayed. Evidence: a desk that rejects each call beside one that can't be reached: the new test fails on the code before. Change: a request's extra sends are kept in one place (PaidSends) and settled by what went out, for calls and generations. Moved unchanged to files of their own: kept connections, one send of a call, the prompt of a generation, what replicas say of themselves. Conclusion: the bound on what replicas get is as it was.

--- a/src/controllers/dispatch/arrivals.rs
+++ b/src/controllers/dispatch/arrivals.rs
@@ -14,6 +14,11 @@
         self.arrivals > 0
     }
 
+    /// Arrivals beyond the first.
+    pub fn extra(&self) -> u32 {
+        self.arrivals.saturating_sub(1)
+    }
+
     /// Notes a prompt call that went out.
     pub fn note_prompt(&mut self, was_taken: bool) {
         if was_taken && !self.has_prompt {
--- a/src/controllers/dispatch/budget.rs
+++ b/src/controllers/dispatch/budget.rs
@@ -106,4 +106,18 @@
             allowed,
         }
     }
+
+    /// Gives extra sends back that did not go out.
+    pub fn give_back(&mut self, service: &Arc<str>, count: u32, now: Moment) {
+        self.current(service, now);
+        let Some(parts) = self.services.get_mut(service) else {
+            return;
+        };
+        let mut left = count;
+        for part in parts.iter_mut().rev() {
+            let returned = part.extra.min(left);
+            part.extra -= returned;
+            left -= returned;
+        }
+    }
 }
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -98,6 +98,7 @@
     "loss_unnoted", Progress, ["fingerprint"], "The control thread did not take word of a lost request, since the process ends.";
     "request_lost", Failure, ["request", "fingerprint", "stage", "replica", "replica_start", "run_ms", "fate"], "The connection ended over which a replica was to answer; fate says what a look at the replica showed.";
     "retry_denied", Failure, ["request", "reason", "extra", "allowed", "vms"], "A request was not sent again.";
+    "extra_returned", Progress, ["request", "service", "count"], "Extra sends of a request were covered by the shared budget and did not go out.";
     "extra_send", Progress, ["request", "service", "extra", "allowed", "vms"], "A request goes out once more, from the shared budget.";
     "routed", Progress, ["request", "fingerprint", "route", "kind", "service", "limit_ms", "attempts", "revision"], "A route was found for a request.";
     "sent", Progress, ["request", "route", "replica", "outcome", "send", "ahead", "free_beside", "elapsed_ms", "total_ms"], "A replica answered a request, or did not. Of a plain call also what it was chosen on: requests expected there, and free slots at the others.";
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -7,8 +7,8 @@
 
 use super::WireProtocol;
 use super::metrics::GatewayMetrics;
+use super::pool::ConnectionPool;
 use super::statements::UnknownStatements;
-use super::upstream::ConnectionPool;
 use crate::blackboard::{OwnIdentity, ReplicaFacts, ReplicaId};
 use crate::clock;
 use crate::controllers::dispatch::{DispatchBook, SendBudget};
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -36,6 +36,7 @@
     added: Histogram<f64>,
     extra_sends: Counter<u64>,
     budget_taken: Counter<u64>,
+    budget_returned: Counter<u64>,
     denied_sends: Counter<u64>,
     arrivals: Counter<u64>,
     grants: Counter<u64>,
@@ -72,6 +73,10 @@
             added: meters.histogram("added_latency", "Of a plain call beyond its replica's own time."),
             extra_sends: meters.counter("extra_sends", "Sends beyond the first of a request."),
             budget_taken: meters.counter("budget_taken", "Extra sends that the budget covered."),
+            budget_returned: meters.counter(
+                "budget_returned",
+                "Extra sends that the budget covered and that did not go out.",
+            ),
             arrivals: meters.counter("arrivals", "Requests that went out to replicas, by stage."),
             denied_sends: meters.counter("denied_sends", "Extra sends that the budget did not cover."),
             grants: meters.counter("grants", "Generations by who chose their engines."),
@@ -213,6 +218,11 @@
         self.budget_taken.add(1, &[]);
     }
 
+    /// Notes extra sends that did not go out.
+    pub fn note_budget_returned(&self, count: u32) {
+        self.budget_returned.add(u64::from(count), &[]);
+    }
+
     /// Notes that a request went out to a replica.
     pub fn note_arrival(&self, stage: RunStage) {
         self.arrivals.add(1, &[KeyValue::new("stage", stage.as_str())]);
--- /dev/null
+++ b/src/gateway/prompt.rs
@@ -0,0 +1,96 @@
+//! The prompt of a generation: run at an engine of its own, and kept there until a decode engine takes its KV cache.
+
+use super::engine_call::{TicketLease, run_prefill};
+use super::place::EnginePlace;
+use super::split::StreamServer;
+use super::verdict::PrefillEnd;
+use crate::clock;
+use crate::controllers::slots::EngineEnd;
+use crate::runtime::RunPermit;
+
+/// The share of the latency objective within which a prefill engine must have run a prompt of usual size, in percent; a
+/// decode engine that runs it itself still meets the objective after that.
+const PREFILL_PERCENT: u64 = 60;
+
+/// How much longer than a slow engine takes for a prompt of its size a prefill may take, in percent. A long prompt that is
+/// given up just before it is done would be run once more, at half the speed.
+const PREFILL_MARGIN_PERCENT: u64 = 150;
+
+/// How the prompt of an attempt was dealt with.
+pub(super) enum PromptStep {
+    /// Its KV cache waits at an engine.
+    Ready(TicketLease),
+    /// The decode engine runs it itself.
+    Left,
+    /// Its engine ended under it, which is to be weighed before another one gets the request.
+    EngineEnded,
+}
+
+impl StreamServer<'_> {
+    /// How long the prompt may take at a prefill engine, in milliseconds.
+    fn prefill_limit_ms(&self) -> u64 {
+        let request = self.request;
+        let usual_ms = request.rule.latency_objective_ms * PREFILL_PERCENT / 100;
+        let tokens = request.facts.prompt_tokens;
+        let slow_ms = self.context.slow_prefill_ms(&request.service, tokens);
+        let by_size_ms = slow_ms.map_or(0, |slow_ms| slow_ms * PREFILL_MARGIN_PERCENT / 100);
+        usual_ms.max(by_size_ms)
+    }
+
+    /// Has the prompt run; without a ticket the decode engine runs it itself.
+    pub(super) async fn prefill(&mut self, place: &mut EnginePlace, permit: &RunPermit) -> PromptStep {
+        let Some(replica) = place.prefill.clone() else {
+            return PromptStep::Left;
+        };
+        if self.arrivals.is_next_extra() && !self.pay_extra() {
+            place.finish_prefill(EngineEnd::Full);
+            return PromptStep::Left;
+        }
+        let began_at = clock::now();
+        let deadline = self
+            .request
+            .deadline
+            .min(began_at.after_ms(self.prefill_limit_ms()));
+        let end = run_prefill(self.context, self.request, &replica, permit, deadline).await;
+        let (word, engine_end) = match &end {
+            PrefillEnd::Done(_) => ("done", EngineEnd::Fine),
+            PrefillEnd::Refused => ("refused", EngineEnd::Full),
+            PrefillEnd::Unsent => ("unsent", EngineEnd::Unreachable),
+            PrefillEnd::Withheld => ("withheld", EngineEnd::Full),
+            PrefillEnd::Failed => ("failed", EngineEnd::Failed),
+            PrefillEnd::EngineEnded => ("engine_ended", EngineEnd::Failed),
+            PrefillEnd::Late => ("late", EngineEnd::Failed),
+        };
+        spdlog::info!(
+            "event=prefilled request={} replica={} outcome={word} tokens={} elapsed_ms={} total_ms={}",
+            self.request.facts.id,
+            replica.id,
+            self.request.facts.prompt_tokens,
+            began_at.until_ms(clock::now()),
+            self.request.received_at.until_ms(clock::now())
+        );
+        let elapsed_ms = began_at.until_ms(clock::now());
+        self.request.trace.record().prefill_ms = elapsed_ms;
+        self.context.metrics.note_prefill(elapsed_ms);
+        if matches!(end, PrefillEnd::Done(_)) {
+            let tokens = self.request.facts.prompt_tokens;
+            self.context
+                .note_prefill(&self.request.service, tokens, elapsed_ms);
+        }
+        place.finish_prefill(engine_end);
+        if !matches!(end, PrefillEnd::Unsent | PrefillEnd::Withheld) {
+            self.arrivals.note_prompt(matches!(end, PrefillEnd::Done(_)));
+        }
+        match end {
+            PrefillEnd::Done(ticket) => PromptStep::Ready(ticket),
+            PrefillEnd::Refused => {
+                self.sends += 1;
+                PromptStep::Left
+            }
+            PrefillEnd::Unsent | PrefillEnd::Withheld | PrefillEnd::Failed | PrefillEnd::Late => {
+                PromptStep::Left
+            }
+            PrefillEnd::EngineEnded => PromptStep::EngineEnded,
+        }
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,10 +7,10 @@
 
 use super::GatewayContext;
 use super::answer::{AfterAnswer, write_chunked_head, write_closing_head};
-use super::call::SendLeave;
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerEnd, CallerRequest};
 use super::loss::{RunStage, report_loss};
+use super::send::SendLeave;
 use super::trace::RequestOutcome;
 use super::upstream::UpstreamAnswer;
 use crate::clock;
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -4,16 +4,19 @@
 
 use async_std::net::TcpStream;
 
-use super::call::{failed_notice, note_send, take_budget};
-use super::engine_call::{TicketLease, run_prefill};
+use super::call::failed_notice;
+use super::engine_call::TicketLease;
 use super::exchange::{AnswerEnd, COME_BACK_MS, CallerRequest, refuse};
 use super::loss::{RunStage, report_loss};
+use super::paid_sends::PaidSends;
 use super::place::EnginePlace;
+use super::prompt::PromptStep;
 use super::relay::AnswerWriter;
+use super::send::note_send;
 use super::sse::{EventCutter, count_events, last_event_id};
 use super::trace::RequestOutcome;
 use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest, exchange};
-use super::verdict::{AnswerVerdict, PrefillEnd, judge, verdict_word};
+use super::verdict::{AnswerVerdict, judge, verdict_word};
 use super::{GatewayContext, SendOrder, SendPurpose};
 use crate::blackboard::ReplicaId;
 use crate::clock;
@@ -23,14 +26,6 @@
 use crate::runtime::RunPermit;
 use crate::transport::until;
 
-/// The share of the latency objective within which a prefill engine must have run a prompt of usual size, in percent; a
-/// decode engine that runs it itself still meets the objective after that.
-const PREFILL_PERCENT: u64 = 60;
-
-/// How much longer than a slow engine takes for a prompt of its size a prefill may take, in percent. A long prompt that is
-/// given up just before it is done would be run once more, at half the speed.
-const PREFILL_MARGIN_PERCENT: u64 = 150;
-
 /// Engines that may end while they run the prompt of one request. After the second its request is held back, unless
 /// they were about to leave.
 const MOST_ENDED_PREFILLS: u32 = 3;
@@ -48,13 +43,16 @@
         tried: Vec::new(),
         sends: 0,
         arrivals: ArrivalCount::default(),
+        paid: PaidSends::default(),
         ended_prefills: 0,
         in_doubt: false,
         writer: None,
         last_event: None,
         refusal: None,
     };
-    stream.run().await
+    let end = stream.run().await;
+    stream.settle_budget();
+    end
 }
 
 /// How one attempt at a stream ended.
@@ -73,27 +71,19 @@
     permit: RunPermit,
 }
 
-/// How the prompt of an attempt was dealt with.
-enum PromptStep {
-    /// Its KV cache waits at an engine.
-    Ready(TicketLease),
-    /// The decode engine runs it itself.
-    Left,
-    /// Its engine ended under it, which is to be weighed before another one gets the request.
-    EngineEnded,
-}
-
 /// One stream's progress.
-struct StreamServer<'a> {
-    context: &'a Arc<GatewayContext>,
+pub(super) struct StreamServer<'a> {
+    pub(super) context: &'a Arc<GatewayContext>,
     socket: &'a TcpStream,
-    request: &'a CallerRequest,
+    pub(super) request: &'a CallerRequest,
     /// Decode engines that are not asked again.
     tried: Vec<ReplicaId>,
     /// Sends of which bytes left.
-    sends: u32,
+    pub(super) sends: u32,
     /// The same as the shared budget counts them, with prompts.
-    arrivals: ArrivalCount,
+    pub(super) arrivals: ArrivalCount,
+    /// Extra arrivals that the budget covered.
+    paid: PaidSends,
     /// Engines that ended while they ran its prompt.
     ended_prefills: u32,
     /// Whether some engine may have begun to run it.
@@ -136,8 +126,9 @@
                 return None;
             }
         };
+        self.settle_budget();
         let is_paid = self.arrivals.is_next_extra();
-        if is_paid && !take_budget(self.context, self.request) {
+        if is_paid && !self.pay_extra() {
             return None;
         }
         let mut place = match EnginePlace::acquire(self.context, self.request, &self.tried).await {
@@ -160,7 +151,7 @@
             return None;
         }
         let is_due = !is_paid && self.arrivals.is_next_extra();
-        if is_due && !take_budget(self.context, self.request) {
+        if is_due && !self.pay_extra() {
             return None;
         }
         self.sends += 1;
@@ -168,71 +159,15 @@
         Some(self.decode(place, ticket, permit).await)
     }
 
-    /// How long the prompt may take at a prefill engine, in milliseconds.
-    fn prefill_limit_ms(&self) -> u64 {
-        let request = self.request;
-        let usual_ms = request.rule.latency_objective_ms * PREFILL_PERCENT / 100;
-        let tokens = request.facts.prompt_tokens;
-        let slow_ms = self.context.slow_prefill_ms(&request.service, tokens);
-        let by_size_ms = slow_ms.map_or(0, |slow_ms| slow_ms * PREFILL_MARGIN_PERCENT / 100);
-        usual_ms.max(by_size_ms)
+    /// Takes an extra arrival from the budget; whether it is covered.
+    pub(super) fn pay_extra(&mut self) -> bool {
+        self.paid.pay(self.context, self.request)
     }
 
-    /// Has the prompt run; without a ticket the decode engine runs it itself.
-    async fn prefill(&mut self, place: &mut EnginePlace, permit: &RunPermit) -> PromptStep {
-        let Some(replica) = place.prefill.clone() else {
-            return PromptStep::Left;
-        };
-        if self.arrivals.is_next_extra() && !take_budget(self.context, self.request) {
-            place.finish_prefill(EngineEnd::Full);
-            return PromptStep::Left;
-        }
-        let began_at = clock::now();
-        let deadline = self
-            .request
-            .deadline
-            .min(began_at.after_ms(self.prefill_limit_ms()));
-        let end = run_prefill(self.context, self.request, &replica, permit, deadline).await;
-        let (word, engine_end) = match &end {
-            PrefillEnd::Done(_) => ("done", EngineEnd::Fine),
-            PrefillEnd::Refused => ("refused", EngineEnd::Full),
-            PrefillEnd::Unsent => ("unsent", EngineEnd::Unreachable),
-            PrefillEnd::Withheld => ("withheld", EngineEnd::Full),
-            PrefillEnd::Failed => ("failed", EngineEnd::Failed),
-            PrefillEnd::EngineEnded => ("engine_ended", EngineEnd::Failed),
-            PrefillEnd::Late => ("late", EngineEnd::Failed),
-        };
-        spdlog::info!(
-            "event=prefilled request={} replica={} outcome={word} tokens={} elapsed_ms={} total_ms={}",
-            self.request.facts.id,
-            replica.id,
-            self.request.facts.prompt_tokens,
-            began_at.until_ms(clock::now()),
-            self.request.received_at.until_ms(clock::now())
-        );
-        let elapsed_ms = began_at.until_ms(clock::now());
-        self.request.trace.record().prefill_ms = elapsed_ms;
-        self.context.metrics.note_prefill(elapsed_ms);
-        if engine_end == EngineEnd::Fine {
-            let tokens = self.request.facts.prompt_tokens;
-            self.context
-                .note_prefill(&self.request.service, tokens, elapsed_ms);
-        }
-        place.finish_prefill(engine_end);
-        if !matches!(end, PrefillEnd::Unsent | PrefillEnd::Withheld) {
-            self.arrivals.note_prompt(matches!(end, PrefillEnd::Done(_)));
-        }
-        match end {
-            PrefillEnd::Done(ticket) => PromptStep::Ready(ticket),
-            PrefillEnd::Refused => {
-                self.sends += 1;
-                PromptStep::Left
-            }
-            PrefillEnd::Unsent | PrefillEnd::Withheld | PrefillEnd::Failed | PrefillEnd::Late => {
-                PromptStep::Left
-            }
-            PrefillEnd::EngineEnded => PromptStep::EngineEnded,
-        }
+    /// Gives back what was paid for and did not go out.
+    fn settle_budget(&mut self) {
+        self.paid
+            .settle(self.context, self.request, self.arrivals.extra());
     }
 
     /// Has the answer generated and passes it on.
@@ -287,10 +222,7 @@
             began_at.until_ms(clock::now()),
             request.received_at.until_ms(clock::now())
         );
-        if !matches!(
-            outcome,
-            Err(ExchangeError::Unsent { .. } | ExchangeError::Withheld)
-        ) {
+        if !outcome.as_ref().is_err_and(ExchangeError::is_unsent) {
             self.arrivals.note_run();
         }
         match outcome {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,6 +1,4 @@
-//! Connections to replicas, and one exchange over one of them.
-
-use std::sync::Mutex;
+//! One exchange with a replica over a connection.
 
 use async_std::net::TcpStream;
 use futures::AsyncWriteExt;
@@ -8,12 +6,12 @@
 use snafu::Snafu;
 
 use super::loss::RunStage;
+use super::replica_state::note_replica;
 use super::{AnswerFacts, GatewayContext};
 use crate::blackboard::{ReplicaId, ReplicaRecord};
 use crate::clock;
 use crate::http::{BodyDecoder, BodyFraming, HeadLimits, ResponseHead, frame_response};
 use crate::prelude::*;
-use crate::runtime::lock;
 use crate::transport::{HttpStream, StreamError, until};
 
 /// How long connecting to a replica may take, in milliseconds: some round trips between zones and one packet that is
@@ -25,15 +23,6 @@
     most_bytes: 32 * 1024,
 };
 
-/// How long an idle connection is kept where the replica does not say, in milliseconds.
-const KEEP_MS: u64 = 2_000;
-
-/// How much sooner than the replica we give an idle connection up, in milliseconds.
-const KEEP_MARGIN_MS: u64 = 500;
-
-/// Idle connections that are kept to one replica.
-const KEPT_EACH: usize = 4;
-
 /// Bytes of a body that are written before the answer is looked for; a replica's receive window takes them.
 const SMALL_BODY_BYTES: usize = 32 * 1024;
 
@@ -43,10 +32,6 @@
 /// Bytes of such answers that are skipped; a connection with more is worth less than a new one.
 const MOST_STRAY_BYTES: usize = 256 * 1024;
 
-/// The longest back-off that a replica is granted, in milliseconds. A replica that asks for more has sent a wrong figure,
-/// which must not shut it out for good.
-const LONGEST_BACK_OFF_MS: u64 = 600_000;
-
 /// Why an exchange brought no answer.
 #[derive(Debug, Snafu)]
 pub enum ExchangeError {
@@ -72,71 +57,13 @@
     Withheld,
 }
 
-/// An idle connection.
-#[derive(Debug)]
-struct KeptStream {
-    stream: HttpStream,
-    used_at: Moment,
-    until: Moment,
-}
-
-/// Idle connections to replicas.
-#[derive(Debug, Default)]
-pub struct ConnectionPool {
-    kept: Mutex<FastMap<ReplicaId, Vec<KeptStream>>>,
-}
-
-impl ConnectionPool {
-    /// A connection that is still good, and carried an answer within a span.
-    fn take(&self, replica: &ReplicaId, used_within_ms: u64) -> Option<HttpStream> {
-        let now = clock::now();
-        let mut kept = lock(&self.kept);
-        let streams = kept.get_mut(replica)?;
-        // The one that was used last stands last.
-        let is_recent = |entry: &mut KeptStream| !now.reached(entry.used_at.after_ms(used_within_ms));
-        while let Some(entry) = streams.pop_if(is_recent) {
-            if !now.reached(entry.until) && entry.stream.is_quiet() {
-                return Some(entry.stream);
-            }
-        }
-        None
-    }
-
-    /// Keeps a connection for as long as the replica said, or a while.
-    fn put(&self, replica: &ReplicaId, mut stream: HttpStream, head: &ResponseHead) {
-        let said_ms = keep_alive_s(head).map(|span_s| span_s * 1_000);
-        let span_ms = said_ms.unwrap_or(KEEP_MS).saturating_sub(KEEP_MARGIN_MS);
-        stream.shrink();
-        let used_at = clock::now();
-        let until = used_at.after_ms(span_ms);
-        let mut kept = lock(&self.kept);
-        let streams = kept.entry(replica.clone()).or_default();
-        if streams.len() < KEPT_EACH {
-            streams.push(KeptStream {
-                stream,
-                used_at,
-                until,
-            });
-        }
-    }
-
-    /// Closes what has been idle for too long.
-    pub fn sweep(&self) {
-        let now = clock::now();
-        let mut kept = lock(&self.kept);
-        for streams in kept.values_mut() {
-            streams.retain(|entry| !now.reached(entry.until) && entry.stream.is_quiet());
-        }
-        kept.retain(|_, streams| !streams.is_empty());
+impl ExchangeError {
+    /// Whether no byte of the request left.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unsent { .. } | Self::Withheld)
     }
 }
 
-fn keep_alive_s(head: &ResponseHead) -> Option<u64> {
-    let parts = head.headers.text("keep-alive")?.split(',');
-    let mut timeouts = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
-    timeouts.next()?.parse().ok()
-}
-
 /// Which connection carries a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionChoice {
@@ -220,9 +147,7 @@
     request: UpstreamRequest<'_>,
 ) -> Result<UpstreamAnswer, ExchangeError> {
     let replica = request.replica;
-    if is_withheld(context, &request) {
-        return Err(ExchangeError::Withheld);
-    }
+    check_withheld(context, &request)?;
     let kept = match request.choice {
         ConnectionChoice::Kept => context.pool.take(&replica.id, u64::MAX),
         ConnectionChoice::Proven => context.pool.take(&replica.id, PROVEN_MS),
@@ -233,9 +158,7 @@
         None => {
             let stream = connect(&request).await?;
             // Another answer of the replica may have come while this request waited for its connection.
-            if is_withheld(context, &request) {
-                return Err(ExchangeError::Withheld);
-            }
+            check_withheld(context, &request)?;
             stream
         }
     };
@@ -254,42 +177,20 @@
         .ok_or(ExchangeError::Deadline)?
 }
 
-/// Whether a replica has said that it wants nothing more: nothing at all for a while, or no callers' requests since it
-/// is leaving.
-fn is_withheld(context: &GatewayContext, request: &UpstreamRequest<'_>) -> bool {
+/// Checks that the replica is eligible: it neither backs off nor drains.
+fn check_withheld(context: &GatewayContext, request: &UpstreamRequest<'_>) -> Result<(), ExchangeError> {
     let (record, now) = (request.replica, clock::now());
-    context.with_book(|book| {
+    let is_withheld = context.with_book(|book| {
         if request.stage.is_some() {
             book.is_withheld(record, now)
         } else {
             book.back_off_until(record, now).is_some()
         }
-    })
-}
-
-/// Takes what an answer says of the replica itself, whichever request it answers.
-fn note_replica(context: &GatewayContext, record: &ReplicaRecord, facts: &AnswerFacts) {
-    if facts.is_misdirected {
-        // Another replica answered, and speaks for itself.
-        return;
-    }
-    context.unknown_statements.note(record, &facts.unknown_statements);
-    let now = clock::now();
-    if let Some(span_ms) = facts.back_off_ms {
-        let span_ms = span_ms.min(LONGEST_BACK_OFF_MS);
-        context.with_book(|book| book.note_back_off(record, now.after_ms(span_ms)));
-        spdlog::warn!(
-            "event=replica_backs_off replica={} service={} back_off_ms={span_ms}",
-            record.id,
-            record.service
-        );
-    }
-    if facts.is_leaving {
-        context.control.tell(Event::ReplicaLeaving {
-            replica: record.id.clone(),
-            started_epoch_ms: record.started_epoch_ms,
-        });
+    });
+    if is_withheld {
+        return Err(ExchangeError::Withheld);
     }
+    Ok(())
 }
 
 async fn connect(request: &UpstreamRequest<'_>) -> Result<HttpStream, ExchangeError> {
--- a/tests/platform/shared_budget.rs
+++ b/tests/platform/shared_budget.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fixture::{Engines, start_desk};
-use crate::node::{GatewayNode, SHARED_RESERVE, SHARED_SHARE, publish_config};
+use crate::node::{GatewayNode, SHARED_RESERVE, SHARED_SHARE, publish_config, wait_until};
 use crate::replica::{ReplicaMood, StandInReplica};
 use crate::store::StandInStore;
 use crate::wire::{exchange, request};
@@ -120,3 +120,23 @@
     generate(&engines, STREAMS);
     assert_within_budget(STREAMS, &engines.all(), began);
 }
+
+#[test]
+fn sends_that_did_not_go_out_cost_nothing_of_the_budget() {
+    const CALLS: usize = 30;
+    let (_store, node, replicas) = start_desk([ReplicaMood::NotRun, ReplicaMood::Well]);
+    replicas[1].life.end();
+    // The first one rejects each call, and the second one can't be reached.
+    (0..CALLS).for_each(|number| call(node.callers(), &format!("q-{number}")));
+    let last = format!("event=ended request=q-{}", CALLS - 1);
+    wait_until("the last call is logged", || node.log().contains(&last));
+    let log = node.log();
+    assert!(log.contains("outcome=unsent"), "{log}");
+    assert!(!log.contains("event=retry_denied"), "{log}");
+    assert_eq!(
+        node.metric("budget_taken", ""),
+        node.metric("budget_returned", ""),
+        "{log}"
+    );
+    assert_eq!(count_extra(&replicas.iter().collect::<Vec<_>>()), 0);
+}
--- a/tests/send_budget.rs
+++ b/tests/send_budget.rs
@@ -46,6 +46,21 @@
     assert!(f64::from(taken) <= RESERVE / 2.0, "{taken}");
 }
 
+#[test]
+fn what_did_not_go_out_is_there_again() {
+    let mut budget = SendBudget::new(SHARE, RESERVE, WINDOW_MS, true);
+    let first = take_all(&mut budget, Some(1), Moment(20_000));
+    assert_eq!(take_all(&mut budget, Some(1), Moment(22_000)), 0);
+    budget.give_back(&"desk".into(), 5, Moment(22_500));
+    assert_eq!(take_all(&mut budget, Some(1), Moment(23_000)), 5);
+    budget.give_back(&"desk".into(), 2 * first, Moment(23_500));
+    assert_eq!(
+        take_all(&mut budget, Some(1), Moment(24_000)),
+        first,
+        "not more than was taken"
+    );
+}
+
 #[test]
 fn what_was_taken_counts_for_a_window() {
     let mut budget = SendBudget::new(SHARE, RESERVE, WINDOW_MS, true);
