Keep a prompt whose decode engine could be sent nothing for the next one

What callers saw: late first tokens in a series of crashes, and engines that ran prompts in vain. Change: a prompt of which nothing was sent on is kept as long as its engine keeps it. Its generation then goes before those for which nothing was done, and is served late rather than refused.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -16,9 +16,30 @@
 /// The part of the most tokens that a request is expected to generate where its caller gives no estimate, in percent.
 const EXPECTED_PERCENT: u32 = 45;
 
+/// The rank of whoever has begun, who goes before whoever has not: what was done for it would be in vain.
+const BEGUN_PRIORITY: u32 = 0;
+
 /// Grants of engines that take nothing from this VM which are given back before a request goes on with one.
 const MOST_STALE_GRANTS: usize = 2;
 
+/// What an attempt needs of its engines.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceNeed<'a> {
+    /// Decode engines that are passed over.
+    pub avoid: &'a [ReplicaId],
+    /// Whether its prompt was run by an earlier attempt. It is then served first, and late rather than refused.
+    pub has_prompt: bool,
+}
+
+impl PlaceNeed<'_> {
+    fn with<'b>(&self, avoid: &'b [ReplicaId]) -> PlaceNeed<'b> {
+        PlaceNeed {
+            avoid,
+            has_prompt: self.has_prompt,
+        }
+    }
+}
+
 /// A request's hold on its engines.
 pub struct EnginePlace {
     context: Arc<GatewayContext>,
@@ -34,28 +55,28 @@
     pub async fn acquire(
         context: &Arc<GatewayContext>,
         request: &CallerRequest,
-        avoid: &[ReplicaId],
+        need: PlaceNeed<'_>,
     ) -> Result<Self, RefusalNotice> {
-        let mut avoid = avoid.to_vec();
+        let mut avoid = need.avoid.to_vec();
         for _ in 0..MOST_STALE_GRANTS {
-            let place = Self::ask_once(context, request, &avoid).await?;
+            let place = Self::ask_once(context, request, need.with(&avoid)).await?;
             let Some(stale) = place.find_withheld() else {
                 return Ok(place);
             };
             spdlog::info!("event=grant_stale request={} engine={stale}", request.facts.id);
             avoid.push(stale);
         }
-        Self::ask_once(context, request, &avoid).await
+        Self::ask_once(context, request, need.with(&avoid)).await
     }
 
     async fn ask_once(
         context: &Arc<GatewayContext>,
         request: &CallerRequest,
-        avoid: &[ReplicaId],
+        need: PlaceNeed<'_>,
     ) -> Result<Self, RefusalNotice> {
         let id = context.next_request_id();
         let asked_at = clock::now();
-        let ask = to_ask(context, &id, request, avoid);
+        let ask = to_ask(context, &id, request, need);
         let placed = PlacementHold::acquire(&context.control, ask).await;
         let queue_ms = asked_at.until_ms(clock::now());
         let (hold, grant) = placed.map_err(|notice| {
@@ -118,14 +139,18 @@
     context: &GatewayContext,
     id: &RequestId,
     request: &CallerRequest,
-    avoid: &[ReplicaId],
+    need: PlaceNeed<'_>,
 ) -> PlacementAsk {
     let (facts, rule) = (&request.facts, &request.rule);
     let fresh = PlacementAsk {
         request: id.clone(),
         workspace: ROUTED_WORKSPACE.into(),
         model: request.service.clone(),
-        priority: rule.priority,
+        priority: if need.has_prompt {
+            BEGUN_PRIORITY
+        } else {
+            rule.priority
+        },
         zone: context.own.zone.clone(),
         fingerprint: request.fingerprint,
         prompt_tokens: facts.prompt_tokens,
@@ -135,10 +160,10 @@
         give_up_at: request.received_at.after_ms(rule.patience_ms()),
         prefix: Vec::new(),
         deadline: request.deadline.max(clock::now()),
-        may_be_late: false,
+        may_be_late: need.has_prompt,
         may_skip_prefill: true,
         is_retry: false,
-        avoid: avoid.to_vec(),
+        avoid: need.avoid.to_vec(),
         barred: context.with_book(|book| book.withheld(&request.service, clock::now())),
     };
     let (events, last_event_at) = {
@@ -164,7 +189,7 @@
     let done_tokens = events.saturating_mul(context.event_tokens(&request.service));
     let done_tokens = u32::try_from(done_tokens).unwrap_or(u32::MAX);
     PlacementAsk {
-        priority: 0,
+        priority: BEGUN_PRIORITY,
         may_be_late: true,
         prompt_tokens: fresh.prompt_tokens.saturating_add(done_tokens),
         max_tokens: fresh.max_tokens.saturating_sub(done_tokens).max(1),
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -6,6 +6,7 @@
 use super::verdict::PrefillEnd;
 use crate::clock;
 use crate::controllers::slots::EngineEnd;
+use crate::prelude::*;
 use crate::runtime::RunPermit;
 
 /// The share of the latency objective within which a prefill engine must have run a prompt of usual size, in percent; a
@@ -16,10 +17,21 @@
 /// given up just before it is done would be run once more, at half the speed.
 const PREFILL_MARGIN_PERCENT: u64 = 150;
 
+/// How much sooner than its engine says a prompt that was run counts as gone, in milliseconds: its way to a decode engine.
+const KEEP_MARGIN_MS: u64 = 100;
+
+/// A prompt that was run.
+pub(super) struct ReadyPrompt {
+    /// Its KV cache at its engine.
+    pub ticket: TicketLease,
+    /// Until when it is there.
+    until: Moment,
+}
+
 /// How the prompt of an attempt was dealt with.
 pub(super) enum PromptStep {
     /// Its KV cache waits at an engine.
-    Ready(TicketLease),
+    Ready(ReadyPrompt),
     /// The decode engine runs it itself.
     Left,
     /// Its engine ended under it, which is to be weighed before another one gets the request.
@@ -37,8 +49,21 @@
         usual_ms.max(by_size_ms)
     }
 
-    /// Has the prompt run; without a ticket the decode engine runs it itself.
+    /// How long an engine keeps a prompt that it ran, in milliseconds.
+    fn prompt_keep_ms(&self) -> u64 {
+        let snapshot = self.context.snapshot();
+        let rule = snapshot.register.services.get(&self.request.service);
+        let engine = rule.and_then(|rule| rule.engine.as_ref());
+        engine.map_or(0, |engine| engine.prefill_keep_ms.saturating_sub(KEEP_MARGIN_MS))
+    }
+
+    /// Has the prompt run, or uses the one that was kept; without one the decode engine runs it itself.
     pub(super) async fn prefill(&mut self, place: &mut EnginePlace, permit: &RunPermit) -> PromptStep {
+        let kept = self.kept_prompt.take();
+        if let Some(kept) = kept.filter(|kept| !clock::now().reached(kept.until)) {
+            place.finish_prefill(EngineEnd::Full);
+            return PromptStep::Ready(kept);
+        }
         let Some(replica) = place.prefill.clone() else {
             return PromptStep::Left;
         };
@@ -82,7 +107,10 @@
             self.arrivals.note_prompt(matches!(end, PrefillEnd::Done(_)));
         }
         match end {
-            PrefillEnd::Done(ticket) => PromptStep::Ready(ticket),
+            PrefillEnd::Done(ticket) => PromptStep::Ready(ReadyPrompt {
+                ticket,
+                until: clock::now().after_ms(self.prompt_keep_ms()),
+            }),
             PrefillEnd::Refused => {
                 self.sends += 1;
                 PromptStep::Left
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -5,12 +5,11 @@
 use async_std::net::TcpStream;
 
 use super::call::failed_notice;
-use super::engine_call::TicketLease;
 use super::exchange::{AnswerEnd, COME_BACK_MS, CallerRequest, refuse};
 use super::loss::{RunStage, report_loss};
 use super::paid_sends::PaidSends;
-use super::place::EnginePlace;
-use super::prompt::PromptStep;
+use super::place::{EnginePlace, PlaceNeed};
+use super::prompt::{PromptStep, ReadyPrompt};
 use super::relay::AnswerWriter;
 use super::send::note_send;
 use super::sse::{EventCutter, count_events, last_event_id};
@@ -44,6 +43,7 @@
         sends: 0,
         arrivals: ArrivalCount::default(),
         paid: PaidSends::default(),
+        kept_prompt: None,
         ended_prefills: 0,
         in_doubt: false,
         writer: None,
@@ -84,6 +84,8 @@
     pub(super) arrivals: ArrivalCount,
     /// Extra arrivals that the budget covered.
     paid: PaidSends,
+    /// Its prompt, where that was run and its decode engine could be sent nothing.
+    pub(super) kept_prompt: Option<ReadyPrompt>,
     /// Engines that ended while they ran its prompt.
     ended_prefills: u32,
     /// Whether some engine may have begun to run it.
@@ -131,15 +133,19 @@
         if is_paid && !self.pay_extra() {
             return None;
         }
-        let mut place = match EnginePlace::acquire(self.context, self.request, &self.tried).await {
+        let need = PlaceNeed {
+            avoid: &self.tried,
+            has_prompt: self.kept_prompt.is_some(),
+        };
+        let mut place = match EnginePlace::acquire(self.context, self.request, need).await {
             Ok(place) => place,
             Err(notice) => {
                 self.refusal = Some(notice);
                 return None;
             }
         };
-        let ticket = match self.prefill(&mut place, &permit).await {
-            PromptStep::Ready(ticket) => Some(ticket),
+        let prompt = match self.prefill(&mut place, &permit).await {
+            PromptStep::Ready(prompt) => Some(prompt),
             PromptStep::Left => None,
             PromptStep::EngineEnded => {
                 self.ended_prefills += 1;
@@ -156,7 +162,7 @@
         }
         self.sends += 1;
         self.tried.push(place.decode.id.clone());
-        Some(self.decode(place, ticket, permit).await)
+        Some(self.decode(place, prompt, permit).await)
     }
 
     /// Takes an extra arrival from the budget; whether it is covered.
@@ -174,13 +180,13 @@
     async fn decode(
         &mut self,
         mut place: EnginePlace,
-        ticket: Option<TicketLease>,
+        prompt: Option<ReadyPrompt>,
         permit: RunPermit,
     ) -> StreamEnd {
         let request = self.request;
         let replica = place.decode.clone();
         let began_at = clock::now();
-        let purpose = match ticket.as_ref().and_then(TicketLease::ticket) {
+        let purpose = match prompt.as_ref().and_then(|prompt| prompt.ticket.ticket()) {
             Some(ticket) => SendPurpose::Decode(ticket),
             None => SendPurpose::Run,
         };
@@ -229,7 +235,7 @@
             Ok(answer) => {
                 let verdict = judge(&answer, &request.facts.id);
                 if !matches!(verdict, AnswerVerdict::NotRun | AnswerVerdict::Misdirected) {
-                    ticket.into_iter().for_each(TicketLease::taken);
+                    prompt.into_iter().for_each(|prompt| prompt.ticket.taken());
                 }
                 place.note_handover(began_at.until_ms(clock::now()));
                 self.pass_on(place, answer, verdict, DecodeRun { began_at, permit })
@@ -237,11 +243,13 @@
             }
             Err(ExchangeError::Unsent { .. }) => {
                 place.note_decode(EngineEnd::Unreachable);
+                self.kept_prompt = prompt;
                 self.sends -= 1;
                 StreamEnd::NotRun
             }
             Err(ExchangeError::Withheld) => {
                 place.note_decode(EngineEnd::Full);
+                self.kept_prompt = prompt;
                 self.sends -= 1;
                 StreamEnd::NotRun
             }
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -251,3 +251,25 @@
         engines.node.log()
     );
 }
+
+#[test]
+fn a_prompt_is_not_run_again_where_its_decode_engine_can_not_be_reached() {
+    let engines = Engines::start();
+    // The first generation goes to the first engine of each kind, since nothing tells them apart yet.
+    engines.decodes[0].life.end();
+    let answer = engines.node.ask(&generation("q-1"));
+    assert_eq!(
+        (answer.status(), answer.is_whole),
+        (200, true),
+        "{}",
+        engines.node.log()
+    );
+    let prompts = seen(&engines.prefills, "q-1").len();
+    let runs = seen(&engines.decodes, "q-1");
+    wait_until("the engine could not be reached", || {
+        engines.node.log().contains("outcome=unsent")
+    });
+    assert_eq!((prompts, runs.len()), (1, 1), "{}", engines.node.log());
+    let source = runs[0].header("X-Kv-Source").unwrap_or_default();
+    assert!(source.ends_with("/h-q-1"), "{source}");
+}
