--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 
 use criterion::Criterion;
-use dotterelspan::blackboard::OwnIdentity;
+use dotterelspan::blackboard::{
+    OwnIdentity, RateLimit, ReplicaFacts, ReplicaRecord, ReplicaRole, RequestRate,
+};
 use dotterelspan::controllers::ControlCore;
 use dotterelspan::controllers::idempotency::{KeyRequest, KeyScope};
 use dotterelspan::controllers::message::PeerMessage;
+use dotterelspan::controllers::rate_limits::{PermitAsk, RateLimitController};
 use dotterelspan::controllers::resolve::rank_entries;
 use dotterelspan::controllers::services::{ServiceAsk, ServiceResult};
 use dotterelspan::controllers::slots::{PlacementAsk, PlacementPolicy, PlacementResult};
@@ -87,6 +90,52 @@
     ControlCore::with_all_parts(board, PlacementPolicy::Owner, 24, 1)
 }
 
+/// A core that gives permits for five replicas of a plain service, which all name a limit.
+fn limit_core(nodes: usize) -> ControlCore {
+    let mut board = core(nodes, 0).board;
+    for index in 0..5 {
+        let id: Arc<str> = format!("i-{index}").into();
+        let record = ReplicaRecord {
+            id: id.clone(),
+            started_epoch_ms: 1,
+            service: "desk".into(),
+            role: ReplicaRole::Plain,
+            address: ([10, 9, 0, index], 80).into(),
+            zone: "zone-0".into(),
+            slots: 6,
+            is_draining: false,
+        };
+        let facts = ReplicaFacts {
+            record: Arc::new(record),
+            stop_at: None,
+            is_listed: true,
+        };
+        Arc::make_mut(&mut board.replicas).insert(id.clone(), facts);
+        let limit = RateLimit {
+            started_epoch_ms: 1,
+            rate: RequestRate(5_000),
+            first_named_at: Moment(90_000),
+            seen_by: "entry-1".into(),
+        };
+        Arc::make_mut(&mut board.rate_limits).insert(id, limit);
+    }
+    ControlCore::new(board, vec![Box::new(RateLimitController::new(96))])
+}
+
+fn permit_ask(number: u64) -> Event {
+    let candidates = (0..5).map(|index| format!("i-{index}").into()).collect();
+    let ask = PermitAsk {
+        service: "desk".into(),
+        candidates,
+        start_by: Moment(100_300 + number),
+    };
+    Event::PeerMessage {
+        from: "entry-1".into(),
+        incarnation: 1,
+        message: PeerMessage::PermitAsk { number, ask },
+    }
+}
+
 fn ask(number: u64) -> PlacementAsk {
     PlacementAsk {
         request: format!("entry-1~{number}").into(),
@@ -205,6 +254,14 @@
                 black_box(core.handle(&event, now));
             });
         });
+        let mut limit_core = self::limit_core(nodes);
+        let mut number = 0;
+        criterion.bench_function(&id("permit asked for by a peer"), |bench| {
+            bench.iter(|| {
+                number += 1;
+                black_box(limit_core.handle(&permit_ask(number), Moment(100_000 + number)));
+            });
+        });
         let mut tick_core = self::core(nodes, replicas);
         let mut at = Moment(10_000);
         criterion.bench_function(&id("tick"), |bench| {
--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -2,12 +2,14 @@
 
 mod engine;
 mod fingerprint;
+mod rate_limit;
 mod replica;
 mod suspicion;
 mod vms;
 
 pub use engine::EngineView;
 pub use fingerprint::{Fingerprint, hash_parts};
+pub use rate_limit::{RateLimit, RateLimitMap, RequestRate, SharedRateLimits, find_limit};
 pub use replica::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
 pub use suspicion::{Suspicion, SuspicionMap};
 pub use vms::{LiveView, VmTable};
@@ -158,12 +160,20 @@
     pub gives_orders: bool,
     /// Whether the settings of all VMs name this one as a seed.
     pub is_seed: bool,
+    /// Other VMs that the settings name, over which this one finds the rest.
+    pub other_seeds: usize,
     /// Requests under which upstreams ended; another map after each change.
     pub suspicions: Arc<SuspicionMap>,
     /// A hash of what is known of them, to compare with what others know.
     pub case_digest: u64,
     /// How many VMs may be running, this one and those out of sight too.
     pub fleet_size: usize,
+    /// Limits that replicas name; another map after each change.
+    pub rate_limits: SharedRateLimits,
+    /// A hash of the replicas that name one, to compare with what others know.
+    pub limit_digest: u64,
+    /// When this VM, as an owner, last let a request go to a replica that names a limit.
+    pub permitted_at: FastMap<ReplicaId, Moment>,
     /// The drain, once it has begun.
     pub drain: Option<DrainFacts>,
 }
@@ -184,9 +194,13 @@
             store_revision: 0,
             gives_orders: false,
             is_seed: false,
+            other_seeds: 0,
             suspicions: Arc::default(),
             case_digest: 0,
             fleet_size: 1,
+            rate_limits: Arc::default(),
+            limit_digest: 0,
+            permitted_at: FastMap::default(),
             drain: None,
         }
     }
--- a/src/command_line/commands.rs
+++ b/src/command_line/commands.rs
@@ -231,6 +231,7 @@
     print_lines("steps", &story.steps);
     print_lines("beliefs", &story.beliefs);
     print_lines("requests of its content", &story.suspicion);
+    print_lines("limits of its service", &story.limits);
     ExitStatus::Done
 }
 
--- a/src/controllers/census.rs
+++ b/src/controllers/census.rs
@@ -38,11 +38,14 @@
 
 impl Controller for CensusController {
     fn hears(&self) -> &'static [EventKind] {
-        &[EventKind::Tick]
+        &[EventKind::Tick, EventKind::PeerJoined, EventKind::PeerMessage]
     }
 
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
-        if matches!(event, Event::Tick { .. }) && turn.now.reached(self.next_count) {
+        let is_due = matches!(event, Event::Tick { .. }) && turn.now.reached(self.next_count);
+        // A process that has just met others shares with them at once.
+        let has_met = turn.board.live_view(turn.now).vms.len() > turn.board.fleet_size;
+        if is_due || has_met {
             self.next_count = turn.now.after_ms(COUNT_EVERY_MS);
             self.count(turn);
         }
--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -5,8 +5,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::returns::{ReturnAsk, ReturnPlanner};
 use super::{ReplicaStanding, SendOutcome};
-use crate::blackboard::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
+use crate::blackboard::{
+    ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole, RequestRate, SharedRateLimits,
+    find_limit,
+};
 use crate::prelude::*;
 
 /// What another zone costs a plain call, in milliseconds of waiting: its way there and back, and its price.
@@ -21,6 +25,15 @@
 /// What each request in a decode engine's batch costs another one, in prompt tokens.
 const BATCH_TOKENS: u64 = 400;
 
+/// What a permit for a replica that names a limit costs a call, in milliseconds of waiting: a round trip to its owner.
+const PERMIT_MS: u64 = 5;
+
+/// How many times as long as one that names a limit a replica may take for a call and still goes before it.
+const SLOW_FACTOR: u64 = 3;
+
+/// The most replicas that a permit is asked for at once.
+const MOST_CANDIDATES: usize = 16;
+
 /// What is wanted of a replica.
 #[derive(Clone, Debug)]
 pub struct DispatchAsk<'a> {
@@ -41,6 +54,27 @@
     pub free_beside: u32,
 }
 
+/// Where a request may go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DispatchChoice {
+    /// To this replica.
+    Free(Arc<ReplicaRecord>),
+    /// To one of these, the best one first, which name limits: with a permit.
+    Limited(Vec<ReplicaId>),
+}
+
+/// How well a replica suits a request; the least is best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ChoiceRank {
+    /// What speaks against it: it failed lately, or drains.
+    reserve: u8,
+    /// Whether others with a slot free go first, since it names a limit or has none.
+    is_second: bool,
+    cost: u64,
+    /// Decides between equals.
+    draw: u32,
+}
+
 /// A replica's wish to be left alone by this node.
 #[derive(Clone, Copy, Debug)]
 struct BackOff {
@@ -56,6 +90,10 @@
     standings: FastMap<ReplicaId, ReplicaStanding>,
     /// Kept apart from the standings, since it also holds for a replica that is off the list for a while.
     back_offs: FastMap<ReplicaId, BackOff>,
+    limits: SharedRateLimits,
+    /// Until when no permit is to be had for a replica that names a limit.
+    no_permit_until: FastMap<ReplicaId, Moment>,
+    returns: FastMap<Arc<str>, ReturnPlanner>,
     random: SmallRng,
 }
 
@@ -66,6 +104,9 @@
             zone,
             standings: FastMap::default(),
             back_offs: FastMap::default(),
+            limits: Arc::default(),
+            no_permit_until: FastMap::default(),
+            returns: FastMap::default(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -82,6 +123,55 @@
         }
     }
 
+    /// Takes over the limits that replicas name.
+    pub fn set_limits(&mut self, limits: &SharedRateLimits) {
+        if !Arc::ptr_eq(&self.limits, limits) {
+            self.limits = limits.clone();
+            self.no_permit_until.retain(|id, _| limits.contains_key(id));
+        }
+    }
+
+    fn limit(&self, record: &ReplicaRecord) -> Option<RequestRate> {
+        let limit = find_limit(&self.limits, &record.id, record.started_epoch_ms);
+        limit.map(|limit| limit.rate)
+    }
+
+    /// Whether a replica of a service names a limit.
+    fn has_limits(&self, service: &str) -> bool {
+        let mut limited = self.limits.keys().filter_map(|id| self.standings.get(id));
+        limited.any(|standing| &*standing.record.service == service && self.limit(&standing.record).is_some())
+    }
+
+    /// Notes that no permit is to be had for some replicas before a moment.
+    pub fn note_no_permit(&mut self, candidates: &[ReplicaId], until: Moment) {
+        let ids = candidates.iter().cloned();
+        self.no_permit_until.extend(ids.map(|id| (id, until)));
+    }
+
+    /// Whether permits are to be had for a replica, as far as is known.
+    fn has_permits(&self, record: &ReplicaRecord, rate: RequestRate, now: Moment) -> bool {
+        let until = self.no_permit_until.get(&record.id);
+        !rate.is_zero() && until.is_none_or(|until| now.reached(*until))
+    }
+
+    /// When a caller that is refused since all replicas of a service keep to limits should come back, in milliseconds; `None`
+    /// where none of them names one.
+    pub fn plan_return_ms(&mut self, service: &Arc<str>, asker: &ReturnAsk<'_>, now: Moment) -> Option<u64> {
+        let standings = self.standings.values();
+        let of_service =
+            standings.filter(|standing| *standing.record.service == **service && !standing.is_stopped(now));
+        let limited: Vec<(RequestRate, Moment)> = of_service
+            .filter_map(|standing| {
+                let until = self.no_permit_until.get(&standing.record.id);
+                Some((self.limit(&standing.record)?, until.copied().unwrap_or(now)))
+            })
+            .collect();
+        let first = limited.iter().map(|(_, until)| *until).min()?;
+        let rate = RequestRate(limited.iter().map(|(rate, _)| rate.0).sum());
+        let planner = self.returns.entry(service.clone()).or_default();
+        Some(planner.plan_ms(rate, now.until_ms(first), asker, now))
+    }
+
     /// Notes until when a replica wants nothing from this node.
     pub fn note_back_off(&mut self, record: &ReplicaRecord, until: Moment) {
         let started_epoch_ms = record.started_epoch_ms;
@@ -141,10 +231,13 @@
         })
     }
 
-    /// The replica that should serve soonest. Paused and leaving ones are used only where no other one is left, and those
+    /// The replica that should serve soonest, or those that name limits and should. Paused and leaving ones are used only
+    /// where no other one is left, those that name a limit where the others have no slot free or are much slower, and those
     /// that back off never.
-    pub fn choose(&mut self, ask: &DispatchAsk<'_>, now: Moment) -> Option<Arc<ReplicaRecord>> {
-        let mut best: Option<((u8, u64, u32), Arc<ReplicaRecord>)> = None;
+    pub fn choose(&mut self, ask: &DispatchAsk<'_>, now: Moment) -> Option<DispatchChoice> {
+        let mut free: Option<(ChoiceRank, Arc<ReplicaRecord>)> = None;
+        let mut limited: Vec<(ChoiceRank, ReplicaId)> = Vec::new();
+        let has_limits = self.has_limits(ask.service);
         for standing in self.standings.values() {
             let record = &standing.record;
             let is_fit = &*record.service == ask.service
@@ -156,13 +249,32 @@
                 continue;
             }
             let is_paused = !now.reached(standing.paused_until);
-            let rank = u8::from(is_paused) + 2 * u8::from(standing.stop_at.is_some());
-            let key = (rank, self.cost(standing, now), self.random.random());
-            if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
-                best = Some((key, record.clone()));
+            let mut rank = ChoiceRank {
+                reserve: u8::from(is_paused) + 2 * u8::from(standing.stop_at.is_some()),
+                is_second: has_limits && standing.expected_requests(now) >= record.slots,
+                cost: self.cost(standing, now),
+                draw: self.random.random(),
+            };
+            match self.limit(record) {
+                Some(rate) if self.has_permits(record, rate, now) => {
+                    rank.is_second = true;
+                    rank.cost += PERMIT_MS;
+                    limited.push((rank, record.id.clone()));
+                }
+                Some(_) => {}
+                None => {
+                    if free.as_ref().is_none_or(|(best, _)| rank < *best) {
+                        free = Some((rank, record.clone()));
+                    }
+                }
             }
         }
-        best.map(|(_, record)| record)
+        let Some((best, record)) = free else {
+            return to_candidates(limited);
+        };
+        let is_much_faster = |rank: &ChoiceRank| best.cost > rank.cost * SLOW_FACTOR;
+        limited.retain(|(rank, _)| *rank < best || (rank.reserve <= best.reserve && is_much_faster(rank)));
+        Some(to_candidates(limited).unwrap_or(DispatchChoice::Free(record)))
     }
 
     /// What the choice of a replica was made on.
@@ -209,6 +321,16 @@
         }
     }
 
+    /// How long the fastest replica of a plain service takes for an answer, in milliseconds, as far as is known.
+    pub fn answer_ms(&self, service: &str) -> u64 {
+        let standings = self.standings.values();
+        let of_service = standings.filter(|standing| &*standing.record.service == service);
+        let known = of_service
+            .map(|standing| standing.answer_ms)
+            .filter(|known| *known > 0);
+        known.min().unwrap_or(UNKNOWN_ANSWER_MS)
+    }
+
     /// Books a send.
     pub fn begin(&mut self, id: &ReplicaId, tokens: u32) {
         if let Some(standing) = self.standings.get_mut(id) {
@@ -238,3 +360,10 @@
         }
     }
 }
+
+fn to_candidates(mut limited: Vec<(ChoiceRank, ReplicaId)>) -> Option<DispatchChoice> {
+    limited.sort_unstable();
+    limited.truncate(MOST_CANDIDATES);
+    let candidates: Vec<ReplicaId> = limited.into_iter().map(|(_, id)| id).collect();
+    (!candidates.is_empty()).then_some(DispatchChoice::Limited(candidates))
+}
--- a/src/controllers/dispatch/mod.rs
+++ b/src/controllers/dispatch/mod.rs
@@ -3,9 +3,11 @@
 mod arrivals;
 mod book;
 mod budget;
+mod returns;
 mod standing;
 
 pub use arrivals::ArrivalCount;
-pub use book::{ChoiceEvidence, DispatchAsk, DispatchBook};
+pub use book::{ChoiceEvidence, DispatchAsk, DispatchBook, DispatchChoice};
 pub use budget::{BudgetVerdict, SendBudget};
+pub use returns::{ReturnAsk, ReturnPlanner};
 pub use standing::{ReplicaStanding, SendOutcome};
--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -6,6 +6,7 @@
 use super::idempotency::{IdempotencyKey, KeyOutcome, KeyRequest, StoredAnswer};
 use super::message::{KeyCall, PeerMessage, VmIntroduction};
 use super::quarantine::{RunLoss, TrialNumber};
+use super::rate_limits::{LimitRecord, PermitAsk, PermitGrant};
 use super::services::{ServiceAsk, ServiceResult};
 use super::slots::{EngineEnd, PlacementAsk, PlacementResult, RequestId};
 use crate::blackboard::{Fingerprint, Incarnation, ReplicaId};
@@ -137,6 +138,23 @@
         /// Requests it holds.
         load: u32,
     },
+    /// An answer of a replica says, or no longer says, which limit the replica names.
+    LimitStated {
+        /// What it says.
+        record: LimitRecord,
+    },
+    /// A request wants to go to a replica that names a limit.
+    PermitWanted {
+        /// Who waits.
+        ticket: ReplyTicket,
+        /// Where it may go.
+        ask: PermitAsk,
+    },
+    /// A permit was not used.
+    PermitReturned {
+        /// Which.
+        grant: PermitGrant,
+    },
     /// A run ended with the connection to its upstream.
     RequestLost {
         /// Who waits until it is noted.
@@ -270,6 +288,9 @@
     ServiceWanted = "service_wanted",
     ServiceDone = "service_done",
     LoadReported = "load_reported",
+    LimitStated = "limit_stated",
+    PermitWanted = "permit_wanted",
+    PermitReturned = "permit_returned",
     RequestLost = "request_lost",
     TrialWanted = "trial_wanted",
     TrialDone = "trial_done",
--- a/src/controllers/membership/mod.rs
+++ b/src/controllers/membership/mod.rs
@@ -3,8 +3,8 @@
 
 mod views;
 
+use super::comparison::DigestComparison;
 use super::message::{MemberView, PeerMessage, VmIntroduction};
-
 use crate::blackboard::Incarnation;
 use crate::prelude::*;
 
@@ -24,21 +24,12 @@
 #[derive(Debug, Default)]
 pub struct MembershipController {
     next_probe: Moment,
-
     retries: usize,
     probes_sent: FastMap<VmAddress, Moment>,
-
-    /// This node's own view as it last compared it.
-    latest_view: MemberView,
-    /// From when on that view counts as settled, if nothing changes it before.
-    settled_at: Moment,
+    /// When this process asks others for all that they know.
+    comparison: DigestComparison<MemberView>,
     /// The VM over which this process found the others.
     seed: Option<VmAddress>,
-    /// Whether this process has asked for all that another one knows.
-    has_pulled: bool,
-    /// When it may ask again.
-    next_pull: Moment,
-    pull_pause_ms: u64,
 }
 
 impl MembershipController {
@@ -119,7 +110,7 @@
             return;
         }
         turn.publish();
-        if !self.has_pulled {
+        if !self.comparison.has_asked() {
             // The neighbors that a seed has told of are met at once.
             self.next_probe = turn.now;
         }
--- a/src/controllers/membership/views.rs
+++ b/src/controllers/membership/views.rs
@@ -7,38 +7,20 @@
 use crate::controllers::ring::neighbors_of;
 use crate::prelude::*;
 
-/// How long a view must be unchanged before it is compared with that of others, in milliseconds: news go around the ring
-/// in some hundred milliseconds, and heartbeats come each second.
-const VIEW_SETTLED_MS: u64 = 1_200;
-
-/// The first and the longest pause between two questions for all that others know, in milliseconds. The pause doubles
-/// while views differ though nothing changes, as they do where a VM is cut off from some others only.
-const FIRST_PULL_PAUSE_MS: u64 = 500;
-const LONGEST_PULL_PAUSE_MS: u64 = 16_000;
-
 impl MembershipController {
     /// Asks a VM that knows more VMs, or others, for all that it knows. One is asked at a time, and only neighbors on the
     /// ring: a seed would else be asked by all that begin together.
     pub(super) fn compare_views(&mut self, from: &VmAddress, view: MemberView, turn: &mut Turn<'_>) {
         let own = turn.board.live_view(turn.now).member_view;
-        if std::mem::replace(&mut self.latest_view, own) != own {
-            self.settled_at = turn.now.after_ms(VIEW_SETTLED_MS);
-            self.pull_pause_ms = FIRST_PULL_PAUSE_MS;
-        }
         let is_behind = match view.count.cmp(&own.count) {
             Ordering::Greater => true,
             Ordering::Equal => view.digest != own.digest,
             Ordering::Less => false,
         };
-        // While news are on their way around the ring, views differ by themselves; a process that has just begun does
-        // not wait for that.
-        let may_pull = !self.has_pulled || turn.now.reached(self.settled_at);
-        if !is_behind || !may_pull || !turn.now.reached(self.next_pull) || !self.is_asked(from, turn) {
+        let may_ask = is_behind && self.is_asked(from, turn);
+        if !self.comparison.should_ask(own, may_ask, turn.now) {
             return;
         }
-        self.has_pulled = true;
-        self.next_pull = turn.now.after_ms(self.pull_pause_ms);
-        self.pull_pause_ms = (self.pull_pause_ms * 2).min(LONGEST_PULL_PAUSE_MS);
         self.tell_suspects(from, turn);
         turn.send_to(from, PeerMessage::VmsWanted);
     }
@@ -47,7 +29,7 @@
     /// knows another neighbor.
     fn is_asked(&self, vm: &VmAddress, turn: &Turn<'_>) -> bool {
         let neighbors = &turn.board.live_view(turn.now).neighbors;
-        let is_free = self.has_pulled || neighbors.len() == 1 || self.seed.as_ref() != Some(vm);
+        let is_free = self.comparison.has_asked() || neighbors.len() == 1 || self.seed.as_ref() != Some(vm);
         neighbors.contains(vm) && is_free
     }
 
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -5,7 +5,10 @@
 use super::discovery::{ListRevision, ReplicaUpdate};
 use super::idempotency::{HandoffRecord, StoredAnswer};
 use super::quarantine::{CaseRecord, DeathStrike, TrialNumber};
-use super::slots::{EngineEnd, EngineGroup, HeldSlot, PlacementAsk, PlacementResult, RequestId};
+use super::rate_limits::{LimitRecord, PermitAsk, PermitVerdict};
+use super::slots::{
+    EngineEnd, EngineGroup, EnginePermits, HeldSlot, PlacementAsk, PlacementResult, RequestId,
+};
 use crate::blackboard::{Fingerprint, Incarnation, OwnIdentity, ReplicaId};
 use crate::prelude::*;
 
@@ -129,6 +132,8 @@
         decode: Arc<str>,
         /// The prefill engine; `None` where the decode engine runs the prompt itself.
         prefill: Option<Arc<str>>,
+        /// Which of them may be sent to though they name limits.
+        permits: EnginePermits,
     },
     /// The request waits; the owner is alive.
     Queued,
@@ -177,6 +182,8 @@
         view: MemberView,
         /// A hash of the requests under which upstreams ended.
         case_digest: u64,
+        /// A hash of the replicas that name limits.
+        limit_digest: u64,
         /// Whether it is leaving.
         leaving: bool,
         /// Whether it wants a heartbeat back.
@@ -317,6 +324,38 @@
     CasesWanted,
     /// Requests under which upstreams ended.
     CasesContent(Vec<CaseRecord>),
+    /// What a replica said of its limit.
+    LimitStated(LimitRecord),
+    /// The sender wants to know what all replicas said of their limits.
+    LimitsWanted,
+    /// What replicas said of their limits.
+    LimitsContent(Vec<LimitRecord>),
+    /// The sender wants to send a request to a replica that names a limit.
+    PermitAsk {
+        /// The sender's number for the ask.
+        number: u64,
+        /// Where the request may go.
+        ask: PermitAsk,
+    },
+    /// The answer to it.
+    PermitAnswer {
+        /// The number of the ask.
+        number: u64,
+        /// The answer.
+        verdict: PermitVerdict,
+    },
+    /// The sender owned limited replicas, and grants nothing of their limits any more.
+    LimitsHandedOver {
+        /// What their owner is found by.
+        key: String,
+    },
+    /// The sender did not use a permit.
+    PermitReturned {
+        /// The replica's service.
+        service: Arc<str>,
+        /// Which replica.
+        replica: ReplicaId,
+    },
     /// A run-once call for the owner of its key.
     KeyCall(KeyCall),
     /// The owner's answer.
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here does input or output or reads a clock, so each part can be embedded, replayed and tested alone.
 
 pub mod census;
+pub mod comparison;
 pub mod discovery;
 pub mod dispatch;
 pub mod drain;
@@ -11,7 +12,10 @@
 pub mod idempotency;
 pub mod membership;
 pub mod message;
+pub mod owner_watch;
+pub mod ownership;
 pub mod quarantine;
+pub mod rate_limits;
 pub mod readers;
 pub mod reaping;
 pub mod rebalance;
@@ -27,6 +31,7 @@
 
 pub use event::{Event, EventKind, RegisterSource};
 
+use crate::blackboard::ReplicaId;
 use crate::prelude::*;
 use drain::DrainController;
 use idempotency::IdempotencyController;
@@ -63,6 +68,13 @@
         /// How far it is suspected.
         level: u32,
     },
+    /// A request may go to a replica that names a limit.
+    Permitted(rate_limits::PermitGrant),
+    /// None may go there in time.
+    PermitRefused {
+        /// When it makes sense to ask again.
+        ask_again_at: Moment,
+    },
     /// A refusal.
     Refused(RefusalNotice),
 }
@@ -100,6 +112,11 @@
     },
     /// Move an engine to the other pool.
     OrderRole(rebalance::RoleOrder),
+    /// Ask a replica's health check, to hear whether it still names a limit.
+    CheckHealth {
+        /// Which replica.
+        replica: ReplicaId,
+    },
     /// Give the traffic side a new view of the board.
     Publish,
     /// Write what the process believes now to the log.
@@ -149,6 +166,7 @@
             store_age_ms: self.board.store_heard_at.until_ms(self.now),
             view: self.board.live_view(self.now).member_view,
             case_digest: self.board.case_digest,
+            limit_digest: self.board.limit_digest,
             leaving: self.board.drain.is_some(),
             wants_echo,
         }
@@ -166,7 +184,7 @@
         });
     }
 
-    /// Sends a message to the neighbors on the ring of live VMs; they pass it on if it is news to them.
+    /// Sends a message to the neighbors on the ring of live VMs; they pass on what they did not know.
     pub fn send_to_neighbors(&mut self, message: &PeerMessage) {
         for neighbor in self.board.live_view(self.now).neighbors.iter() {
             self.send_to(neighbor, message.clone());
--- a/src/controllers/quarantine/case.rs
+++ b/src/controllers/quarantine/case.rs
@@ -64,7 +64,7 @@
 }
 
 impl DeathCase {
-    /// Notes a strike; whether it is news.
+    /// Notes a strike; whether it was unknown.
     pub fn note_strike(&mut self, strike: &DeathStrike) -> bool {
         if self.strikes.iter().any(|known| strike.is_covered_by(known)) {
             return false;
--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -17,9 +17,10 @@
 use losses::OpenLosses;
 pub use losses::{RunLoss, UpstreamFate};
 pub use sharing::CaseRecord;
-use sharing::{CASES_EACH, CaseComparison, case_hash};
+use sharing::{CASES_EACH, case_hash};
 use trials::{TrialDesk, trial_owner};
 
+use super::comparison::DigestComparison;
 use super::message::PeerMessage;
 use crate::blackboard::{Fingerprint, ReplicaId, Suspicion};
 use crate::controllers::Reply;
@@ -47,7 +48,7 @@
     cases: FastMap<Fingerprint, DeathCase>,
     losses: OpenLosses,
     trials: TrialDesk,
-    comparison: CaseComparison,
+    comparison: DigestComparison<u64>,
     /// Runs of this node that ended with their upstreams, to compare others with.
     own_losses: FastMap<Fingerprint, Vec<OwnLoss>>,
     /// When the first case can be forgotten; `None` while there is none.
@@ -121,7 +122,7 @@
         }
     }
 
-    /// Notes a strike, and passes it on where it is news.
+    /// Notes a strike, and passes it on where it was unknown.
     fn take_strike(
         &mut self,
         fingerprint: Fingerprint,
@@ -147,7 +148,7 @@
                 strike.seen_by
             ));
         }
-        // One that has just ended gets nothing until it has had time to come back.
+        // One that has just ended is ineligible until it has had time to come back.
         let down_until = strike.ended_at.after_ms(DOWN_MS);
         if !turn.now.reached(down_until) {
             turn.board.upstream_mut(&strike.upstream).down_until = Some(down_until);
@@ -236,7 +237,7 @@
         }
     }
 
-    /// Clears a request of strikes up to a level; what is news is passed on.
+    /// Clears a request of strikes up to a level, and passes it on where that was unknown.
     fn clear(&mut self, fingerprint: Fingerprint, level: u32, source: &str, turn: &mut Turn<'_>) {
         let case = self.cases.get_mut(&fingerprint);
         if !case.is_some_and(|case| case.clear(level)) {
@@ -277,10 +278,8 @@
     }
 
     fn compare(&mut self, from: &VmAddress, digest: u64, turn: &mut Turn<'_>) {
-        if self
-            .comparison
-            .should_ask(turn.board.case_digest, digest, turn.now)
-        {
+        let own = turn.board.case_digest;
+        if self.comparison.should_ask(own, own != digest, turn.now) {
             turn.send_to(from, PeerMessage::CasesWanted);
         }
     }
--- a/src/controllers/rebalance.rs
+++ b/src/controllers/rebalance.rs
@@ -142,7 +142,7 @@
             self.has_settled |= self.moving.is_empty();
             return;
         };
-        let Some(engine) = self.pick_engine(&engines, role) else {
+        let Some(engine) = self.pick_engine(&engines, role, turn.board) else {
             return;
         };
         self.order(engine, role, switch_ms, turn);
@@ -171,11 +171,18 @@
         }
     }
 
-    /// An engine of the other pool, from the zone where that pool is largest.
-    fn pick_engine<'a>(&self, engines: &'a [EngineView], role: EngineRole) -> Option<&'a EngineView> {
+    /// An engine of the other pool, from the zone where that pool is largest. One that names a limit is in need, and an order
+    /// is a request, too.
+    fn pick_engine<'a>(
+        &self,
+        engines: &'a [EngineView],
+        role: EngineRole,
+        board: &Blackboard,
+    ) -> Option<&'a EngineView> {
         let givers = || engines.iter().filter(|engine| engine.role != role);
         givers()
             .filter(|engine| !self.moving.contains_key(&engine.name))
+            .filter(|engine| board.listed_rate_limit(&engine.name).is_none())
             .max_by_key(|engine| givers().filter(|other| other.zone == engine.zone).count())
     }
 
--- a/src/controllers/slots/choice.rs
+++ b/src/controllers/slots/choice.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::{PlacementAsk, PlacementGrant};
+use super::{EnginePermits, PlacementAsk, PlacementGrant};
 use crate::prelude::*;
 use crate::register::EngineRole;
 
@@ -83,6 +83,7 @@
             decode,
             prefill,
             granted_by: None,
+            permits: EnginePermits::default(),
         })
     }
 
@@ -99,6 +100,7 @@
             .iter()
             .filter(|engine| engine.role == role && board.is_engine_usable(&engine.name, now))
             .filter(|engine| !ask.barred.contains(&engine.name))
+            .filter(|engine| board.listed_rate_limit(&engine.name).is_none())
             .map(|engine| &*engine.name)
             .collect();
         let is_untried = |name: &&str| !ask.avoid.iter().any(|tried| **tried == **name);
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -8,14 +8,12 @@
 };
 use crate::controllers::Reply;
 use crate::controllers::message::{PeerMessage, SlotVerdict};
+use crate::controllers::owner_watch::{ANSWER_LIMIT_MS, OwnerWatch};
+use crate::controllers::ownership::{find_owner, find_owner_but};
 use crate::controllers::rendezvous;
 use crate::controllers::retry_budget::RetryBudget;
 use crate::prelude::*;
 
-/// How long an owner may take to answer, in milliseconds: a round trip between zones and some work on a small VM. It is
-/// an eighth of the shortest objective for a first token.
-pub(super) const ANSWER_LIMIT_MS: u64 = 120;
-
 /// How often a queued request asks again, so that the loss of its owner is noticed, in milliseconds.
 pub(super) const ASK_AGAIN_MS: u64 = 500;
 
@@ -25,10 +23,6 @@
 /// When to come back after no engine was found usable, in milliseconds.
 pub(super) const RETRY_AFTER_MS: u64 = 1_000;
 
-/// A VM owns engines only if it is at least this part of the largest VM's size: its work grows with the fleet's requests,
-/// not with its own.
-const OWNER_PART: u32 = 2;
-
 /// Groups that are asked before a request is refused.
 const GROUPS_TO_TRY: usize = 2;
 
@@ -42,6 +36,8 @@
     pub(super) owner: VmAddress,
     pub(super) answer_by: Moment,
     pub(super) ask_again_at: Moment,
+    /// Whether another owner was asked before, and did not answer.
+    pub(super) is_second: bool,
 }
 
 /// A request of this node that has its engines.
@@ -65,6 +61,9 @@
     pub(super) pending: FastMap<RequestId, PendingAsk>,
     pub(super) active: FastMap<RequestId, ActiveLease>,
     pub(super) next_sweep: Moment,
+    pub(super) owner_watch: OwnerWatch,
+    /// When to look next who owns the groups, while engines name limits.
+    pub(super) next_look: Moment,
 }
 
 impl SlotController {
@@ -79,6 +78,8 @@
             pending: FastMap::default(),
             active: FastMap::default(),
             next_sweep: Moment::default(),
+            owner_watch: OwnerWatch::default(),
+            next_look: Moment::default(),
         }
     }
 
@@ -95,7 +96,7 @@
             return;
         }
         let groups = self.rank_groups(ask, turn);
-        self.ask_owner(ticket, ask.clone(), groups, turn);
+        self.ask_owner(ticket, ask.clone(), groups, None, turn);
     }
 
     fn refuse(&mut self, ask: &PlacementAsk, turn: &Turn<'_>) -> Option<RefusalNotice> {
@@ -131,31 +132,21 @@
 
     /// The VM that owns a group, as this node sees it.
     pub(super) fn owner_of(&self, key: &EngineGroup, turn: &Turn<'_>) -> VmAddress {
-        let name = format!("{}/{}", key.model, key.index);
-        let own = (turn.board.drain.is_none()).then(|| (&*turn.board.own.name, turn.board.own.millicores));
-        let view = turn.board.live_view(turn.now);
-        let peers = view
-            .peers()
-            .iter()
-            .filter(|vm| !vm.leaving)
-            .map(|vm| (&*vm.name, vm.millicores));
-        let candidates: Vec<(&str, u32)> = peers.chain(own).collect();
-        let largest = candidates
-            .iter()
-            .map(|(_, millicores)| *millicores)
-            .max()
-            .unwrap_or(0);
-        let able = candidates
-            .into_iter()
-            .filter(|(_, millicores)| millicores * OWNER_PART >= largest);
-        let owner = rendezvous::owner(&name, able.map(|(name, _)| name));
-        owner.map_or_else(|| turn.board.own.name.clone(), VmAddress::from)
+        find_owner(&key.owner_key(), turn.board, turn.now)
     }
 
-    fn ask_owner(&mut self, ticket: ReplyTicket, ask: PlacementAsk, groups: Vec<u32>, turn: &mut Turn<'_>) {
+    /// Asks the owner of a request's first group, or the next one where that is silent.
+    pub(super) fn ask_owner(
+        &mut self,
+        ticket: ReplyTicket,
+        ask: PlacementAsk,
+        groups: Vec<u32>,
+        silent: Option<&VmAddress>,
+        turn: &mut Turn<'_>,
+    ) {
         let group = groups.first().copied().unwrap_or(0);
         let key = EngineGroup::new(&ask.model, group);
-        let owner = self.owner_of(&key, turn);
+        let owner = find_owner_but(&key.owner_key(), silent, turn.board, turn.now);
         let request = ask.request.clone();
         let pending = PendingAsk {
             ticket,
@@ -164,6 +155,7 @@
             owner: owner.clone(),
             answer_by: turn.now.after_ms(ANSWER_LIMIT_MS),
             ask_again_at: turn.now.after_ms(ASK_AGAIN_MS),
+            is_second: silent.is_some(),
         };
         self.pending.insert(request.clone(), pending);
         self.send_ask(&request, &key, &owner, turn);
@@ -184,8 +176,9 @@
             let ask = pending.ask.clone();
             let group_size = self.group_size;
             let verdict = self
-                .own_ledger(key)
+                .look_at_ledger(key, turn)
                 .ask(&ask, None, turn.board, group_size, turn.now);
+            self.note_permits(&verdict, turn);
             self.take_verdict(request, verdict, turn);
             return;
         }
@@ -212,18 +205,23 @@
         let key = EngineGroup::new(&pending.ask.model, group);
         match verdict {
             SlotVerdict::Queued => {}
-            SlotVerdict::Granted { decode, prefill } => {
+            SlotVerdict::Granted {
+                decode,
+                prefill,
+                permits,
+            } => {
                 let grant = PlacementGrant {
                     decode,
                     prefill,
                     granted_by: Some(pending.owner.clone()),
+                    permits,
                 };
                 let owner = Some((key, pending.owner));
                 self.activate(pending.ticket, &pending.ask, grant, owner, turn);
             }
             SlotVerdict::Refused(_) if pending.groups.len() > 1 => {
                 let groups = pending.groups[1..].to_vec();
-                self.ask_owner(pending.ticket, pending.ask, groups, turn);
+                self.ask_owner(pending.ticket, pending.ask, groups, None, turn);
             }
             SlotVerdict::Refused(notice) => turn.actions.push(Action::Reply {
                 ticket: pending.ticket,
@@ -335,6 +333,7 @@
         verdict: &SlotVerdict,
         turn: &mut Turn<'_>,
     ) {
+        self.owner_watch.note_answer(from);
         let is_expected = self
             .pending
             .get(request)
@@ -381,6 +380,7 @@
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
             Event::Tick { .. } => {
+                self.look_at_owners(turn);
                 self.tend_pending(turn);
                 self.serve_waiting(turn);
                 self.sweep(turn);
@@ -400,6 +400,7 @@
                 } => {
                     self.take_answer(from, group, request, verdict, turn);
                 }
+                PeerMessage::LimitsHandedOver { key } => self.take_over(key, turn),
                 PeerMessage::SlotHeld { group, held } => self.adopt(group, held, Some(from.clone()), turn),
                 PeerMessage::SlotPrefillDone { .. } | PeerMessage::SlotRelease { .. } => {
                     if let Some(key) = self.take_release(message, turn) {
@@ -412,7 +413,7 @@
         }
     }
 
-    fn wake_at(&self, _board: &Blackboard, now: Moment) -> Option<Moment> {
+    fn wake_at(&self, board: &Blackboard, now: Moment) -> Option<Moment> {
         let asks = self
             .pending
             .values()
@@ -421,6 +422,7 @@
         let queue = is_waiting.then_some(now.after_ms(QUEUE_TICK_MS));
         let is_busy = !self.active.is_empty() || self.ledgers.values().any(|ledger| !ledger.is_idle());
         let sweep = is_busy.then_some(self.next_sweep);
-        asks.chain(queue).chain(sweep).min()
+        let look = (!board.rate_limits.is_empty() && !self.ledgers.is_empty()).then_some(self.next_look);
+        asks.chain(queue).chain(sweep).chain(look).min()
     }
 }
--- a/src/controllers/slots/groups.rs
+++ b/src/controllers/slots/groups.rs
@@ -22,6 +22,17 @@
             index,
         }
     }
+
+    /// The group whose owner is found by a key.
+    pub fn of_owner_key(key: &str) -> Option<Self> {
+        let (model, index) = key.rsplit_once('/')?;
+        Some(Self::new(&model.into(), index.parse().ok()?))
+    }
+
+    /// What its owner is found by.
+    pub fn owner_key(&self) -> String {
+        format!("{}/{}", self.model, self.index)
+    }
 }
 
 /// How many groups a model's engines form.
--- a/src/controllers/slots/ledger/admission.rs
+++ b/src/controllers/slots/ledger/admission.rs
@@ -5,7 +5,8 @@
 //! limit nearly all end up late. Whoever can't be in time while others wait too is refused on arrival, and what was
 //! admitted by a forecast that proved wrong is refused as soon as that shows.
 
-use super::GroupLedger;
+use super::limits::TurnForecast;
+use super::{GroupLedger, WaitingAsk};
 use crate::controllers::rendezvous;
 use crate::controllers::slots::PlacementAsk;
 use crate::prelude::*;
@@ -75,10 +76,24 @@
         Some(notice.retry_after_ms(spread_return_ms(ask, wait_ms, now)))
     }
 
-    /// Whether a request that waits has to be given up: in a crowd once it can't be in time, else once its caller leaves.
-    pub(super) fn is_over(&self, ask: &PlacementAsk, now: Moment) -> bool {
+    /// Whether a request that waits, with some others ahead of it, has to be given up: in a crowd once it can't be in time,
+    /// before engines that name limits once its turn comes too late, else once its caller leaves.
+    pub(super) fn is_over(
+        &self,
+        waiting: &mut WaitingAsk,
+        turns: &TurnForecast,
+        ahead: usize,
+        now: Moment,
+    ) -> bool {
+        let ask = &waiting.ask;
         let is_hopeless = now.until_ms(ask.deadline) < self.service_ms(ask)
             || now.after_ms(self.first_token_ms(ask)) > ask.give_up_at;
-        is_hopeless || (self.crowd.is_crowded(now) && !ask.may_be_late && !self.is_in_time(ask, 0, now))
+        if is_hopeless || ask.may_be_late {
+            return is_hopeless;
+        }
+        if turns.wait_ms(ahead) > 0 || self.is_bound(now) {
+            return self.is_turn_late(waiting, turns, ahead, now);
+        }
+        self.crowd.is_crowded(now) && !self.is_in_time(ask, 0, now)
     }
 }
--- a/src/controllers/slots/ledger/choice.rs
+++ b/src/controllers/slots/ledger/choice.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{GroupLedger, PREFILLS_AT_ONCE, SlotLease};
-use crate::controllers::slots::replica::DecodeReplica;
+use crate::controllers::slots::replica::{DecodeReplica, PrefillReplica};
 use crate::controllers::slots::{MemoryLoad, PlacementAsk};
 use crate::prelude::*;
 
@@ -39,7 +39,7 @@
 
     /// Whether an engine may take this request: usable, and not tried before.
     fn may_take(&self, name: &Arc<str>, ask: &PlacementAsk, board: &Blackboard, now: Moment) -> bool {
-        let is_open = board.is_engine_usable(name, now) && !ask.barred.contains(name);
+        let is_open = board.is_engine_usable(name, now) && !ask.barred.contains(name) && self.takes_any(name);
         is_open && !self.is_avoided(name, ask, board, now)
     }
 
@@ -64,7 +64,7 @@
         self.decode
             .iter()
             .filter(|(_, replica)| replica.has_room(load, now))
-            .filter(|(name, _)| self.may_take(name, ask, board, now))
+            .filter(|(name, _)| self.has_turn(name, now) && self.may_take(name, ask, board, now))
             .min_by_key(|(name, replica)| {
                 // Of two suspects on one engine that ends, the innocent one could not be told.
                 let is_shared = is_suspect && self.has_suspect(name, board);
@@ -90,11 +90,21 @@
         board: &Blackboard,
         now: Moment,
     ) -> PrefillChoice {
-        let open: Vec<_> = self
+        let mut open: Vec<_> = self
             .prefill
             .iter()
             .filter(|(name, _)| self.may_take(name, ask, board, now))
             .collect();
+        let had_open = !open.is_empty();
+        open.retain(|(name, _)| self.has_turn(name, now));
+        if had_open && open.is_empty() {
+            return PrefillChoice::Busy;
+        }
+        let is_free = |replica: &PrefillReplica| replica.running < PREFILLS_AT_ONCE;
+        if self.is_bound(now) && open.iter().any(|(_, replica)| is_free(replica)) {
+            // While it waited for another one its turn of a decode engine would go to the next request.
+            open.retain(|(_, replica)| is_free(replica));
+        }
         let is_alone = |name: &Arc<str>| !is_suspect || !self.has_suspect(name, board);
         let has_alone = open.iter().any(|(name, _)| is_alone(name));
         let candidates: Vec<(u64, u32, &Arc<str>)> = open
--- a/src/controllers/slots/ledger/estimate.rs
+++ b/src/controllers/slots/ledger/estimate.rs
@@ -19,7 +19,8 @@
     /// How long a request with some others ahead of it will probably wait for its slots, in milliseconds: until as many
     /// generations have ended, or until the prefill engines have run what waits for them.
     pub(super) fn expected_wait_ms(&self, ahead: usize, now: Moment) -> u64 {
-        let prefill_ms = self.prefill_wait_ms();
+        let turn_ms = self.forecast_turns(ahead + 1, now).wait_ms(ahead);
+        let prefill_ms = self.prefill_wait_ms().max(turn_ms);
         let has_slot = |replica: &DecodeReplica| replica.held() < replica.slots;
         let is_full = |replica: &DecodeReplica| {
             let next = replica.loads.values().next();
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod choice;
 mod estimate;
+mod limits;
 
 use std::sync::Arc;
 
@@ -10,14 +11,15 @@
 use choice::PrefillChoice;
 
 use super::client::refuse_held;
-use super::queue::{QUEUE_LIMIT, WaitingQueue};
+use super::queue::{QUEUE_LIMIT, WaitingAsk, WaitingQueue};
 use super::replica::{DecodeReplica, PrefillReplica};
 use super::{
-    EngineEnd, EngineGroup, HeldSlot, MemoryLoad, PlacementAsk, PlacementResult, RequestId, group_count,
-    group_members,
+    EngineEnd, EngineGroup, EnginePermits, HeldSlot, MemoryLoad, PlacementAsk, PlacementResult, RequestId,
+    SentEngines, group_count, group_members,
 };
-use crate::blackboard::{EngineView, Fingerprint, ReplicaFacts, ReplicaId};
+use crate::blackboard::{EngineView, Fingerprint, ReplicaFacts, ReplicaId, SharedRateLimits};
 use crate::controllers::message::SlotVerdict;
+use crate::controllers::rate_limits::RateDesk;
 use crate::controllers::services::smooth;
 use crate::prelude::*;
 use crate::register::EngineRole;
@@ -54,6 +56,8 @@
     /// The request's content; `None` where an earlier owner granted the slot.
     fingerprint: Option<Fingerprint>,
     deadline: Moment,
+    /// Which of its engines name limits and may be sent to.
+    permits: EnginePermits,
 }
 
 /// The engines of a request that gave its slots back.
@@ -79,6 +83,12 @@
     /// The time from a prefill's end to the first token, in milliseconds.
     handover_ms: u64,
     crowd: CrowdGauge,
+    /// Limits that replicas name.
+    limits: SharedRateLimits,
+    /// What this owner lets go to engines that name limits.
+    pub rates: RateDesk,
+    /// Until when the limits of the engines are taken to bind.
+    bound_until: Moment,
 }
 
 impl GroupLedger {
@@ -95,6 +105,9 @@
             queue: WaitingQueue::default(),
             handover_ms: 0,
             crowd: CrowdGauge::default(),
+            limits: Arc::default(),
+            rates: RateDesk::default(),
+            bound_until: Moment::default(),
         }
     }
 
@@ -115,6 +128,10 @@
 
     /// Follows the published engines: they come, go and change their slots.
     fn sync(&mut self, board: &Blackboard, group_size: usize) {
+        if !Arc::ptr_eq(&self.limits, &board.rate_limits) {
+            self.limits = board.rate_limits.clone();
+            self.rates.retain(|id| board.rate_limits.contains_key(id));
+        }
         let is_same_list = Arc::ptr_eq(&self.synced_replicas, &board.replicas);
         if self.synced_revision == board.register.revision && is_same_list {
             return;
@@ -161,6 +178,7 @@
             return SlotVerdict::Granted {
                 decode: lease.decode.clone(),
                 prefill: lease.prefill.clone(),
+                permits: lease.permits,
             };
         }
         if self.queue.contains(&ask.request) {
@@ -174,6 +192,9 @@
         if let Some(refusal) = self.refuse_early(ask, ahead, now) {
             return SlotVerdict::Refused(refusal);
         }
+        if let Some(refusal) = self.refuse_limited(ask, ahead, now) {
+            return SlotVerdict::Refused(refusal);
+        }
         if ahead == 0
             && let Some(granted) = self.place(ask, holder.clone(), board, now)
         {
@@ -190,12 +211,15 @@
         if let Some(refusal) = self.refuse_crowded(ask, ahead, now) {
             return SlotVerdict::Refused(refusal);
         }
-        self.queue.push(ask.clone(), holder);
+        let turn_by = self.forecast_turns(ahead + 1, now).turn_by(ahead, now);
+        self.queue.push(ask.clone(), holder, turn_by);
         SlotVerdict::Queued
     }
 
     fn has_usable(&self, ask: &PlacementAsk, board: &Blackboard, now: Moment) -> bool {
-        let is_usable = |name: &Arc<str>| board.is_engine_usable(name, now) && !ask.barred.contains(name);
+        let is_usable = |name: &Arc<str>| {
+            board.is_engine_usable(name, now) && !ask.barred.contains(name) && self.takes_any(name)
+        };
         self.decode.keys().any(is_usable) && self.prefill.keys().any(is_usable)
     }
 
@@ -229,6 +253,7 @@
             }
             None => 0,
         };
+        let permits = self.take_turns(&decode, prefill.as_ref(), now);
         let lease = SlotLease {
             holder,
             workspace: ask.workspace.clone(),
@@ -239,9 +264,14 @@
             uncached_tokens,
             fingerprint: Some(ask.fingerprint),
             deadline: ask.deadline,
+            permits,
         };
         self.book(&ask.request, lease);
-        Some(SlotVerdict::Granted { decode, prefill })
+        Some(SlotVerdict::Granted {
+            decode,
+            prefill,
+            permits,
+        })
     }
 
     /// Whether a request of this content holds slots.
@@ -272,6 +302,7 @@
             uncached_tokens: 0,
             fingerprint: None,
             deadline: held.deadline,
+            permits: EnginePermits::default(),
         };
         self.book(&held.request, lease);
     }
@@ -315,6 +346,7 @@
         // A prefill that nobody reported ended with its request, somehow.
         self.prefill_done(request, EngineEnd::Failed, now);
         let lease = self.leases.remove(request)?;
+        self.give_turns_back(&lease, result, now);
         if result.handover_ms > 0 {
             self.handover_ms = smooth(self.handover_ms, result.handover_ms);
         }
@@ -345,7 +377,11 @@
             .map(|(request, _)| request.clone())
             .collect();
         for request in over {
-            self.release(&request, PlacementResult::default(), now);
+            let result = PlacementResult {
+                sent: SentEngines::BOTH,
+                ..PlacementResult::default()
+            };
+            self.release(&request, result, now);
         }
         self.queue
             .take_where(|waiting| waiting.holder.as_ref().is_some_and(&is_gone));
@@ -357,17 +393,15 @@
         if self.queue.is_empty() {
             return Vec::new();
         }
-        let mut grants = self.give_up_late(now);
         let mut queue = std::mem::take(&mut self.queue);
-        queue.sort(&self.held_by_workspace, |waiting| {
-            now.after_ms(self.first_token_ms(&waiting.ask)) > waiting.ask.first_token_by
-        });
+        queue.sort(&self.held_by_workspace, |waiting| self.is_late(&waiting.ask, now));
         self.queue = queue;
+        let mut grants = self.give_up_late(now);
         self.forget_deferred();
         let waiting: Vec<_> = self.queue.iter().cloned().collect();
         for entry in waiting {
             let Some(verdict) = self.place(&entry.ask, entry.holder.clone(), board, now) else {
-                if self.is_full() {
+                if self.is_full(now) {
                     break;
                 }
                 continue;
@@ -389,28 +423,41 @@
         }
     }
 
-    fn is_full(&self) -> bool {
+    fn is_full(&self, now: Moment) -> bool {
         self.decode
-            .values()
-            .all(|replica| replica.held() >= replica.slots)
+            .iter()
+            .all(|(name, replica)| replica.held() >= replica.slots || !self.has_turn(name, now))
             || self
                 .prefill
-                .values()
-                .all(|replica| replica.running >= PREFILLS_AT_ONCE)
+                .iter()
+                .all(|(name, replica)| replica.running >= PREFILLS_AT_ONCE || !self.has_turn(name, now))
     }
 
     fn give_up_late(&mut self, now: Moment) -> Vec<LedgerGrant> {
         let mut queue = std::mem::take(&mut self.queue);
-        let late = queue.take_where(|waiting| self.is_over(&waiting.ask, now));
+        let turns = self.forecast_turns(queue.len() + 1, now);
+        let mut ahead = 0;
+        let late = queue.take_where(|waiting| {
+            let is_over = self.is_over(waiting, &turns, ahead, now);
+            ahead += usize::from(!is_over);
+            is_over
+        });
         self.queue = queue;
         let wait_ms = self.expected_wait_ms(self.queue.len(), now);
+        let code = match turns.wait_ms(ahead) > 0 || self.is_bound(now) {
+            true => ResultCode::RateLimited,
+            false => ResultCode::QueueTimeout,
+        };
         late.into_iter()
             .map(|waiting| LedgerGrant {
                 holder: waiting.holder,
                 request: waiting.ask.request.clone(),
                 verdict: SlotVerdict::Refused(
-                    RefusalNotice::new(ResultCode::QueueTimeout, self.group.model.to_string())
-                        .retry_after_ms(spread_return_ms(&waiting.ask, wait_ms, now)),
+                    RefusalNotice::new(code, self.group.model.to_string()).retry_after_ms(spread_return_ms(
+                        &waiting.ask,
+                        wait_ms,
+                        now,
+                    )),
                 ),
             })
             .collect()
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -91,6 +91,17 @@
     pub prefill: Option<Arc<str>>,
     /// The owner that granted them; `None` where this node chose alone.
     pub granted_by: Option<VmAddress>,
+    /// Which of them may be sent to though they name limits.
+    pub permits: EnginePermits,
+}
+
+/// Which engines of a grant name limits and may be sent one request each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EnginePermits {
+    /// Whether the decode engine is one.
+    pub decode: bool,
+    /// Whether the prefill engine is one.
+    pub prefill: bool,
 }
 
 impl PlacementGrant {
@@ -126,6 +137,25 @@
     pub prefill: EngineEnd,
     /// How the decode engine behaved.
     pub decode: EngineEnd,
+    /// Which engines were sent to; the permits of the others go back.
+    pub sent: SentEngines,
+}
+
+/// Which engines of a grant were sent to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentEngines {
+    /// Whether the decode engine was.
+    pub decode: bool,
+    /// Whether the prefill engine was.
+    pub prefill: bool,
+}
+
+impl SentEngines {
+    /// Both, or it is not known.
+    pub const BOTH: Self = Self {
+        decode: true,
+        prefill: true,
+    };
 }
 
 /// How an engine behaved towards a request.
--- a/src/controllers/slots/owner.rs
+++ b/src/controllers/slots/owner.rs
@@ -5,6 +5,8 @@
 use super::client::SlotController;
 use super::{EngineEnd, EngineGroup, GroupLedger, HeldSlot, PlacementAsk, RequestId};
 use crate::controllers::message::{PeerMessage, SlotVerdict};
+use crate::controllers::ownership::view_owner;
+use crate::controllers::rate_limits::{LOOK_EVERY_MS, hand_over};
 use crate::prelude::*;
 
 /// Failures in a row, without a request that an engine served meanwhile, from which on it is passed over. A single one may
@@ -27,6 +29,41 @@
             .or_insert_with(|| GroupLedger::new(key))
     }
 
+    /// The ledger here, which knows who owns the group now.
+    pub(super) fn look_at_ledger(&mut self, key: &EngineGroup, turn: &mut Turn<'_>) -> &mut GroupLedger {
+        let has_limits = !turn.board.rate_limits.is_empty();
+        let view = has_limits.then(|| view_owner(&key.owner_key(), turn.board, turn.now));
+        let ledger = self.own_ledger(key);
+        let has_ceased = view.is_some_and(|view| ledger.rates.look(view, turn.now));
+        if has_ceased {
+            hand_over(key.owner_key(), turn);
+        }
+        ledger
+    }
+
+    /// Takes over the limits of a group's engines from the owner before, which grants no more.
+    pub(super) fn take_over(&mut self, key: &str, turn: &mut Turn<'_>) {
+        let group = EngineGroup::of_owner_key(key);
+        let has_engines =
+            |group: &EngineGroup| turn.board.register.register.services.contains_key(&group.model);
+        if let Some(group) = group.filter(has_engines) {
+            let now = turn.now;
+            self.look_at_ledger(&group, turn).rates.take_over(now);
+        }
+    }
+
+    /// Keeps up with who owns the groups, while engines name limits.
+    pub(super) fn look_at_owners(&mut self, turn: &mut Turn<'_>) {
+        if turn.board.rate_limits.is_empty() || !turn.now.reached(self.next_look) {
+            return;
+        }
+        self.next_look = turn.now.after_ms(LOOK_EVERY_MS);
+        let keys: Vec<EngineGroup> = self.ledgers.keys().cloned().collect();
+        for key in keys {
+            self.look_at_ledger(&key, turn);
+        }
+    }
+
     /// Books a prefill's end or a release in the ledger here.
     pub(super) fn take_release(&mut self, message: &PeerMessage, turn: &mut Turn<'_>) -> Option<EngineGroup> {
         match message {
@@ -53,12 +90,33 @@
         }
     }
 
+    /// Notes which engines that name limits are sent something.
+    pub(super) fn note_permits(&self, verdict: &SlotVerdict, turn: &mut Turn<'_>) {
+        if let SlotVerdict::Granted {
+            decode,
+            prefill,
+            permits,
+        } = verdict
+        {
+            let decode = Some(decode).filter(|_| permits.decode);
+            let prefill = prefill.as_ref().filter(|_| permits.prefill);
+            let engines = decode.into_iter().chain(prefill).cloned();
+            let now = turn.now;
+            turn.board
+                .permitted_at
+                .extend(engines.map(|engine| (engine, now)));
+        }
+    }
+
     pub(super) fn serve_group(&mut self, key: &EngineGroup, turn: &mut Turn<'_>) {
-        let Some(ledger) = self.ledgers.get_mut(key) else {
+        if !self.ledgers.contains_key(key) {
             return;
-        };
-        let grants = ledger.serve_queue(turn.board, self.group_size, turn.now);
+        }
+        let group_size = self.group_size;
+        let ledger = self.look_at_ledger(key, turn);
+        let grants = ledger.serve_queue(turn.board, group_size, turn.now);
         for grant in grants {
+            self.note_permits(&grant.verdict, turn);
             let Some(holder) = grant.holder else {
                 self.take_verdict(&grant.request, grant.verdict, turn);
                 continue;
@@ -76,9 +134,10 @@
     ) {
         let key = EngineGroup::new(&ask.model, group);
         let group_size = self.group_size;
-        let verdict = self
-            .own_ledger(&key)
-            .ask(ask, Some(from.clone()), turn.board, group_size, turn.now);
+        let verdict =
+            self.look_at_ledger(&key, turn)
+                .ask(ask, Some(from.clone()), turn.board, group_size, turn.now);
+        self.note_permits(&verdict, turn);
         self.send_answer(from, &key, &ask.request, verdict, turn);
     }
 
--- a/src/controllers/slots/queue.rs
+++ b/src/controllers/slots/queue.rs
@@ -16,6 +16,9 @@
     pub ask: PlacementAsk,
     /// The VM that holds the request; `None` for the owner itself.
     pub holder: Option<VmAddress>,
+    /// By when it has to get its turn of engines that name limits, where its first token can't be in time; `None` while some
+    /// engines took what they can.
+    pub turn_by: Option<Moment>,
     /// Whether its first token can't come in time any more.
     is_late: bool,
     order: u64,
@@ -56,11 +59,12 @@
     }
 
     /// Lets a request wait.
-    pub fn push(&mut self, ask: PlacementAsk, holder: Option<VmAddress>) {
+    pub fn push(&mut self, ask: PlacementAsk, holder: Option<VmAddress>, turn_by: Option<Moment>) {
         self.next_order += 1;
         self.waiting.push(WaitingAsk {
             ask,
             holder,
+            turn_by,
             is_late: false,
             order: self.next_order,
         });
@@ -73,8 +77,8 @@
         before != self.waiting.len()
     }
 
-    /// Takes out all requests for which `is_over` holds.
-    pub fn take_where(&mut self, mut is_over: impl FnMut(&WaitingAsk) -> bool) -> Vec<WaitingAsk> {
+    /// Takes out all requests for which `is_over` holds, in their present order.
+    pub fn take_where(&mut self, mut is_over: impl FnMut(&mut WaitingAsk) -> bool) -> Vec<WaitingAsk> {
         self.waiting.extract_if(.., |waiting| is_over(waiting)).collect()
     }
 
--- a/src/controllers/slots/tending.rs
+++ b/src/controllers/slots/tending.rs
@@ -1,10 +1,11 @@
 //! What the asker does as time passes: asks again, gives up owners that are silent, and follows owners that changed.
 
-use super::client::{ANSWER_LIMIT_MS, ASK_AGAIN_MS, RETRY_AFTER_MS, SlotController, release_of};
-use super::{EngineGroup, HeldSlot, PlacementPolicy, PlacementResult, RequestId};
+use super::client::{ASK_AGAIN_MS, RETRY_AFTER_MS, SlotController, release_of};
+use super::{EngineGroup, HeldSlot, PlacementPolicy, PlacementResult, RequestId, SentEngines};
 use crate::controllers::Reply;
-use crate::controllers::membership::SUSPICION_MS;
 use crate::controllers::message::PeerMessage;
+use crate::controllers::owner_watch::ANSWER_LIMIT_MS;
+use crate::controllers::ownership::give_up_owner;
 use crate::prelude::*;
 
 impl SlotController {
@@ -48,7 +49,19 @@
                 &pending.owner,
                 release_of(&key, request, PlacementResult::default()),
             );
-            self.give_up_owner(&pending.owner, turn);
+            // Only an owner lets requests go to engines that name limits, and does so whole for as long as it keeps its place.
+            let has_limits = turn.board.has_limited_engine(&pending.ask.model);
+            let is_dead = self
+                .owner_watch
+                .note_missing(&pending.owner, pending.answer_by, turn.now);
+            if is_dead || !has_limits {
+                give_up_owner(&pending.owner, turn);
+            }
+            if !pending.is_second && has_limits {
+                let silent = Some(&pending.owner);
+                self.ask_owner(pending.ticket, pending.ask, pending.groups, silent, turn);
+                return;
+            }
             self.choose_alone(pending.ticket, &pending.ask, PlacementPolicy::Owner, turn);
             return;
         }
@@ -68,18 +81,6 @@
         self.send_ask(request, &key, &owner, turn);
     }
 
-    fn give_up_owner(&self, owner: &VmAddress, turn: &mut Turn<'_>) {
-        if let Some(vm) = turn.board.vms.get_mut(owner)
-            && vm.is_live(turn.now)
-        {
-            vm.suspected_until = Some(turn.now.after_ms(SUSPICION_MS));
-            turn.publish();
-            turn.actions.push(Action::ResetLink { vm: owner.clone() });
-            turn.actions
-                .push(Action::Log(format!("event=owner_silent vm={owner}")));
-        }
-    }
-
     /// Tells new owners what this node's requests hold, so that they do not grant it again.
     pub(super) fn follow_owners(&mut self, turn: &mut Turn<'_>) {
         let mut owners: FastMap<EngineGroup, VmAddress> = FastMap::default();
@@ -110,7 +111,11 @@
         }
         for (group, earlier, owner, held) in moved {
             // Exactly one owner counts a slot: the earlier one may only have been thought dead.
-            let release = release_of(&group, &held.request, PlacementResult::default());
+            let result = PlacementResult {
+                sent: SentEngines::BOTH,
+                ..PlacementResult::default()
+            };
+            let release = release_of(&group, &held.request, result);
             self.tell_owner(&group, &earlier, release, turn);
             if owner == turn.board.own.name {
                 self.adopt(&group, &held, None, turn);
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -70,6 +70,10 @@
     "grant_stale", Progress, ["request", "engine"], "A granted engine takes nothing from this VM now; the grant was given back.";
     "hedged", Progress, ["request", "replica", "after_ms"], "An idempotent call went to a second replica because the first was slow.";
     "keys_handed_off", Belief, ["records"], "Outcomes of idempotency keys were sent to peers.";
+    "health_checked", Belief, ["replica", "outcome", "elapsed_ms"], "A replica that names a limit and got no requests was asked for its health.";
+    "limit_ended", Belief, ["replica", "replica_start", "service", "age_ms", "seen_by", "source"], "A replica names no limit any more.";
+    "limit_named", Belief, ["replica", "replica_start", "service", "rate", "age_ms", "seen_by", "source"], "A replica names a limit on the requests a second that it takes from all VMs together.";
+    "limits_handed_over", Belief, ["key", "vm"], "This VM gives no more permits for a service, or a group of engines; another one owns it now.";
     "log_dropped", Belief, ["lines"], "Lines were dropped since the last such line.";
     "not_granted", Failure, ["request", "place", "code", "queue_ms", "detail", "retry_after_ms"], "The owner of a service's engines refused a generation, at once or after a wait.";
     "order_given", Belief, ["engine", "role", "fencing_token", "outcome"], "An engine answered an order, or did not.";
@@ -78,6 +82,8 @@
     "peer_accept_failed", Belief, ["reason"], "The system takes no link; tried again after a pause.";
     "peer_frame_invalid", Belief, ["code", "vm", "bytes"], "A peer sent a frame that can't be read; the link was closed.";
     "peer_refused", Belief, ["code", "address", "reason"], "What connected as a peer did not show the deployment's key.";
+    "permit_granted", Progress, ["request", "replica", "owner", "wait_ms", "elapsed_ms"], "A call may go to a replica that names a limit, after a wait.";
+    "permit_refused", Progress, ["request", "service", "candidates", "pause_ms", "elapsed_ms"], "A call may not go to any of the replicas that name limits in time.";
     "prefilled", Progress, ["request", "replica", "outcome", "tokens", "elapsed_ms", "total_ms"], "A prefill engine ran a prompt, or did not.";
     "queued", Progress, ["place", "owner"], "A generation waits for engines at their owner.";
     "refused", Failure, ["request", "route", "code", "reason", "detail", "retry_after_ms"], "A request was refused.";
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -23,6 +23,8 @@
     BadRequest,
     /// It was held back because replicas had died under it.
     HeldBack,
+    /// All replicas got as many requests as they take.
+    RateLimited,
     /// The replica reported a failure of its own.
     ReplicaError,
     /// The replica's answer broke off, or was not its own.
@@ -52,6 +54,7 @@
             Self::NoConfiguration => "no configuration",
             Self::BadRequest => "bad request",
             Self::HeldBack => "held back",
+            Self::RateLimited => "limits of replicas",
             Self::ReplicaError => "replica's error",
             Self::ReplicaBroke => "replica broke off",
             Self::ReplicaSilent => "replica silent",
@@ -120,6 +123,7 @@
         ),
         "refused" => match story.last("refused") {
             Some(refused) if refused.field("reason") == "quarantined" => cause_of_hold(story, refused),
+            Some(refused) if refused.field("reason") == "rate_limited" => cause_of_limits(story, refused),
             Some(refused) => cause_of_refusal(refused),
             None => (
                 FailureCause::Unknown,
@@ -169,6 +173,30 @@
     (cause, told)
 }
 
+/// A request that was refused for the limits of replicas, with the limits in force.
+fn cause_of_limits(story: &RequestStory<'_>, refused: &LogLine) -> (FailureCause, String) {
+    let (cause, sentence) = cause_of_refusal(refused);
+    let limits: Vec<String> = story
+        .limits
+        .iter()
+        .map(|line| {
+            let age_s = refused.time - line.time + line.number("age_ms") as f64 / 1_000.0;
+            format!(
+                "{} (start {}) {} a second, named {age_s:.1} s before to {}",
+                line.field("replica"),
+                line.field("replica_start"),
+                line.field("rate"),
+                line.field("seen_by")
+            )
+        })
+        .collect();
+    let told = match limits.is_empty() {
+        true => "The logs don't tell which limits were in force.".to_owned(),
+        false => format!("Limits in force: {}.", limits.join(", ")),
+    };
+    (cause, format!("{sentence} {told}"))
+}
+
 fn cause_of_refusal(refused: &LogLine) -> (FailureCause, String) {
     let reason = refused.field("reason");
     let cause = match reason {
@@ -176,6 +204,7 @@
         "no_upstream" => FailureCause::NoReplica,
         "no_register" => FailureCause::NoConfiguration,
         "quarantined" => FailureCause::HeldBack,
+        "rate_limited" => FailureCause::RateLimited,
         "upstream_failed" | "outcome_unknown" => FailureCause::ReplicaBroke,
         "deadline_during_run" => FailureCause::ReplicaSilent,
         _ => FailureCause::BadRequest,
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -7,6 +7,9 @@
 /// suspicion is told around, within it.
 const BELIEF_SPAN_S: f64 = 6.0;
 
+/// The events on limits that replicas name.
+const LIMIT_EVENTS: [&str; 2] = ["limit_named", "limit_ended"];
+
 /// The logs of some VMs.
 #[derive(Debug, Default)]
 pub struct LogSet {
@@ -14,6 +17,8 @@
     by_request: FastMap<String, Vec<usize>>,
     by_place: FastMap<String, Vec<usize>>,
     by_fingerprint: FastMap<String, Vec<usize>>,
+    /// Lines on limits that replicas name.
+    limits: Vec<usize>,
 }
 
 impl LogSet {
@@ -31,6 +36,9 @@
                     map.entry(key.to_owned()).or_default().push(index);
                 }
             }
+            if LIMIT_EVENTS.contains(&line.event.as_str()) {
+                self.limits.push(index);
+            }
             self.lines.push(line);
         }
     }
@@ -67,13 +75,40 @@
         steps.sort_by(|left, right| left.time.total_cmp(&right.time));
         let beliefs = self.beliefs_around(&steps);
         let suspicion = self.suspicion_of(&steps);
+        let limits = self.limits_of(&steps);
         RequestStory {
             steps,
             beliefs,
             suspicion,
+            limits,
         }
     }
 
+    /// The limits of its service's replicas that were in force at the VM that refused a request, as that VM heard of them.
+    fn limits_of(&self, steps: &[&LogLine]) -> Vec<&LogLine> {
+        let refused = steps.iter().rev().find(|step| step.event == "refused");
+        let routed = steps.iter().find(|step| step.event == "routed");
+        let (Some(refused), Some(routed)) = (refused, routed) else {
+            return Vec::new();
+        };
+        let lines = self.limits.iter().map(|index| &self.lines[*index]);
+        let mut before: Vec<&LogLine> = lines
+            .filter(|line| line.vm == refused.vm && line.time <= refused.time)
+            .filter(|line| line.field("service") == routed.field("service"))
+            .collect();
+        before.sort_by(|left, right| left.time.total_cmp(&right.time));
+        let is_latest = |index: usize, line: &LogLine| {
+            let mut later = before[index + 1..].iter();
+            !later.any(|later| later.field("replica") == line.field("replica"))
+        };
+        let latest = before
+            .iter()
+            .enumerate()
+            .filter(|(index, line)| is_latest(*index, line));
+        let in_force = latest.filter(|(_, line)| line.event == "limit_named");
+        in_force.map(|(_, line)| *line).collect()
+    }
+
     /// What was believed of requests of the same content, whenever it was: why one is held back may lie hours before.
     fn suspicion_of(&self, steps: &[&LogLine]) -> Vec<&LogLine> {
         let mut fingerprints = steps.iter().map(|step| step.field("fingerprint"));
@@ -163,6 +198,8 @@
     pub beliefs: Vec<&'a LogLine>,
     /// What was believed of requests of its content.
     pub suspicion: Vec<&'a LogLine>,
+    /// Limits of its service's replicas that were in force as it was refused.
+    pub limits: Vec<&'a LogLine>,
 }
 
 impl RequestStory<'_> {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,9 +10,10 @@
 
 use super::GatewayContext;
 use super::answer::write_answer;
-use super::dispatch::DispatchLease;
+use super::dispatch::{DispatchLease, LeaseChoice};
 use super::exchange::{AnswerEnd, COME_BACK_MS, CallerRequest, refuse};
 use super::paid_sends::PaidSends;
+use super::rate_permit::{PermitEnd, acquire_permit, limited_notice};
 use super::relay::relay_long;
 use super::send::{SendEnd, SendLeave, is_of_use, send_once};
 use super::trace::RequestOutcome;
@@ -22,7 +23,7 @@
 use crate::http::ResponseHead;
 use crate::prelude::*;
 use crate::register::RouteKind;
-use crate::runtime::RunPermit;
+use crate::runtime::{RatePermit, RunPermit};
 use crate::transport::until;
 
 /// Connections that are tried without success before a request is given up.
@@ -103,7 +104,7 @@
         }
         let (control, request) = (&self.context.control, self.request);
         match RunPermit::acquire(control, request.fingerprint, request.deadline).await {
-            Ok(permit) => self.choose_place(permit),
+            Ok(permit) => self.choose_place(permit).await,
             Err(notice) => {
                 self.progress.held = Some(notice);
                 None
@@ -111,26 +112,63 @@
         }
     }
 
-    /// Leave and a place for a second send beside the first, where there may be one.
+    /// Leave and a place for a second send beside the first, where there may be one. It does not use up what a replica that
+    /// names a limit takes.
     fn choose_copy(&mut self) -> Option<SendLeave> {
         let permit = RunPermit::for_copy(&self.context.control, self.request.fingerprint)?;
-        self.may_send().then(|| self.choose_place(permit)).flatten()
+        if !self.may_send() {
+            return None;
+        }
+        match DispatchLease::choose(self.context, &self.dispatch_ask())? {
+            LeaseChoice::Booked(lease) => self.take_place(lease, permit, None),
+            LeaseChoice::Limited(_) => None,
+        }
     }
 
-    fn choose_place(&mut self, permit: RunPermit) -> Option<SendLeave> {
-        let (request, progress) = (self.request, &mut self.progress);
-        let ask = DispatchAsk {
-            service: &request.service,
+    fn dispatch_ask(&self) -> DispatchAsk<'_> {
+        DispatchAsk {
+            service: &self.request.service,
             role: ReplicaRole::Plain,
-            avoid: &progress.tried,
-        };
-        let lease = DispatchLease::book(self.context, &ask, 0)?;
-        if progress.sends > 0 && !progress.paid.pay(self.context, request) {
+            avoid: &self.progress.tried,
+        }
+    }
+
+    async fn choose_place(&mut self, permit: RunPermit) -> Option<SendLeave> {
+        loop {
+            match DispatchLease::choose(self.context, &self.dispatch_ask())? {
+                LeaseChoice::Booked(lease) => return self.take_place(lease, permit, None),
+                LeaseChoice::Limited(candidates) => {
+                    match acquire_permit(self.context, self.request, &candidates).await {
+                        PermitEnd::Granted(rate_permit) => {
+                            let replica = &rate_permit.grant().replica;
+                            if let Some(lease) = DispatchLease::book(self.context, replica) {
+                                return self.take_place(lease, permit, Some(rate_permit));
+                            }
+                        }
+                        PermitEnd::Refused => self.progress.tried.extend(candidates),
+                        PermitEnd::Expired => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_place(
+        &mut self,
+        lease: DispatchLease,
+        permit: RunPermit,
+        rate_permit: Option<RatePermit>,
+    ) -> Option<SendLeave> {
+        if self.progress.sends > 0 && !self.progress.paid.pay(self.context, self.request) {
             return None;
         }
-        progress.tried.push(lease.id().clone());
-        progress.sends += 1;
-        Some(SendLeave { lease, permit })
+        self.progress.tried.push(lease.id().clone());
+        self.progress.sends += 1;
+        Some(SendLeave {
+            lease,
+            permit,
+            rate_permit,
+        })
     }
 
     /// Sends to a replica, and after a while without an answer to a second one; the first answer of use counts.
@@ -191,6 +229,10 @@
             }
             SendEnd::NotRun { was_sent: true } => {}
             SendEnd::NotRun { was_sent: false } => self.take_back_send(),
+            SendEnd::Unpermitted(replica) => {
+                progress.tried.retain(|tried| *tried != replica);
+                self.take_back_send();
+            }
             SendEnd::InDoubt => progress.in_doubt = true,
         }
     }
@@ -241,11 +283,14 @@
                 held.unwrap_or_else(|| RefusalNotice::new(ResultCode::Quarantined, ""))
             }
             (false, true) => RefusalNotice::new(ResultCode::DeadlineTooNear, ""),
-            (false, false) if progress.sends > 0 => {
-                RefusalNotice::new(ResultCode::QueueFull, "").retry_after_ms(return_ms)
-            }
-            (false, false) => RefusalNotice::new(ResultCode::NoUpstream, request.service.to_string())
-                .retry_after_ms(return_ms),
+            (false, false) => limited_notice(self.context, request).unwrap_or_else(|| {
+                let notice = if progress.sends > 0 {
+                    RefusalNotice::new(ResultCode::QueueFull, "")
+                } else {
+                    RefusalNotice::new(ResultCode::NoUpstream, request.service.to_string())
+                };
+                notice.retry_after_ms(return_ms)
+            }),
         };
         refuse(self.socket, request, &notice).await
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -116,8 +116,10 @@
 
     /// Works on the standings, which are first brought in line with the list of replicas.
     pub fn with_book<T>(&self, work: impl FnOnce(&mut DispatchBook) -> T) -> T {
-        let replicas = self.snapshot().replicas.clone();
+        let snapshot = self.snapshot();
+        let replicas = snapshot.replicas.clone();
         let mut state = lock(&self.book);
+        state.book.set_limits(&snapshot.rate_limits);
         if !Arc::ptr_eq(&state.replicas, &replicas) {
             state.book.replace(replicas.values(), clock::now());
             state.replicas = replicas;
@@ -128,9 +130,7 @@
     /// How many VMs share the budget's reserve; `None` while this one has met nobody though there should be others.
     pub fn reserve_sharers(&self) -> Option<usize> {
         let fleet_size = self.snapshot().fleet_size;
-        let settings = self.settings();
-        let own = settings.addresses.peers;
-        let has_others = settings.seeds.iter().any(|seed| *seed != own);
+        let has_others = self.settings().other_seeds() > 0;
         (fleet_size > 1 || !has_others).then_some(fleet_size)
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -5,37 +5,62 @@
 use super::GatewayContext;
 use crate::blackboard::{ReplicaId, ReplicaRecord};
 use crate::clock;
-use crate::controllers::dispatch::{ChoiceEvidence, DispatchAsk, SendOutcome};
+use crate::controllers::dispatch::{ChoiceEvidence, DispatchAsk, DispatchBook, DispatchChoice, SendOutcome};
 use crate::prelude::*;
 
+/// What came of the choice of a replica.
+pub enum LeaseChoice {
+    /// A place at one.
+    Booked(DispatchLease),
+    /// These name limits, the best one first; one of them may be used with a permit.
+    Limited(Vec<ReplicaId>),
+}
+
 /// A booked place.
 pub struct DispatchLease {
     context: Arc<GatewayContext>,
     replica: Arc<ReplicaRecord>,
-    tokens: u32,
     evidence: ChoiceEvidence,
     began_at: Moment,
     is_finished: bool,
 }
 
 impl DispatchLease {
-    /// Chooses a replica and books a place for some prompt tokens there.
-    pub fn book(context: &Arc<GatewayContext>, ask: &DispatchAsk<'_>, tokens: u32) -> Option<Self> {
+    /// Chooses a replica and books a place there, or says which replicas need a permit.
+    pub fn choose(context: &Arc<GatewayContext>, ask: &DispatchAsk<'_>) -> Option<LeaseChoice> {
+        let now = clock::now();
+        context.with_book(|book| {
+            Some(match book.choose(ask, now)? {
+                DispatchChoice::Free(replica) => {
+                    LeaseChoice::Booked(Self::begin(context, book, replica, now))
+                }
+                DispatchChoice::Limited(candidates) => LeaseChoice::Limited(candidates),
+            })
+        })
+    }
+
+    /// Books a place at a replica for which there is a permit; `None` where it is not there any more.
+    pub fn book(context: &Arc<GatewayContext>, id: &ReplicaId) -> Option<Self> {
         let now = clock::now();
-        let (replica, evidence) = context.with_book(|book| {
-            let replica = book.choose(ask, now)?;
-            let evidence = book.evidence(&replica, now);
-            book.begin(&replica.id, tokens);
-            Some((replica, evidence))
-        })?;
-        Some(Self {
+        let replica = context.snapshot().replicas.get(id)?.record.clone();
+        Some(context.with_book(|book| Self::begin(context, book, replica, now)))
+    }
+
+    fn begin(
+        context: &Arc<GatewayContext>,
+        book: &mut DispatchBook,
+        replica: Arc<ReplicaRecord>,
+        now: Moment,
+    ) -> Self {
+        let evidence = book.evidence(&replica, now);
+        book.begin(&replica.id, 0);
+        Self {
             context: context.clone(),
             replica,
-            tokens,
             evidence,
             began_at: now,
             is_finished: false,
-        })
+        }
     }
 
     /// The replica.
@@ -70,11 +95,9 @@
 
     fn give_back(&mut self, outcome: SendOutcome) {
         if !std::mem::replace(&mut self.is_finished, true) {
-            let (id, tokens) = (&self.replica.id, self.tokens);
+            let id = &self.replica.id;
             let now = clock::now();
-            let paused_until = self
-                .context
-                .with_book(|book| book.finish(id, tokens, outcome, now));
+            let paused_until = self.context.with_book(|book| book.finish(id, 0, outcome, now));
             if let Some(until) = paused_until {
                 spdlog::warn!(
                     "event=replica_paused replica={id} reason={} paused_ms={}",
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -59,6 +59,7 @@
             body: b"",
             request_id: "",
             stage: None,
+            has_permit: false,
             choice: ConnectionChoice::Fresh,
             deadline: clock::now().after_ms(RELEASE_LIMIT_MS),
         };
@@ -75,6 +76,7 @@
     request: &CallerRequest,
     replica: &Arc<ReplicaRecord>,
     permit: &RunPermit,
+    has_rate_permit: bool,
     deadline: Moment,
 ) -> PrefillEnd {
     let order = SendOrder {
@@ -92,6 +94,7 @@
         body: &request.body,
         request_id: &request.facts.id,
         stage: Some(RunStage::Prefill),
+        has_permit: has_rate_permit,
         choice: ConnectionChoice::Fresh,
         deadline,
     };
@@ -117,6 +120,7 @@
         Ok(_) => PrefillEnd::Failed,
         Err(ExchangeError::Unsent { .. }) => PrefillEnd::Unsent,
         Err(ExchangeError::Withheld) => PrefillEnd::Withheld,
+        Err(ExchangeError::Unpermitted) => PrefillEnd::Unpermitted,
         Err(ExchangeError::Lost { is_ended, .. }) => {
             if !is_ended {
                 return PrefillEnd::Failed;
--- /dev/null
+++ b/src/gateway/health.rs
@@ -0,0 +1,45 @@
+//! Health checks of replicas that name a limit and get no requests, to hear whether they still name it.
+
+use std::sync::Arc;
+
+use super::GatewayContext;
+use super::upstream::{ConnectionChoice, UpstreamRequest, ask};
+use crate::blackboard::ReplicaId;
+use crate::clock;
+
+/// How long a health check may take, in milliseconds.
+const CHECK_LIMIT_MS: u64 = 1_000;
+
+/// Asks a replica's health check once; what its answer says is taken as that of any other answer.
+pub async fn check_health(context: Arc<GatewayContext>, id: ReplicaId) {
+    let snapshot = context.snapshot();
+    let Some(facts) = snapshot.replicas.get(&id) else {
+        return;
+    };
+    let replica = &facts.record;
+    let service = snapshot.register.services.get(&replica.service);
+    let Some(path) = service.and_then(|service| service.health_path.as_deref()) else {
+        spdlog::warn!("event=health_checked replica={id} outcome=no_path elapsed_ms=0");
+        return;
+    };
+    let began_at = clock::now();
+    let request = UpstreamRequest {
+        replica,
+        method: "GET",
+        head: context.protocol.write_health_check(replica, path),
+        body: b"",
+        request_id: "",
+        stage: None,
+        has_permit: true,
+        choice: ConnectionChoice::Fresh,
+        deadline: began_at.after_ms(CHECK_LIMIT_MS),
+    };
+    let outcome = match ask(&context, request).await {
+        Ok((head, ..)) => format!("status_{}", head.status),
+        Err(error) => error.to_string().replace(' ', "_"),
+    };
+    spdlog::warn!(
+        "event=health_checked replica={id} outcome={outcome} elapsed_ms={}",
+        began_at.until_ms(clock::now())
+    );
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,9 +6,12 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
+use super::limit_gauge::LimitGauge;
 use super::loss::RunStage;
+use super::rate_permit::PermitFate;
 use super::statements::UnknownStatements;
 use super::trace::{RequestOutcome, TraceRecord};
+use crate::blackboard::ReplicaId;
 use crate::clock;
 use crate::event_log::EventLog;
 use crate::prelude::*;
@@ -51,8 +54,11 @@
     active: Gauge<u64>,
     suspected: Gauge<u64>,
     held_refusals: Counter<u64>,
+    limited_refusals: Counter<u64>,
     log_lines: Gauge<u64>,
     unknown_statements: Gauge<u64>,
+    permits: Counter<u64>,
+    limits: LimitGauge,
     control_events: ControlEventGauge,
 }
 
@@ -98,9 +104,18 @@
                 "suspected_requests",
                 "Requests under which replicas ended, by what becomes of them.",
             ),
+            limited_refusals: meters.counter(
+                "limited_refusals",
+                "Refusals of requests whose replicas all get what they take.",
+            ),
             held_refusals: meters.counter("held_refusals", "Refusals of requests that are held back."),
             active: meters.gauge("active_requests", "Requests that this VM holds."),
             log_lines: meters.gauge("log_lines", "Log lines by what became of them."),
+            permits: meters.counter(
+                "rate_permits",
+                "Asks for permits to send to replicas that name limits, by fate.",
+            ),
+            limits: LimitGauge::new(&meters),
             unknown_statements: meters.gauge(
                 "unknown_statements",
                 "Statements of replicas on themselves that nothing reads, by name.",
@@ -150,6 +165,7 @@
             self.replicas
                 .record(count as u64, &[KeyValue::new("state", state)]);
         }
+        self.limits.record(snapshot, now);
         self.active.record(active_requests, &[]);
         let held = snapshot.held_count(now);
         let careful = snapshot.suspicions.len() - held;
@@ -176,6 +192,9 @@
         if record.code == ResultCode::Quarantined.number() {
             self.held_refusals.add(1, &[]);
         }
+        if record.code == ResultCode::RateLimited.number() {
+            self.limited_refusals.add(1, &[]);
+        }
         if record.sends > 1 {
             self.extra_sends.add(u64::from(record.sends - 1), &[]);
         }
@@ -228,6 +247,16 @@
         self.arrivals.add(1, &[KeyValue::new("stage", stage.as_str())]);
     }
 
+    /// Counts an ask for a permit by its outcome.
+    pub fn note_permit(&self, fate: PermitFate) {
+        self.permits.add(1, &[KeyValue::new("fate", fate.as_str())]);
+    }
+
+    /// Notes that a request went out to a replica that names a limit.
+    pub fn note_limited_arrival(&self, replica: &ReplicaId) {
+        self.limits.note_arrival(replica);
+    }
+
     /// Notes an extra send that the budget did not cover.
     pub fn note_denied(&self) {
         self.denied_sends.add(1, &[]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 mod dispatch;
 mod engine_call;
 mod exchange;
+mod health;
+mod limit_gauge;
 mod listener;
 mod loss;
 mod metrics;
@@ -18,6 +20,7 @@
 mod pool;
 mod prompt;
 mod protocol;
+mod rate_permit;
 mod relay;
 mod replica_state;
 mod send;
@@ -29,10 +32,12 @@
 mod verdict;
 
 pub use context::GatewayContext;
+pub use health::check_health;
 pub use listener::listen_for_callers;
 pub use metrics::GatewayMetrics;
 pub use order::give_order;
 pub use plain_server::{answer_directory, answer_metrics, answer_readiness, serve_plain};
 pub use protocol::{
-    AnswerFacts, KvTicket, RequestFacts, SendOrder, SendPurpose, UnknownStatement, WireProtocol,
+    AnswerFacts, KvTicket, LimitStatement, RequestFacts, SendOrder, SendPurpose, UnknownStatement,
+    WireProtocol,
 };
--- a/src/gateway/order.rs
+++ b/src/gateway/order.rs
@@ -28,6 +28,7 @@
         body: b"",
         request_id: "",
         stage: None,
+        has_permit: false,
         choice: ConnectionChoice::Fresh,
         deadline: clock::now().after_ms(ORDER_LIMIT_MS),
     };
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -6,7 +6,7 @@
 use super::{GatewayContext, RequestFacts};
 use crate::blackboard::{ReplicaId, ReplicaRecord, ReplicaRole};
 use crate::clock;
-use crate::controllers::slots::{EngineEnd, PlacementAsk, PlacementGrant, RequestId};
+use crate::controllers::slots::{EngineEnd, EnginePermits, PlacementAsk, PlacementGrant, RequestId};
 use crate::prelude::*;
 use crate::runtime::PlacementHold;
 
@@ -48,6 +48,8 @@
     pub decode: Arc<ReplicaRecord>,
     /// The prefill engine; `None` where the decode engine runs the prompt itself.
     pub prefill: Option<Arc<ReplicaRecord>>,
+    /// Which of them may be sent to though they name limits.
+    pub permits: EnginePermits,
 }
 
 impl EnginePlace {
@@ -60,11 +62,15 @@
         let mut avoid = need.avoid.to_vec();
         for _ in 0..MOST_STALE_GRANTS {
             let place = Self::ask_once(context, request, need.with(&avoid)).await?;
-            let Some(stale) = place.find_withheld() else {
+            if let Some(stale) = place.find_withheld() {
+                spdlog::info!("event=grant_stale request={} engine={stale}", request.facts.id);
+                avoid.push(stale);
+            } else if let Some(stale) = place.find_unpermitted() {
+                // Its owner knew of no limit yet.
+                spdlog::info!("event=grant_stale request={} engine={stale}", request.facts.id);
+            } else {
                 return Ok(place);
-            };
-            spdlog::info!("event=grant_stale request={} engine={stale}", request.facts.id);
-            avoid.push(stale);
+            }
         }
         Self::ask_once(context, request, need.with(&avoid)).await
     }
@@ -98,6 +104,7 @@
             hold,
             decode,
             prefill: grant.prefill.as_ref().and_then(record),
+            permits: grant.permits,
         })
     }
 
@@ -111,6 +118,27 @@
         })
     }
 
+    /// A granted engine that names a limit and may not be sent to.
+    fn find_unpermitted(&self) -> Option<ReplicaId> {
+        let snapshot = self.context.snapshot();
+        let decode = Some(&self.decode).filter(|_| !self.permits.decode);
+        let prefill = self.prefill.as_ref().filter(|_| !self.permits.prefill);
+        let mut engines = decode.into_iter().chain(prefill);
+        engines
+            .find(|record| snapshot.is_limited(record))
+            .map(|record| record.id.clone())
+    }
+
+    /// Notes whether the prefill engine has been sent the request.
+    pub fn set_prefill_sent(&mut self, is_sent: bool) {
+        self.hold.result.sent.prefill = is_sent;
+    }
+
+    /// Notes whether the decode engine has been sent the request.
+    pub fn set_decode_sent(&mut self, is_sent: bool) {
+        self.hold.result.sent.decode = is_sent;
+    }
+
     /// Tells the owner that the prefill engine can take its next prompt.
     pub fn finish_prefill(&mut self, end: EngineEnd) {
         self.hold.result.prefill = end;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -34,6 +34,8 @@
     Ready(ReadyPrompt),
     /// The decode engine runs it itself.
     Left,
+    /// Its engine has begun to name a limit; the owner gives permits for it now.
+    Unpermitted,
     /// Its engine ended under it, which is to be weighed before another one gets the request.
     EngineEnded,
 }
@@ -76,12 +78,23 @@
             .request
             .deadline
             .min(began_at.after_ms(self.prefill_limit_ms()));
-        let end = run_prefill(self.context, self.request, &replica, permit, deadline).await;
+        place.set_prefill_sent(true);
+        let has_rate_permit = place.permits.prefill;
+        let end = run_prefill(
+            self.context,
+            self.request,
+            &replica,
+            permit,
+            has_rate_permit,
+            deadline,
+        )
+        .await;
         let (word, engine_end) = match &end {
             PrefillEnd::Done(_) => ("done", EngineEnd::Fine),
             PrefillEnd::Refused => ("refused", EngineEnd::Full),
             PrefillEnd::Unsent => ("unsent", EngineEnd::Unreachable),
             PrefillEnd::Withheld => ("withheld", EngineEnd::Full),
+            PrefillEnd::Unpermitted => ("unpermitted", EngineEnd::Fine),
             PrefillEnd::Failed => ("failed", EngineEnd::Failed),
             PrefillEnd::EngineEnded => ("engine_ended", EngineEnd::Failed),
             PrefillEnd::Late => ("late", EngineEnd::Failed),
@@ -103,7 +116,12 @@
                 .note_prefill(&self.request.service, tokens, elapsed_ms);
         }
         place.finish_prefill(engine_end);
-        if !matches!(end, PrefillEnd::Unsent | PrefillEnd::Withheld) {
+        if matches!(
+            end,
+            PrefillEnd::Unsent | PrefillEnd::Withheld | PrefillEnd::Unpermitted
+        ) {
+            place.set_prefill_sent(false);
+        } else {
             self.arrivals.note_prompt(matches!(end, PrefillEnd::Done(_)));
         }
         match end {
@@ -118,6 +136,7 @@
             PrefillEnd::Unsent | PrefillEnd::Withheld | PrefillEnd::Failed | PrefillEnd::Late => {
                 PromptStep::Left
             }
+            PrefillEnd::Unpermitted => PromptStep::Unpermitted,
             PrefillEnd::EngineEnded => PromptStep::EngineEnded,
         }
     }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::blackboard::{ReplicaLoad, ReplicaRecord};
+use crate::blackboard::{ReplicaLoad, ReplicaRecord, RequestRate};
 use crate::controllers::rebalance::RoleOrder;
 use crate::http::{RequestHead, ResponseHead};
 
@@ -79,11 +79,26 @@
     pub is_leaving: bool,
     /// How long the replica wants nothing more from this VM, in milliseconds; only with a refusal.
     pub back_off_ms: Option<u64>,
-    /// Statements of the replica on itself that the adapter does not know.
+    /// What the replica says of the requests that it takes from all VMs together.
+    pub rate_limit: LimitStatement,
+    /// The replica that answered, as its health check names it.
+    pub instance: Option<String>,
+    /// Statements of the replica on itself that the adapter does not know, or can't read.
     pub unknown_statements: Vec<UnknownStatement>,
 }
 
-/// A statement of a replica on itself that the adapter does not know.
+/// What an answer says of the limit that its replica names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitStatement {
+    /// Nothing: the replica names none.
+    Unsaid,
+    /// Something that is no rate.
+    Unreadable,
+    /// A rate.
+    Named(RequestRate),
+}
+
+/// A statement of a replica on itself that the adapter does not know, or can't read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnknownStatement {
     /// What it is called on the wire.
@@ -112,6 +127,9 @@
     /// Writes a whole request that frees a prefilled prompt.
     fn write_ticket_release(&self, ticket: &KvTicket) -> Vec<u8>;
 
+    /// Writes a whole request for a replica's health.
+    fn write_health_check(&self, replica: &ReplicaRecord, path: &str) -> Vec<u8>;
+
     /// Writes a whole request that moves an engine to the other pool.
     fn write_role_order(&self, replica: &ReplicaRecord, order: &RoleOrder, holder: &str) -> Vec<u8>;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -123,7 +123,7 @@
     begun: Vec<u8>,
     leave: SendLeave,
 ) -> AnswerEnd {
-    let SendLeave { lease, permit } = leave;
+    let SendLeave { lease, permit, .. } = leave;
     let head = answer.head.clone();
     let mut writer = AnswerWriter::new(context, socket, request, &head);
     if !writer.write(&begun).await {
--- a/src/gateway/replica_state.rs
+++ b/src/gateway/replica_state.rs
@@ -1,14 +1,49 @@
-//! What replicas say of themselves in answers: that they back off, or leave.
+//! What replicas say of themselves in answers: that they back off, leave, or take so many requests.
 
-use super::{AnswerFacts, GatewayContext};
+use super::upstream::UpstreamRequest;
+use super::{AnswerFacts, GatewayContext, LimitStatement};
 use crate::blackboard::ReplicaRecord;
 use crate::clock;
+use crate::controllers::rate_limits::LimitRecord;
 use crate::prelude::*;
 
 /// The longest back-off that a replica is granted, in milliseconds. A replica that asks for more has sent a wrong figure,
 /// which must not shut it out for good.
 const LONGEST_BACK_OFF_MS: u64 = 600_000;
 
+/// Takes what an answer to a request of ours says of the replica's limit.
+pub fn note_limit(
+    context: &GatewayContext,
+    request: &UpstreamRequest<'_>,
+    facts: &AnswerFacts,
+    asked_at: Moment,
+) {
+    let record = request.replica;
+    let instance = facts.instance.as_deref();
+    let is_other = instance.is_some_and(|id| id != &*record.id);
+    // Bytes that nobody vouches for must not end a limit.
+    let is_echoed = facts.request_id.as_deref() == Some(request.request_id);
+    let is_sound = is_echoed || facts.is_signed || facts.is_not_run || instance.is_some();
+    let rate = match facts.rate_limit {
+        _ if facts.is_misdirected || is_other => return,
+        LimitStatement::Unreadable => return,
+        LimitStatement::Unsaid if !is_sound || !context.snapshot().is_limited(record) => return,
+        LimitStatement::Unsaid => None,
+        LimitStatement::Named(rate) => Some(rate),
+    };
+    let answered_at = clock::now();
+    let record = LimitRecord {
+        replica: record.id.clone(),
+        started_epoch_ms: record.started_epoch_ms,
+        rate,
+        first_named_at: answered_at,
+        asked_at,
+        answered_at,
+        seen_by: context.own.name.clone(),
+    };
+    context.control.tell(Event::LimitStated { record });
+}
+
 /// Takes what an answer says of the replica itself, whichever request it answers.
 pub fn note_replica(context: &GatewayContext, record: &ReplicaRecord, facts: &AnswerFacts) {
     if facts.is_misdirected {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -5,8 +5,9 @@
 use super::dispatch::DispatchLease;
 use super::exchange::CallerRequest;
 use super::loss::{RunStage, report_loss};
+use super::rate_permit::exchange_permitted;
 use super::relay::note_broken;
-use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest, exchange};
+use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest};
 use super::verdict::{AnswerVerdict, judge, verdict_word};
 use super::{GatewayContext, SendOrder, SendPurpose};
 use crate::blackboard::ReplicaId;
@@ -15,7 +16,7 @@
 use crate::http::ResponseHead;
 use crate::prelude::*;
 use crate::register::RouteKind;
-use crate::runtime::RunPermit;
+use crate::runtime::{RatePermit, RunPermit};
 use crate::transport::until;
 
 /// The longest body of an answer that is read whole before it is passed on, in bytes. A shorter one that breaks off can
@@ -32,6 +33,8 @@
     OwnError(ResponseHead, Vec<u8>),
     /// The request has certainly not run there.
     NotRun { was_sent: bool },
+    /// Nothing was sent, since the replica has begun to name a limit; with a permit it may be.
+    Unpermitted(ReplicaId),
     /// The request may have run there.
     InDoubt,
 }
@@ -42,11 +45,17 @@
     pub lease: DispatchLease,
     /// Leave to run the request there.
     pub permit: RunPermit,
+    /// Leave to send it there, where the replica names a limit.
+    pub rate_permit: Option<RatePermit>,
 }
 
 /// Sends a call to a replica and reads its answer.
 pub async fn send_once(context: &Arc<GatewayContext>, request: &CallerRequest, leave: SendLeave) -> SendEnd {
-    let SendLeave { lease, permit } = leave;
+    let SendLeave {
+        lease,
+        permit,
+        rate_permit,
+    } = leave;
     let choice = match request.rule.kind {
         // What ends with a new connection ends with its request, and not before.
         _ if permit.is_careful() => ConnectionChoice::Fresh,
@@ -68,11 +77,12 @@
         body: &request.body,
         request_id: &request.facts.id,
         stage: Some(RunStage::Call),
+        has_permit: rate_permit.is_some(),
         choice,
         deadline: request.deadline,
     };
     note_send(request, lease.id());
-    let outcome = exchange(context, upstream_request).await;
+    let outcome = exchange_permitted(context, upstream_request, rate_permit.as_ref()).await;
     let verdict = outcome.as_ref().map(|answer| judge(answer, &request.facts.id));
     spdlog::info!(
         "event=sent request={} route={} replica={} outcome={} send={} ahead={} free_beside={} elapsed_ms={} total_ms={}",
@@ -89,7 +99,11 @@
     match outcome {
         Ok(answer) => {
             let verdict = judge(&answer, &request.facts.id);
-            let leave = SendLeave { lease, permit };
+            let leave = SendLeave {
+                lease,
+                permit,
+                rate_permit,
+            };
             finish_send(context, request, leave, answer, verdict).await
         }
         Err(ExchangeError::Unsent { .. }) => {
@@ -100,6 +114,11 @@
             lease.finish(SendOutcome::Refused);
             SendEnd::NotRun { was_sent: false }
         }
+        Err(ExchangeError::Unpermitted) => {
+            let replica = lease.id().clone();
+            lease.finish(SendOutcome::Refused);
+            SendEnd::Unpermitted(replica)
+        }
         Err(ExchangeError::Lost { is_ended, .. }) => {
             let (replica, began_at) = (lease.replica().clone(), lease.began_at());
             lease.finish(SendOutcome::Failed);
@@ -123,7 +142,11 @@
     mut answer: UpstreamAnswer,
     verdict: AnswerVerdict,
 ) -> SendEnd {
-    let SendLeave { lease, permit } = leave;
+    let SendLeave {
+        lease,
+        permit,
+        rate_permit,
+    } = leave;
     if let Some(load) = answer.facts.load {
         context.with_book(|book| book.note_load(lease.id(), load, clock::now()));
     }
@@ -146,7 +169,11 @@
     }
     match until(request.deadline, answer.read_up_to(WHOLE_BODY_BYTES)).await {
         Some(Ok((begun, false))) => {
-            let leave = SendLeave { lease, permit };
+            let leave = SendLeave {
+                lease,
+                permit,
+                rate_permit,
+            };
             SendEnd::LongAnswer(Box::new(answer), begun, Box::new(leave))
         }
         Some(Ok((body, true))) => {
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -29,6 +29,9 @@
 /// they were about to leave.
 const MOST_ENDED_PREFILLS: u32 = 3;
 
+/// Engines that may begin to name limits before one request is sent to them.
+const MOST_UNPERMITTED: u32 = 3;
+
 /// Serves a generation.
 pub async fn serve_stream(
     context: &Arc<GatewayContext>,
@@ -45,6 +48,7 @@
         paid: PaidSends::default(),
         kept_prompt: None,
         ended_prefills: 0,
+        unpermitted: 0,
         in_doubt: false,
         writer: None,
         last_event: None,
@@ -88,6 +92,8 @@
     pub(super) kept_prompt: Option<ReadyPrompt>,
     /// Engines that ended while they ran its prompt.
     ended_prefills: u32,
+    /// Engines that began to name limits before it was sent to them.
+    unpermitted: u32,
     /// Whether some engine may have begun to run it.
     in_doubt: bool,
     /// The answer, once its head has been chosen.
@@ -115,6 +121,7 @@
         let rule = &self.request.rule;
         let may_send = self.sends < rule.attempts
             && self.ended_prefills < MOST_ENDED_PREFILLS
+            && self.unpermitted < MOST_UNPERMITTED
             && (!self.in_doubt || rule.kind.may_repeat())
             && !clock::now().reached(self.request.deadline);
         if !may_send {
@@ -147,6 +154,10 @@
         let prompt = match self.prefill(&mut place, &permit).await {
             PromptStep::Ready(prompt) => Some(prompt),
             PromptStep::Left => None,
+            PromptStep::Unpermitted => {
+                self.unpermitted += 1;
+                return Some(StreamEnd::NotRun);
+            }
             PromptStep::EngineEnded => {
                 self.ended_prefills += 1;
                 return Some(StreamEnd::NotRun);
@@ -205,6 +216,7 @@
             body: &request.body,
             request_id: &request.facts.id,
             stage: Some(RunStage::Decode),
+            has_permit: place.permits.decode,
             choice: ConnectionChoice::Fresh,
             deadline: request.deadline,
         };
@@ -216,6 +228,7 @@
             );
         }
         note_send(request, &replica.id);
+        place.set_decode_sent(true);
         let outcome = exchange(self.context, upstream_request).await;
         let verdict = outcome.as_ref().map(|answer| judge(answer, &request.facts.id));
         spdlog::info!(
@@ -228,7 +241,9 @@
             began_at.until_ms(clock::now()),
             request.received_at.until_ms(clock::now())
         );
-        if !outcome.as_ref().is_err_and(ExchangeError::is_unsent) {
+        if outcome.as_ref().is_err_and(ExchangeError::is_unsent) {
+            place.set_decode_sent(false);
+        } else {
             self.arrivals.note_run();
         }
         match outcome {
@@ -253,6 +268,13 @@
                 self.sends -= 1;
                 StreamEnd::NotRun
             }
+            Err(ExchangeError::Unpermitted) => {
+                self.tried.retain(|tried| *tried != replica.id);
+                self.kept_prompt = prompt;
+                self.unpermitted += 1;
+                self.sends -= 1;
+                StreamEnd::NotRun
+            }
             Err(ExchangeError::Lost { is_ended, .. }) => {
                 if is_ended {
                     report_loss(request, &permit, &replica, RunStage::Decode, began_at).await;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -6,7 +6,7 @@
 use snafu::Snafu;
 
 use super::loss::RunStage;
-use super::replica_state::note_replica;
+use super::replica_state::{note_limit, note_replica};
 use super::{AnswerFacts, GatewayContext};
 use crate::blackboard::{ReplicaId, ReplicaRecord};
 use crate::clock;
@@ -55,12 +55,15 @@
     /// The replica wants nothing more from this VM now, so nothing was sent.
     #[snafu(display("the replica takes nothing from this VM now"))]
     Withheld,
+    /// The replica names a limit, and there is no permit, so nothing was sent.
+    #[snafu(display("the replica names a limit and there is no permit"))]
+    Unpermitted,
 }
 
 impl ExchangeError {
     /// Whether no byte of the request left.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unsent { .. } | Self::Withheld)
+        matches!(self, Self::Unsent { .. } | Self::Withheld | Self::Unpermitted)
     }
 }
 
@@ -97,6 +100,8 @@
     pub request_id: &'a str,
     /// What the replica is to do for a caller; `None` where the request is our own.
     pub stage: Option<RunStage>,
+    /// Whether it may go to a replica that names a limit.
+    pub has_permit: bool,
     /// Over which connection.
     pub choice: ConnectionChoice,
     /// Until when the answer's head must be there.
@@ -171,13 +176,16 @@
     if let Some(stage) = request.stage {
         context.metrics.note_arrival(stage);
     }
+    if request.has_permit {
+        context.metrics.note_limited_arrival(&replica.id);
+    }
     let deadline = request.deadline;
     until(deadline, send_and_read(context, stream, request))
         .await
         .ok_or(ExchangeError::Deadline)?
 }
 
-/// Checks that the replica is eligible: it neither backs off nor drains.
+/// Checks that the replica is eligible: it neither backs off nor drains, and if it names a limit there is a permit.
 fn check_withheld(context: &GatewayContext, request: &UpstreamRequest<'_>) -> Result<(), ExchangeError> {
     let (record, now) = (request.replica, clock::now());
     let is_withheld = context.with_book(|book| {
@@ -190,6 +198,9 @@
     if is_withheld {
         return Err(ExchangeError::Withheld);
     }
+    if !request.has_permit && context.snapshot().is_limited(record) {
+        return Err(ExchangeError::Unpermitted);
+    }
     Ok(())
 }
 
@@ -225,6 +236,7 @@
         reason: error.to_string(),
         is_ended: error.is_end(),
     };
+    let asked_at = clock::now();
     let mut is_sent_whole = true;
     let mut head = if request.body.len() <= SMALL_BODY_BYTES {
         request.head.extend_from_slice(request.body);
@@ -251,6 +263,7 @@
                 .as_deref()
                 .is_some_and(|id| id != request.request_id);
         if !is_stray {
+            note_limit(context, &request, &facts, asked_at);
             let may_keep = request.choice != ConnectionChoice::Fresh
                 && is_sent_whole
                 && head.keeps_connection()
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -50,6 +50,7 @@
         Err(ExchangeError::Lost { .. }) => "lost",
         Err(ExchangeError::Deadline) => "deadline",
         Err(ExchangeError::Withheld) => "withheld",
+        Err(ExchangeError::Unpermitted) => "unpermitted",
     }
 }
 
@@ -63,6 +64,8 @@
     Unsent,
     /// The engine wants nothing from this VM now.
     Withheld,
+    /// The engine names a limit of which its owner did not know yet.
+    Unpermitted,
     /// The engine broke off, or answered with a failure.
     Failed,
     /// The engine's process ended while it ran the prompt.
--- a/src/peers/convert/mod.rs
+++ b/src/peers/convert/mod.rs
@@ -3,6 +3,7 @@
 mod keys;
 mod members;
 mod quarantine;
+mod rate_limits;
 mod replicas;
 mod slots;
 
@@ -12,6 +13,10 @@
     cases_body, cleared_message, strike_body, strike_message, to_cases, to_trial_answer, to_trial_frame,
     trial_answer_body,
 };
+use rate_limits::{
+    limits_body, permit_answer_body, permit_ask_body, permit_returned_body, to_limit, to_limit_frame,
+    to_limits, to_permit_answer, to_permit_ask, to_permit_returned,
+};
 use replicas::{to_replica_update, to_replicas_frame};
 use slots::{
     to_ask, to_ask_frame, to_engine_end, to_group, to_group_frame, to_release_frame, to_slot_answer,
@@ -19,11 +24,12 @@
 };
 
 use crate::controllers::message::{MemberView, PeerMessage, VmIntroduction};
-use crate::controllers::slots::{HeldSlot, MemoryLoad, PlacementResult};
+use crate::controllers::slots::{HeldSlot, MemoryLoad, PlacementResult, SentEngines};
 use crate::peers::wire::{
     CasesWantedFrame, ClearedFrame, EngineBusyFrame, FrameBody, HandoffFrame, HeartbeatFrame,
-    IntroductionFrame, PeerFrame, RegisterContentFrame, RegisterWantedFrame, ReplicaLeavingFrame,
-    ReplicasWantedFrame, RunWholeFrame, SlotHeldFrame, VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
+    IntroductionFrame, LimitsHandedOverFrame, LimitsWantedFrame, PeerFrame, RegisterContentFrame,
+    RegisterWantedFrame, ReplicaLeavingFrame, ReplicasWantedFrame, RunWholeFrame, SlotHeldFrame,
+    VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
 };
 use crate::prelude::*;
 
@@ -40,6 +46,7 @@
             store_age_ms,
             view,
             case_digest,
+            limit_digest,
             leaving,
             wants_echo,
         } => FrameBody::Heartbeat(HeartbeatFrame {
@@ -49,6 +56,7 @@
             live_vms: view.count,
             live_digest: view.digest,
             case_digest: *case_digest,
+            limit_digest: *limit_digest,
             leaving: *leaving,
             wants_echo: *wants_echo,
         }),
@@ -129,6 +137,15 @@
         }
         PeerMessage::CasesWanted => FrameBody::CasesWanted(CasesWantedFrame {}),
         PeerMessage::CasesContent(records) => cases_body(records, now),
+        PeerMessage::LimitStated(record) => FrameBody::LimitStated(to_limit_frame(record, now)),
+        PeerMessage::LimitsWanted => FrameBody::LimitsWanted(LimitsWantedFrame {}),
+        PeerMessage::LimitsContent(records) => limits_body(records, now),
+        PeerMessage::PermitAsk { number, ask } => permit_ask_body(*number, ask, now),
+        PeerMessage::PermitAnswer { number, verdict } => permit_answer_body(*number, verdict),
+        PeerMessage::LimitsHandedOver { key } => {
+            FrameBody::LimitsHandedOver(LimitsHandedOverFrame { key: key.clone() })
+        }
+        PeerMessage::PermitReturned { service, replica } => permit_returned_body(service, replica),
         PeerMessage::KeyCall(call) => FrameBody::KeyCall(to_call_frame(call, now)),
         PeerMessage::KeyAnswer { call_id, answer } => FrameBody::KeyAnswer(to_answer_frame(*call_id, answer)),
         PeerMessage::Handoff {
@@ -174,6 +191,7 @@
                 digest: frame.live_digest,
             },
             case_digest: frame.case_digest,
+            limit_digest: frame.limit_digest,
             leaving: frame.leaving,
             wants_echo: frame.wants_echo,
         }),
@@ -222,6 +240,10 @@
                 handover_ms: frame.handover_ms,
                 prefill: to_engine_end(frame.prefill_end)?,
                 decode: to_engine_end(frame.decode_end)?,
+                sent: SentEngines {
+                    decode: frame.decode_sent,
+                    prefill: frame.prefill_sent,
+                },
             },
         }),
         FrameBody::Strike(frame) => Ok(strike_message(frame, now)),
@@ -241,6 +263,13 @@
         }),
         FrameBody::CasesWanted(CasesWantedFrame {}) => Ok(PeerMessage::CasesWanted),
         FrameBody::CasesContent(frame) => Ok(to_cases(frame, now)),
+        FrameBody::LimitStated(frame) => Ok(PeerMessage::LimitStated(to_limit(frame, now))),
+        FrameBody::LimitsWanted(LimitsWantedFrame {}) => Ok(PeerMessage::LimitsWanted),
+        FrameBody::LimitsContent(frame) => Ok(to_limits(frame, now)),
+        FrameBody::PermitAsk(frame) => Ok(to_permit_ask(frame, now)),
+        FrameBody::PermitAnswer(frame) => Ok(to_permit_answer(frame)),
+        FrameBody::LimitsHandedOver(frame) => Ok(PeerMessage::LimitsHandedOver { key: frame.key }),
+        FrameBody::PermitReturned(frame) => Ok(to_permit_returned(frame)),
         FrameBody::KeyCall(frame) => to_call(frame, now),
         FrameBody::KeyAnswer(frame) => to_answer(frame),
         FrameBody::Handoff(frame) => to_handoff(frame),
--- /dev/null
+++ b/src/peers/convert/rate_limits.rs
@@ -0,0 +1,108 @@
+//! Limits that replicas name, and permits. Ages travel, since clocks differ.
+
+use crate::blackboard::RequestRate;
+use crate::controllers::message::PeerMessage;
+use crate::controllers::rate_limits::{LimitRecord, PermitAsk, PermitVerdict};
+use crate::peers::wire::{
+    FrameBody, LimitFrame, LimitsContentFrame, PermitAnswerFrame, PermitAskFrame, PermitReturnedFrame,
+};
+use crate::prelude::*;
+
+pub(super) fn to_limit_frame(record: &LimitRecord, now: Moment) -> LimitFrame {
+    LimitFrame {
+        replica: record.replica.to_string(),
+        started_epoch_ms: record.started_epoch_ms,
+        rate: record.rate.map(|rate| rate.0),
+        named_age_ms: record.first_named_at.until_ms(now),
+        asked_age_ms: record.asked_at.until_ms(now),
+        answered_age_ms: record.answered_at.until_ms(now),
+        seen_by: record.seen_by.to_string(),
+    }
+}
+
+pub(super) fn to_limit(frame: LimitFrame, now: Moment) -> LimitRecord {
+    let ago = |age_ms: u64| Moment(now.0.saturating_sub(age_ms));
+    LimitRecord {
+        replica: frame.replica.into(),
+        started_epoch_ms: frame.started_epoch_ms,
+        rate: frame.rate.map(RequestRate),
+        first_named_at: ago(frame.named_age_ms),
+        asked_at: ago(frame.asked_age_ms),
+        answered_at: ago(frame.answered_age_ms),
+        seen_by: frame.seen_by.into(),
+    }
+}
+
+pub(super) fn limits_body(records: &[LimitRecord], now: Moment) -> FrameBody {
+    FrameBody::LimitsContent(LimitsContentFrame {
+        limits: records.iter().map(|record| to_limit_frame(record, now)).collect(),
+    })
+}
+
+pub(super) fn to_limits(frame: LimitsContentFrame, now: Moment) -> PeerMessage {
+    let records = frame.limits.into_iter().map(|frame| to_limit(frame, now));
+    PeerMessage::LimitsContent(records.collect())
+}
+
+pub(super) fn permit_ask_body(number: u64, ask: &PermitAsk, now: Moment) -> FrameBody {
+    FrameBody::PermitAsk(PermitAskFrame {
+        number,
+        service: ask.service.to_string(),
+        candidates: ask.candidates.iter().map(ToString::to_string).collect(),
+        patience_ms: now.until_ms(ask.start_by),
+    })
+}
+
+pub(super) fn to_permit_ask(frame: PermitAskFrame, now: Moment) -> PeerMessage {
+    PeerMessage::PermitAsk {
+        number: frame.number,
+        ask: PermitAsk {
+            service: frame.service.into(),
+            candidates: frame.candidates.into_iter().map(Into::into).collect(),
+            start_by: now.after_ms(frame.patience_ms),
+        },
+    }
+}
+
+pub(super) fn permit_answer_body(number: u64, verdict: &PermitVerdict) -> FrameBody {
+    let (replica, wait_ms) = match verdict {
+        PermitVerdict::Granted { replica, wait_ms } => (replica.to_string(), *wait_ms),
+        PermitVerdict::Refused { pause_ms } => (String::new(), *pause_ms),
+    };
+    FrameBody::PermitAnswer(PermitAnswerFrame {
+        number,
+        replica,
+        wait_ms,
+    })
+}
+
+pub(super) fn to_permit_answer(frame: PermitAnswerFrame) -> PeerMessage {
+    let verdict = if frame.replica.is_empty() {
+        PermitVerdict::Refused {
+            pause_ms: frame.wait_ms,
+        }
+    } else {
+        PermitVerdict::Granted {
+            replica: frame.replica.into(),
+            wait_ms: frame.wait_ms,
+        }
+    };
+    PeerMessage::PermitAnswer {
+        number: frame.number,
+        verdict,
+    }
+}
+
+pub(super) fn permit_returned_body(service: &str, replica: &str) -> FrameBody {
+    FrameBody::PermitReturned(PermitReturnedFrame {
+        service: service.to_owned(),
+        replica: replica.to_owned(),
+    })
+}
+
+pub(super) fn to_permit_returned(frame: PermitReturnedFrame) -> PeerMessage {
+    PeerMessage::PermitReturned {
+        service: frame.service.into(),
+        replica: frame.replica.into(),
+    }
+}
--- a/src/peers/convert/slots.rs
+++ b/src/peers/convert/slots.rs
@@ -4,7 +4,7 @@
 
 use super::InvalidFrame;
 use crate::controllers::message::{PeerMessage, SlotVerdict};
-use crate::controllers::slots::{EngineEnd, EngineGroup, PlacementAsk, PlacementResult};
+use crate::controllers::slots::{EngineEnd, EngineGroup, EnginePermits, PlacementAsk, PlacementResult};
 use crate::peers::wire::{GroupFrame, RefusalFrame, SlotAnswerFrame, SlotAskFrame, SlotReleaseFrame};
 use crate::prelude::*;
 
@@ -102,7 +102,13 @@
     };
     match verdict {
         SlotVerdict::Queued => {}
-        SlotVerdict::Granted { decode, prefill } => {
+        SlotVerdict::Granted {
+            decode,
+            prefill,
+            permits,
+        } => {
+            frame.decode_permit = permits.decode;
+            frame.prefill_permit = permits.prefill;
             frame.decode = decode.to_string();
             frame.prefill = prefill.as_ref().map(ToString::to_string).unwrap_or_default();
         }
@@ -118,6 +124,10 @@
         None => SlotVerdict::Granted {
             decode: frame.decode.into(),
             prefill: (!frame.prefill.is_empty()).then(|| frame.prefill.into()),
+            permits: EnginePermits {
+                decode: frame.decode_permit,
+                prefill: frame.prefill_permit,
+            },
         },
     };
     Ok(PeerMessage::SlotAnswer {
@@ -139,6 +149,8 @@
         handover_ms: result.handover_ms,
         prefill_end: to_end_number(result.prefill),
         decode_end: to_end_number(result.decode),
+        decode_sent: result.sent.decode,
+        prefill_sent: result.sent.prefill,
     }
 }
 
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod link;
 mod wire;
 
+pub use convert::{InvalidFrame, to_frame, to_message};
 pub use handshake::HandshakeError;
 pub use hub::{PeerHub, PeerTraffic};
 pub use link::{listen_for_peers, seed};
--- a/src/peers/wire/members.rs
+++ b/src/peers/wire/members.rs
@@ -115,6 +115,9 @@
     /// A hash of the requests under which upstreams ended.
     #[prost(fixed64, tag = "8")]
     pub case_digest: u64,
+    /// A hash of the replicas that name limits.
+    #[prost(fixed64, tag = "9")]
+    pub limit_digest: u64,
 }
 
 /// A VM can't be reached.
--- a/src/peers/wire/mod.rs
+++ b/src/peers/wire/mod.rs
@@ -3,6 +3,7 @@
 mod keys;
 mod members;
 mod quarantine;
+mod rate_limits;
 mod replicas;
 mod slots;
 
@@ -17,6 +18,10 @@
     CaseFrame, CasesContentFrame, CasesWantedFrame, ClearedFrame, RunWholeFrame, StrikeFrame,
     TrialAnswerFrame, TrialFrame,
 };
+pub use rate_limits::{
+    LimitFrame, LimitsContentFrame, LimitsHandedOverFrame, LimitsWantedFrame, PermitAnswerFrame,
+    PermitAskFrame, PermitReturnedFrame,
+};
 pub use replicas::{
     EngineBusyFrame, RegisterContentFrame, RegisterWantedFrame, ReplicaFrame, ReplicaLeavingFrame,
     ReplicasContentFrame, ReplicasWantedFrame,
@@ -29,7 +34,7 @@
     /// Its content.
     #[prost(
         oneof = "FrameBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36"
     )]
     pub body: Option<FrameBody>,
 }
@@ -124,4 +129,25 @@
     /// Requests under which upstreams ended.
     #[prost(message, tag = "29")]
     CasesContent(CasesContentFrame),
+    /// What a replica said of its limit.
+    #[prost(message, tag = "30")]
+    LimitStated(LimitFrame),
+    /// What all replicas said of their limits is wanted.
+    #[prost(message, tag = "31")]
+    LimitsWanted(LimitsWantedFrame),
+    /// What replicas said of their limits.
+    #[prost(message, tag = "32")]
+    LimitsContent(LimitsContentFrame),
+    /// The sender wants to send a request to a replica that names a limit.
+    #[prost(message, tag = "33")]
+    PermitAsk(PermitAskFrame),
+    /// The answer to it.
+    #[prost(message, tag = "34")]
+    PermitAnswer(PermitAnswerFrame),
+    /// A permit was not used.
+    #[prost(message, tag = "35")]
+    PermitReturned(PermitReturnedFrame),
+    /// The sender grants nothing of some limits any more.
+    #[prost(message, tag = "36")]
+    LimitsHandedOver(LimitsHandedOverFrame),
 }
--- a/src/peers/wire/slots.rs
+++ b/src/peers/wire/slots.rs
@@ -107,6 +107,12 @@
     /// Why it was refused.
     #[prost(message, optional, tag = "5")]
     pub refusal: Option<RefusalFrame>,
+    /// Whether the decode engine may be sent to though it names a limit.
+    #[prost(bool, tag = "6")]
+    pub decode_permit: bool,
+    /// Whether the prefill engine may.
+    #[prost(bool, tag = "7")]
+    pub prefill_permit: bool,
 }
 
 /// A request holds slots that an earlier owner granted.
@@ -159,4 +165,10 @@
     /// How the decode engine behaved, in the same numbers.
     #[prost(uint32, tag = "6")]
     pub decode_end: u32,
+    /// Whether the decode engine was sent to.
+    #[prost(bool, tag = "7")]
+    pub decode_sent: bool,
+    /// Whether the prefill engine was.
+    #[prost(bool, tag = "8")]
+    pub prefill_sent: bool,
 }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -62,6 +62,8 @@
 struct ServiceEntry {
     name: String,
     max_connections: Option<u32>,
+    /// The path of the replicas' health check.
+    health_check: Option<String>,
     engine: Option<EngineEntry>,
 }
 
@@ -153,6 +155,7 @@
     ServiceRule {
         name,
         most_connections: entry.max_connections.unwrap_or(u32::MAX),
+        health_path: entry.health_check,
         engine: entry.engine.map(|engine| EngineTraits {
             memory_tokens: engine.kv_tokens,
             event_tokens: engine.stride.unwrap_or(1).max(1),
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -4,10 +4,11 @@
 
 use serde::Deserialize;
 
-use crate::blackboard::{ReplicaLoad, ReplicaRecord};
+use crate::blackboard::{ReplicaLoad, ReplicaRecord, RequestRate};
 use crate::controllers::rebalance::RoleOrder;
 use crate::gateway::{
-    AnswerFacts, KvTicket, RequestFacts, SendOrder, SendPurpose, UnknownStatement, WireProtocol,
+    AnswerFacts, KvTicket, LimitStatement, RequestFacts, SendOrder, SendPurpose, UnknownStatement,
+    WireProtocol,
 };
 use crate::http::{HeadWriter, RequestHead, ResponseHead, is_hop_header};
 use crate::register::EngineRole;
@@ -35,11 +36,16 @@
 /// Seconds, at times with a fraction, for which a replica wants nothing from the VM that it turned away.
 const BACK_OFF: &str = "Retry-After";
 
+/// Requests a second, at times with a fraction, that a replica takes from all VMs together.
+const LIMIT: &str = "Server-Limit";
+/// The replica that answers a health check.
+const INSTANCE: &str = "X-Instance-Id";
+
 /// How the names of a replica's statements on itself begin.
 const STATEMENT_PREFIXES: [&str; 2] = ["server-", "x-server-"];
 
 /// The statements that are read.
-const KNOWN_STATEMENTS: [&str; 2] = [LOAD, LEAVING];
+const KNOWN_STATEMENTS: [&str; 3] = [LOAD, LEAVING, LIMIT];
 
 /// The status with which a replica answers what was meant for another one.
 const MISDIRECTED_STATUS: u16 = 421;
@@ -116,6 +122,7 @@
 
     fn read_answer(&self, head: &ResponseHead) -> AnswerFacts {
         let is_misdirected = head.status == MISDIRECTED_STATUS;
+        let rate_limit = read_limit(head);
         AnswerFacts {
             request_id: head.headers.text(REQUEST_ID).map(str::to_owned),
             is_signed: head.headers.contains(SIGNATURE),
@@ -128,7 +135,9 @@
                 .text(BACK_OFF)
                 .filter(|_| head.status == TURNED_AWAY_STATUS)
                 .and_then(read_seconds),
-            unknown_statements: find_unknown_statements(head),
+            rate_limit,
+            instance: head.headers.text(INSTANCE).map(str::to_owned),
+            unknown_statements: find_unknown_statements(head, rate_limit),
         }
     }
 
@@ -153,6 +162,14 @@
         write_delete(ticket.engine, &format!("/kv-handle/{}", ticket.handle))
     }
 
+    fn write_health_check(&self, replica: &ReplicaRecord, path: &str) -> Vec<u8> {
+        HeadWriter::request("GET", path)
+            .display("Host", replica.address)
+            .display(EXPECTED_REPLICA, &replica.id)
+            .line("Connection", b"close")
+            .finish()
+    }
+
     fn write_role_order(&self, replica: &ReplicaRecord, order: &RoleOrder, holder: &str) -> Vec<u8> {
         let phase = match order.role {
             EngineRole::Prefill => "prefill",
@@ -184,7 +201,22 @@
     }
 }
 
-fn find_unknown_statements(head: &ResponseHead) -> Vec<UnknownStatement> {
+fn read_limit(head: &ResponseHead) -> LimitStatement {
+    let mut lines = head.headers.all(LIMIT);
+    match (lines.next(), lines.next()) {
+        (None, _) => LimitStatement::Unsaid,
+        (Some(line), None) => {
+            let text = std::str::from_utf8(line).unwrap_or_default();
+            let rate = text.trim().parse().ok().and_then(RequestRate::of_per_second);
+            rate.map_or(LimitStatement::Unreadable, LimitStatement::Named)
+        }
+        (Some(_), Some(_)) => LimitStatement::Unreadable,
+    }
+}
+
+/// Statements that are not known, and a limit that can't be read.
+fn find_unknown_statements(head: &ResponseHead, rate_limit: LimitStatement) -> Vec<UnknownStatement> {
+    let is_unread = |name: &str| rate_limit == LimitStatement::Unreadable && is_name(name, LIMIT);
     let is_unknown = |name: &str| {
         let begins = |prefix: &&str| {
             let begin = name.get(..prefix.len());
@@ -192,7 +224,8 @@
         };
         STATEMENT_PREFIXES.iter().any(begins) && !KNOWN_STATEMENTS.iter().any(|known| is_name(name, known))
     };
-    let unknown = head.headers.iter().filter(|(name, _)| is_unknown(name));
+    let lines = head.headers.iter();
+    let unknown = lines.filter(|(name, _)| is_unknown(name) || is_unread(name));
     unknown
         .map(|(name, value)| UnknownStatement {
             name: name.to_ascii_lowercase(),
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -12,6 +12,7 @@
 use super::catch_up::{CatchUpMark, LONGEST_WAIT};
 use super::clock_watch::ClockWatch;
 use super::lock;
+use crate::blackboard::ReplicaId;
 use crate::clock;
 use crate::controllers::message::{KeyCall, PeerMessage};
 use crate::controllers::readers::reads_store;
@@ -54,6 +55,11 @@
     },
     /// Move an engine to the other pool.
     OrderRole(RoleOrder),
+    /// Ask a replica's health check.
+    CheckHealth {
+        /// Which replica.
+        replica: ReplicaId,
+    },
     /// End the process.
     Exit,
 }
@@ -288,6 +294,7 @@
             Action::ResetLink { vm } => (self.output)(ControlOutput::ResetLink { vm }),
             Action::RunForwarded { from, call } => (self.output)(ControlOutput::RunForwarded { from, call }),
             Action::OrderRole(order) => (self.output)(ControlOutput::OrderRole(order)),
+            Action::CheckHealth { replica } => (self.output)(ControlOutput::CheckHealth { replica }),
             Action::Publish => {}
             Action::Log(line) => spdlog::warn!("{line}"),
             Action::LogStep(line) => spdlog::info!("{line}"),
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -17,6 +17,7 @@
 use crate::controllers::drain::DrainController;
 use crate::controllers::membership::MembershipController;
 use crate::controllers::quarantine::QuarantineController;
+use crate::controllers::rate_limits::RateLimitController;
 use crate::controllers::rebalance::RebalanceController;
 use crate::controllers::revision::RevisionController;
 use crate::controllers::slots::{PlacementPolicy, SlotController};
@@ -92,6 +93,7 @@
         Box::new(DiscoveryController::default()),
         Box::new(DrainController::default()),
         Box::new(QuarantineController::default()),
+        Box::new(RateLimitController::new(GROUP_SIZE)),
         Box::new(RebalanceController::default()),
         Box::new(SlotController::new(
             PlacementPolicy::Owner,
@@ -102,6 +104,7 @@
     let mut board = Blackboard::new(own);
     board.gives_orders = settings.gives_orders();
     board.is_seed = settings.is_seed();
+    board.other_seeds = settings.other_seeds();
     ControlCore::new(board, controllers)
 }
 
--- a/src/runtime/node.rs
+++ b/src/runtime/node.rs
@@ -12,7 +12,7 @@
 use crate::blackboard::OwnIdentity;
 use crate::clock;
 use crate::controllers::ControlCore;
-use crate::gateway::{GatewayContext, give_order};
+use crate::gateway::{GatewayContext, check_health, give_order};
 use crate::peers::{self, PeerHub};
 use crate::prelude::*;
 use crate::reports::{MetricError, MetricSet};
@@ -187,6 +187,11 @@
                 async_std::task::spawn(give_order(gateway.clone(), order));
             }
         }
+        ControlOutput::CheckHealth { replica } => {
+            if let Some(gateway) = &targets.gateway {
+                async_std::task::spawn(check_health(gateway.clone(), replica));
+            }
+        }
         ControlOutput::Exit => {
             // A second order to end changes nothing.
             let _ = targets.exit.try_send(());
--- /dev/null
+++ b/src/runtime/rate_permit.rs
@@ -0,0 +1,50 @@
+//! A permit to send one request to a replica that names a limit, given back unless it was used.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::ControlHandle;
+use crate::controllers::Reply;
+use crate::controllers::rate_limits::{PermitAsk, PermitGrant};
+use crate::prelude::*;
+
+/// A permit.
+pub struct RatePermit {
+    control: ControlHandle,
+    grant: PermitGrant,
+    is_used: AtomicBool,
+}
+
+impl RatePermit {
+    /// Asks for a permit; without one, says when it makes sense to ask again.
+    pub async fn acquire(control: &ControlHandle, ask: PermitAsk) -> Result<Self, Moment> {
+        let start_by = ask.start_by;
+        match control.ask(|ticket| Event::PermitWanted { ticket, ask }).await {
+            Some(Reply::Permitted(grant)) => Ok(Self {
+                control: control.clone(),
+                grant,
+                is_used: AtomicBool::new(false),
+            }),
+            Some(Reply::PermitRefused { ask_again_at }) => Err(ask_again_at),
+            _ => Err(start_by),
+        }
+    }
+
+    /// What was granted.
+    pub fn grant(&self) -> &PermitGrant {
+        &self.grant
+    }
+
+    /// Notes whether the request has been sent.
+    pub fn set_used(&self, is_used: bool) {
+        self.is_used.store(is_used, Ordering::Relaxed);
+    }
+}
+
+impl Drop for RatePermit {
+    fn drop(&mut self) {
+        if !self.is_used.load(Ordering::Relaxed) {
+            let grant = self.grant.clone();
+            self.control.tell(Event::PermitReturned { grant });
+        }
+    }
+}
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use super::super::controllers::rendezvous;
-use crate::blackboard::{Fingerprint, ReplicaFacts, ReplicaId, Suspicion, SuspicionMap};
+use crate::blackboard::{
+    Fingerprint, ReplicaFacts, ReplicaId, ReplicaRecord, SharedRateLimits, Suspicion, SuspicionMap,
+    find_limit,
+};
 use crate::controllers::discovery::ListRevision;
 use crate::controllers::message::VmIntroduction;
 use crate::controllers::readers::reads_store;
@@ -40,13 +43,14 @@
     pub accept_until: Option<Moment>,
     /// Requests under which upstreams ended.
     pub suspicions: Arc<SuspicionMap>,
+    /// Limits that replicas name.
+    pub rate_limits: SharedRateLimits,
 }
 
 impl Snapshot {
     /// Copies what traffic needs.
     pub fn of(board: &Blackboard, now: Moment) -> Self {
         let view = board.live_view(now);
-
         let refused = board.register.refused.as_ref();
         Self {
             revision: board.register.revision,
@@ -59,11 +63,11 @@
             reads_store: reads_store(board, now),
             introduction: board.introduction(),
             live_vms: view.vms.clone(),
-
             known_vms: board.vms.len() + 1,
             fleet_size: board.fleet_size,
             accept_until: board.drain.map(|drain| drain.accept_until),
             suspicions: board.suspicions.clone(),
+            rate_limits: board.rate_limits.clone(),
         }
     }
 
@@ -72,6 +76,11 @@
         self.live_vms.iter().any(|vm| *vm.name == *name)
     }
 
+    /// Whether a replica names a limit, so that each request to it needs a permit.
+    pub fn is_limited(&self, record: &ReplicaRecord) -> bool {
+        find_limit(&self.rate_limits, &record.id, record.started_epoch_ms).is_some()
+    }
+
     /// How far a request is suspected; `None` where no upstream ended under it.
     pub fn suspicion(&self, fingerprint: Fingerprint) -> Option<Suspicion> {
         self.suspicions.get(&fingerprint).copied()
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -49,6 +49,12 @@
         self.seeds.first() == Some(&self.addresses.peers)
     }
 
+    /// How many other VMs the settings name.
+    pub fn other_seeds(&self) -> usize {
+        let own = self.addresses.peers;
+        self.seeds.iter().filter(|seed| **seed != own).count()
+    }
+
     /// Whether this VM is a seed, which all processes look for first.
     pub fn is_seed(&self) -> bool {
         self.seeds.contains(&self.addresses.peers)
--- a/src/traffic/context.rs
+++ b/src/traffic/context.rs
@@ -74,7 +74,7 @@
         boots.get(upstream).copied().unwrap_or_default()
     }
 
-    /// Notes which start of an upstream answered, where it says so.
+    /// Notes which start of an upstream answered, where its answer names one.
     pub fn note_start(&self, upstream: &Arc<str>, response: &Response) {
         let boot = response
             .header("x-boot")
--- a/src/traffic/diagnosis.rs
+++ b/src/traffic/diagnosis.rs
@@ -13,7 +13,7 @@
 /// What a look at an upstream showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UpstreamLook {
-    /// What became of it.
+    /// Its outcome.
     pub fate: UpstreamFate,
     /// Which start of it was known before; zero where none was.
     pub incarnation: u64,
--- a/tests/back_off.rs
+++ b/tests/back_off.rs
@@ -6,7 +6,7 @@
 use dotterelspan::blackboard::{Blackboard, OwnIdentity, ReplicaFacts, ReplicaRecord, ReplicaRole};
 use dotterelspan::clock::Moment;
 use dotterelspan::controllers::discovery::{DiscoveryController, ReplicaUpdate};
-use dotterelspan::controllers::dispatch::{DispatchAsk, DispatchBook};
+use dotterelspan::controllers::dispatch::{DispatchAsk, DispatchBook, DispatchChoice};
 use dotterelspan::controllers::{ControlCore, Event};
 
 const ASK: DispatchAsk<'static> = DispatchAsk {
@@ -50,8 +50,8 @@
     // A shorter one that comes later takes nothing back.
     book.note_back_off(&replicas[0].record, Moment(500));
     for at in 0..1_000 {
-        let chosen = book.choose(&ASK, Moment(at)).expect("the other one");
-        assert_eq!(&*chosen.id, "i-2", "at {at}");
+        let other = DispatchChoice::Free(replicas[1].record.clone());
+        assert_eq!(book.choose(&ASK, Moment(at)), Some(other), "at {at}");
     }
     assert_eq!(book.first_return("desk", ReplicaRole::Plain, Moment(10)), None);
     book.note_back_off(&replicas[1].record, Moment(700));
--- a/tests/crest.rs
+++ b/tests/crest.rs
@@ -1,15 +1,15 @@
 //! The crest of a burst, played against the owner's ledger without a network: how many callers are served in time, late or
 //! not at all, and how long those wait who are refused.
 
+mod engine_fixture;
+
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use dotterelspan::blackboard::{OwnIdentity, ReplicaFacts, ReplicaId, ReplicaRecord, ReplicaRole};
+use dotterelspan::blackboard::ReplicaId;
 use dotterelspan::controllers::message::SlotVerdict;
 use dotterelspan::controllers::slots::{EngineEnd, EngineGroup, GroupLedger, PlacementAsk, PlacementResult};
 use dotterelspan::prelude::*;
-use dotterelspan::register::{CallerLimits, EngineTraits, RouteTable, ServiceRule};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -104,63 +104,12 @@
     refusal_waits: Vec<u64>,
 }
 
-fn engine(index: usize, role: ReplicaRole) -> (ReplicaId, ReplicaFacts) {
-    let id: ReplicaId = format!("{}-{index}", role.as_str()).into();
-    let record = ReplicaRecord {
-        id: id.clone(),
-        started_epoch_ms: 1,
-        service: "m".into(),
-        role,
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        zone: "a".into(),
-        slots: PLACES,
-        is_draining: false,
-    };
-    let facts = ReplicaFacts {
-        record: Arc::new(record),
-        stop_at: None,
-        is_listed: true,
-    };
-    (id, facts)
-}
-
-fn board(plan: &CrestPlan) -> Blackboard {
-    let own = OwnIdentity {
-        name: "vm-1".into(),
-        zone: "a".into(),
-        caller_address: "c".into(),
-        peer_address: "p".into(),
-        incarnation: 1,
-        started_epoch_ms: 1,
-        millicores: 0,
-    };
-    let mut board = Blackboard::new(own);
-    let service = ServiceRule {
-        name: "m".into(),
-        most_connections: u32::MAX,
-        engine: Some(EngineTraits {
-            memory_tokens: MEMORY_TOKENS,
-            event_tokens: 12,
-            prefill_keep_ms: 500,
-            role_switch_ms: 0,
-        }),
-    };
-    let routes = RouteTable::new(std::iter::empty());
-    let register = Register::of_routes(routes, std::iter::once(service), CallerLimits::default());
-    board.register.revision = 1;
-    board.register.register = Arc::new(register);
-    let decodes = (0..plan.decodes).map(|index| engine(index, ReplicaRole::Decode));
-    let prefills = (0..plan.prefills).map(|index| engine(index, ReplicaRole::Prefill));
-    board.replicas = Arc::new(decodes.chain(prefills).collect());
-    board
-}
-
 impl CrestDay {
     fn new(plan: CrestPlan) -> Self {
         let mut day = Self {
             plan,
             random: StdRng::seed_from_u64(plan.seed),
-            board: board(&plan),
+            board: engine_fixture::board(plan.prefills, plan.decodes, PLACES, MEMORY_TOKENS),
             ledger: GroupLedger::new(&EngineGroup::new(&"m".into(), 0)),
             steps: BinaryHeap::new(),
             callers: Vec::new(),
@@ -302,7 +251,7 @@
         let is_burst = (BURST_FROM_MS..BURST_TO_MS).contains(&caller.asked_at.0);
         match verdict {
             SlotVerdict::Queued => return,
-            SlotVerdict::Granted { decode, prefill } => {
+            SlotVerdict::Granted { decode, prefill, .. } => {
                 let prompt_ms = u64::from(caller.ask.prompt_tokens) / PROMPT_TOKENS_PER_MS;
                 let begins_ms = match &prefill {
                     Some(prefill) => {
--- /dev/null
+++ b/tests/engine_fixture/mod.rs
@@ -0,0 +1,62 @@
+//! A board with engines of one service, for tests of their ledger.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dotterelspan::blackboard::{OwnIdentity, ReplicaFacts, ReplicaId, ReplicaRecord, ReplicaRole};
+use dotterelspan::prelude::*;
+use dotterelspan::register::{CallerLimits, EngineTraits, RouteTable, ServiceRule};
+
+/// An engine of the service `m`.
+fn engine(index: usize, role: ReplicaRole, slots: u32) -> (ReplicaId, ReplicaFacts) {
+    let id: ReplicaId = format!("{}-{index}", role.as_str()).into();
+    let record = ReplicaRecord {
+        id: id.clone(),
+        started_epoch_ms: 1,
+        service: "m".into(),
+        role,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "a".into(),
+        slots,
+        is_draining: false,
+    };
+    let facts = ReplicaFacts {
+        record: Arc::new(record),
+        stop_at: None,
+        is_listed: true,
+    };
+    (id, facts)
+}
+
+/// A board of one node with engines of the service `m`: how many for prompts and for answers, with so many slots and tokens.
+pub fn board(prefills: usize, decodes: usize, slots: u32, memory_tokens: u32) -> Blackboard {
+    let own = OwnIdentity {
+        name: "vm-1".into(),
+        zone: "a".into(),
+        caller_address: "c".into(),
+        peer_address: "p".into(),
+        incarnation: 1,
+        started_epoch_ms: 1,
+        millicores: 0,
+    };
+    let mut board = Blackboard::new(own);
+    let service = ServiceRule {
+        name: "m".into(),
+        most_connections: u32::MAX,
+        health_path: None,
+        engine: Some(EngineTraits {
+            memory_tokens,
+            event_tokens: 12,
+            prefill_keep_ms: 500,
+            role_switch_ms: 0,
+        }),
+    };
+    let routes = RouteTable::new(std::iter::empty());
+    let register = Register::of_routes(routes, std::iter::once(service), CallerLimits::default());
+    board.register.revision = 1;
+    board.register.register = Arc::new(register);
+    let prefills = (0..prefills).map(|index| engine(index, ReplicaRole::Prefill, slots));
+    let decodes = (0..decodes).map(|index| engine(index, ReplicaRole::Decode, slots));
+    board.replicas = Arc::new(decodes.chain(prefills).collect());
+    board
+}
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -50,6 +50,16 @@
                 )
             ),
         ),
+        (
+            "limits of replicas",
+            format!(
+                "vm-1 time=90.000 level=warn event=limit_named replica=i-1 replica_start=7 service=llm rate=4.6 age_ms=100 seen_by=vm-3 source=vm-3\n\
+                 vm-1 time=91.000 level=warn event=limit_named replica=i-2 replica_start=8 service=llm rate=5 age_ms=0 seen_by=vm-1 source=answer\n\
+                 vm-1 time=92.000 level=warn event=limit_ended replica=i-2 replica_start=8 service=llm age_ms=0 seen_by=vm-2 source=vm-2\n\
+                 vm-1 time=93.000 level=warn event=limit_named replica=i-3 replica_start=9 service=desk rate=6 age_ms=0 seen_by=vm-2 source=vm-2\n{}",
+                refusal("rate_limited", 2009)
+            ),
+        ),
         (
             "silent in the middle",
             ended("caller_gone", "first_ms=60 events=5 idle_ms=3000"),
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -1,6 +1,7 @@
 //! What many nodes believe of each other and of the list of replicas, on a clock of their own, with messages that are lost.
 
 mod deaths;
+mod limits;
 mod simulated_fleet;
 
 use std::collections::BTreeMap;
@@ -523,3 +524,11 @@
             .all(|node| fleet.board(node).fleet_size == 5)
     );
 }
+
+#[test]
+fn nodes_that_have_just_met_know_how_many_they_are() {
+    let mut fleet = SimulatedFleet::new(3, 5);
+    fleet.run_ms(300);
+    let sizes: Vec<usize> = (0..3).map(|node| fleet.board(node).fleet_size).collect();
+    assert_eq!(sizes, [3, 3, 3]);
+}
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -9,8 +9,10 @@
 use dotterelspan::controllers::membership::MembershipController;
 use dotterelspan::controllers::message::{PeerMessage, VmIntroduction};
 use dotterelspan::controllers::quarantine::QuarantineController;
+use dotterelspan::controllers::rate_limits::RateLimitController;
 use dotterelspan::controllers::readers::reads_store;
 use dotterelspan::controllers::{ControlCore, Reply};
+use dotterelspan::peers::{PeerFrame, to_frame, to_message};
 use dotterelspan::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -21,6 +23,9 @@
 /// How often a node looks for its seed while it knows nobody, in milliseconds.
 const SEED_EVERY_MS: u64 = 250;
 
+/// The most engines that one node schedules.
+const GROUP_SIZE: usize = 96;
+
 /// When the fleet begins, on its clock.
 const START: Moment = Moment(1_000);
 
@@ -43,7 +48,8 @@
     from: usize,
     incarnation: u128,
     to: usize,
-    message: PeerMessage,
+    /// The message as it goes over a link: each process has a clock of its own.
+    frame: PeerFrame,
 }
 
 /// The nodes and what is between them.
@@ -82,6 +88,7 @@
     // A configuration is known, so that no node reads the store for that.
     board.register.revision = 1;
     board.is_seed = index == 0;
+    board.other_seeds = usize::from(index > 0);
     let core = ControlCore::new(
         board,
         vec![
@@ -89,6 +96,7 @@
             Box::new(CensusController::default()),
             Box::new(DiscoveryController::default()),
             Box::new(QuarantineController::default()),
+            Box::new(RateLimitController::new(GROUP_SIZE)),
         ],
     );
     SimulatedNode {
@@ -212,6 +220,26 @@
         std::mem::take(&mut self.replies)
     }
 
+    /// The fleet's clock.
+    pub fn now(&self) -> Moment {
+        self.now
+    }
+
+    /// How many nodes there are, in whatever state.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether a node's process runs and is not frozen.
+    pub fn runs(&self, index: usize) -> bool {
+        self.nodes[index].state == NodeState::Runs
+    }
+
+    /// Which process of a node this is.
+    pub fn incarnation(&self, index: usize) -> u128 {
+        self.nodes[index].core.board.own.incarnation
+    }
+
     /// A node's own clock.
     pub fn clock_of(&self, index: usize) -> Moment {
         self.clock(&self.nodes[index])
@@ -346,7 +374,7 @@
                         from: index,
                         incarnation,
                         to: number.expect("nodes have numbers"),
-                        message,
+                        frame: to_frame(&message, now),
                     });
                 }
                 Action::Reply { ticket, reply } => self.replies.push((index, ticket, reply)),
@@ -405,7 +433,9 @@
             }
             self.link(from, to);
         }
-        match &flight.message {
+        let now = self.clock_of(to);
+        let message = to_message(flight.frame, now).expect("a frame of our own");
+        match &message {
             PeerMessage::ReplicasContent(update) => {
                 self.entries_told += update.present.len() + update.removed.len();
             }
@@ -415,7 +445,7 @@
         let message = Event::PeerMessage {
             from: Arc::from(name_of(from)),
             incarnation: flight.incarnation,
-            message: flight.message,
+            message,
         };
         self.event(to, &message);
     }
--- a/tests/platform/decisions.rs
+++ b/tests/platform/decisions.rs
@@ -87,6 +87,20 @@
             !find_untold(node).contains(&kind.to_owned())
         });
     }
+    // Desks that name limits need permits, of which one is not used since its desk can't be reached.
+    desks.iter().for_each(|desk| {
+        desk.set_mood(ReplicaMood::Well);
+        desk.set_limit(Some("50"));
+    });
+    wait_until("a permit was wanted", || {
+        call(node, "/read", "q-7", "x");
+        !find_untold(node).contains(&"permit_wanted".to_owned())
+    });
+    desks.iter().for_each(|desk| desk.life.end());
+    wait_until("a permit was given back", || {
+        call(node, "/read", "q-8", "x");
+        !find_untold(node).contains(&"permit_returned".to_owned())
+    });
     peer.kill();
     wait_until("all but its own leaving was told", || {
         find_untold(node) == ["leave_ordered"]
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -1,6 +1,6 @@
 //! A randomized soak: three nodes, their replicas, their store and callers, with signals, restarts and faults in series,
-//! and at the same time with ways to the replicas and the store that are slow, broken or cut, replicas that end, and
-//! requests that end them. `SOAK_SEEDS=first..last` chooses the seeds; a seed that ever failed stays in [`REGRESSIONS`].
+//! and at the same time with ways to the replicas and the store that are slow, broken or cut, replicas that end or name limits,
+//! and requests that end replicas. `SOAK_SEEDS=first..last` chooses the seeds; a seed that ever failed stays in [`REGRESSIONS`].
 
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,7 +13,8 @@
 use stand_ins::proxy::{ProxyRoute, RouteMode};
 
 use crate::node::{GatewayNode, publish_config, wait_until};
-use crate::replica::{DEATH_WORD, ReplicaMood, STREAM_EVENTS, StandInReplica};
+use crate::replica::{DEATH_WORD, LIMIT_NAME, ReplicaMood, STREAM_EVENTS, StandInReplica};
+use crate::request_limits::{KNOWN_AFTER, allowed_in_window, most_in_window};
 use crate::store::{StandInStore, StoreMood};
 use crate::wire::{Message, read_answer, request};
 
@@ -73,14 +74,32 @@
 /// One request in so many of a caller ends each replica that begins to run it.
 const DEADLY_EVERY: u64 = 40;
 
+/// Keeps the limits of replicas apart from all other trouble.
+const LIMITS_SEED: u64 = 1 << 34;
+
+/// Limits that replicas name, in requests a second.
+const LIMITS: [&str; 4] = ["0", "2", "4.6", "9"];
+
+/// How long they name one, in milliseconds.
+const LIMIT_SPANS_MS: std::ops::Range<u64> = 7_000..9_000;
+
 /// What a caller asked and got.
 struct CallRecord {
     id: String,
     path: &'static str,
     answer: Option<Message>,
+    answered_at: Instant,
     took: Duration,
 }
 
+/// A replica that named a limit for a while.
+struct LimitSpan {
+    replica: StandInReplica,
+    limit: f64,
+    began: Instant,
+    ended: Instant,
+}
+
 struct SoakSystem {
     store: StandInStore,
     nodes: Vec<GatewayNode>,
@@ -206,6 +225,54 @@
     }
 }
 
+/// Lets one replica after the other name a limit, until it is told to stop; gives what was named when.
+fn name_limits(replicas: &[StandInReplica], seed: u64, is_over: &AtomicBool) -> Vec<LimitSpan> {
+    let mut random = StdRng::seed_from_u64(seed + LIMITS_SEED);
+    let mut spans = Vec::new();
+    while !is_over.load(Ordering::Relaxed) {
+        let replica = replicas.choose(&mut random).expect("replicas").clone();
+        let text = *LIMITS.choose(&mut random).expect("limits");
+        let began = Instant::now();
+        replica.set_limit(Some(text));
+        let over_at = began + Duration::from_millis(random.random_range(LIMIT_SPANS_MS));
+        while Instant::now() < over_at && !is_over.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        replica.set_limit(None);
+        spans.push(LimitSpan {
+            replica,
+            limit: text.parse().expect("a number"),
+            began,
+            ended: Instant::now(),
+        });
+    }
+    spans
+}
+
+/// How often a replica was asked beyond its limit in a window, and how often it might have been. Windows begin some time after
+/// a caller was told of the limit, and after the replica last ended, since another start of it names it anew.
+fn find_excess(span: &LimitSpan, records: &[CallRecord]) -> Option<(usize, f64)> {
+    let begin = format!("{} ", span.replica.id);
+    let is_told = |record: &&CallRecord| {
+        let answer = record.answer.as_ref();
+        let names =
+            |answer: &Message| answer.header(LIMIT_NAME).is_some() && answer.text().starts_with(&begin);
+        (span.began..span.ended).contains(&record.answered_at) && answer.is_some_and(names)
+    };
+    let told_at = records
+        .iter()
+        .filter(is_told)
+        .map(|record| record.answered_at)
+        .min()?;
+    let ends = span.replica.life.ends();
+    let last_end = ends.into_iter().filter(|end| *end < span.ended).max();
+    let from = last_end.map_or(told_at, |end| end.max(told_at)) + KNOWN_AFTER;
+    let arrived_at = span.replica.arrived_at().into_iter();
+    let arrived_at: Vec<Instant> = arrived_at.filter(|at| *at < span.ended).collect();
+    let (most, allowed) = (most_in_window(&arrived_at, from), allowed_in_window(span.limit));
+    (most as f64 > allowed).then_some((most, allowed))
+}
+
 /// Sends requests over kept connections until it is told to stop; a connection is used until it ends.
 fn call_on(addresses: Vec<SocketAddr>, seed: u64, is_over: &AtomicBool, records: &Mutex<Vec<CallRecord>>) {
     let mut random = StdRng::seed_from_u64(seed);
@@ -238,11 +305,13 @@
             .as_ref()
             .is_none_or(|answer| !answer.is_whole || answer.header("Connection") == Some("close"));
         stream = used.filter(|_| !closes);
-        let took = began.elapsed();
+        let answered_at = Instant::now();
+        let took = answered_at - began;
         records.lock().expect("no holder panics").push(CallRecord {
             id,
             path,
             answer,
+            answered_at,
             took,
         });
         std::thread::sleep(Duration::from_millis(random.random_range(1..30)));
@@ -304,6 +373,16 @@
         let is_healing = is_healing.clone();
         std::thread::spawn(move || end_replicas(&replicas, seed, &is_healing))
     };
+    let limits = {
+        let desks = system
+            .replicas
+            .iter()
+            .filter(|(_, service, _)| *service == "desk");
+        // One desk is left for those calls that must be served in the end.
+        let desks: Vec<_> = desks.skip(1).map(|(replica, ..)| replica.clone()).collect();
+        let is_over = is_over.clone();
+        std::thread::spawn(move || name_limits(&desks, seed, &is_over))
+    };
     for _ in 0..STEPS {
         system.disturb(&mut random);
         std::thread::sleep(Duration::from_millis(random.random_range(20..400)));
@@ -356,6 +435,16 @@
             record.answer
         );
     }
+    for span in limits.join().expect("the limits' thread") {
+        let excess = find_excess(&span, &records);
+        let logs: Vec<_> = system.nodes.iter().map(GatewayNode::log_path).collect();
+        assert!(
+            excess.is_none(),
+            "seed {seed}: {} named {} a second and got {excess:?} in a window; logs {logs:?}",
+            span.replica.id,
+            span.limit
+        );
+    }
     for node in &system.nodes {
         assert!(
             !node.log().contains("panicked"),
--- a/tests/properties/network.rs
+++ b/tests/properties/network.rs
@@ -108,6 +108,7 @@
                 Action::RunForwarded { from, call } => self.forwarded.push((index, from, call)),
                 Action::ResetLink { .. }
                 | Action::OrderRole(_)
+                | Action::CheckHealth { .. }
                 | Action::Publish
                 | Action::Log(_)
                 | Action::LogStep(_)
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -25,6 +25,7 @@
     let service = ServiceRule {
         name: "llm".into(),
         most_connections: 100,
+        health_path: None,
         engine: Some(engine),
     };
     let routes = RouteTable::new(std::iter::empty());
