Let generations that wait for a turn of limited engines keep their place while an owner is late

What callers saw: refusals after 620 to 760 ms for generations that had been let wait for a turn. Cause: a waiting generation asks its owner again each 500 ms. Where that answer was 120 ms late it left the queue and asked the next VM, which grants an eighth; and one that waited there went back to the owner half a second later. Each time it began anew behind all others. Change: it stays at the VM where it waits, owner or stand-in, until that is taken for dead.

--- a/src/blackboard/vms.rs
+++ b/src/blackboard/vms.rs
@@ -56,6 +56,11 @@
         &self.vms[..self.vms.len() - 1]
     }
 
+    /// Whether a VM is taken for alive and stays.
+    pub fn contains(&self, vm: &VmAddress) -> bool {
+        self.vms.iter().any(|other| other.name == *vm && !other.leaving)
+    }
+
     fn is_valid(&self, own: &VmIntroduction, now: Moment) -> bool {
         self.valid_until.is_none_or(|until| !now.reached(until)) && self.own == *own
     }
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -38,6 +38,8 @@
     pub(super) ask_again_at: Moment,
     /// Whether another owner was asked before, and did not answer.
     pub(super) is_second: bool,
+    /// Whether it waits in its owner's queue.
+    pub(super) is_queued: bool,
 }
 
 /// A request of this node that has its engines.
@@ -156,6 +158,7 @@
             answer_by: turn.now.after_ms(ANSWER_LIMIT_MS),
             ask_again_at: turn.now.after_ms(ASK_AGAIN_MS),
             is_second: silent.is_some(),
+            is_queued: false,
         };
         self.pending.insert(request.clone(), pending);
         self.send_ask(&request, &key, &owner, turn);
@@ -195,6 +198,7 @@
             if let Some(pending) = self.pending.get_mut(request) {
                 turn.log_step(format!("event=queued place={request} owner={}", pending.owner));
                 pending.answer_by = turn.now.after_ms(ASK_AGAIN_MS + ANSWER_LIMIT_MS);
+                pending.is_queued = true;
             }
             return;
         }
--- a/src/controllers/slots/tending.rs
+++ b/src/controllers/slots/tending.rs
@@ -40,6 +40,15 @@
         }
         let is_lost = turn.now.reached(pending.answer_by) && pending.owner != turn.board.own.name;
         if is_lost {
+            // Only an owner lets requests go to engines that name limits, and does so whole for as long as it keeps its place.
+            let has_limits = turn.board.has_limited_engine(&pending.ask.model);
+            let (owner, answer_by) = (pending.owner.clone(), pending.answer_by);
+            let is_dead = self.owner_watch.note_missing(&owner, answer_by, turn.now);
+            if pending.is_queued && has_limits && !is_dead {
+                // It would lose its place there and begin anew at the next one.
+                pending.answer_by = turn.now.after_ms(ANSWER_LIMIT_MS);
+                return;
+            }
             let Some(pending) = self.pending.remove(request) else {
                 return;
             };
@@ -49,11 +58,6 @@
                 &pending.owner,
                 release_of(&key, request, PlacementResult::default()),
             );
-            // Only an owner lets requests go to engines that name limits, and does so whole for as long as it keeps its place.
-            let has_limits = turn.board.has_limited_engine(&pending.ask.model);
-            let is_dead = self
-                .owner_watch
-                .note_missing(&pending.owner, pending.answer_by, turn.now);
             if is_dead || !has_limits {
                 give_up_owner(&pending.owner, turn);
             }
@@ -69,7 +73,13 @@
         let group = pending.groups.first().copied().unwrap_or(0);
         let key = EngineGroup::new(&pending.ask.model, group);
         let old_owner = pending.owner.clone();
-        let owner = self.owner_of(&key, turn);
+        // A stand-in has let it wait for a turn of its own part, which the owner's queue knows nothing of.
+        let stays = pending.is_second && turn.board.live_view(turn.now).contains(&old_owner);
+        let owner = if stays {
+            old_owner.clone()
+        } else {
+            self.owner_of(&key, turn)
+        };
         if owner != old_owner {
             let message = release_of(&key, request, PlacementResult::default());
             self.tell_owner(&key, &old_owner, message, turn);
--- a/tests/platform/request_limits.rs
+++ b/tests/platform/request_limits.rs
@@ -37,6 +37,9 @@
 /// Longer than an owner may take to answer, shorter than it may be silent.
 const SHORT_STALL: Duration = Duration::from_millis(220);
 
+/// Longer than two owners may take to answer one after the other, shorter than one may be silent.
+const LONG_STALL: Duration = Duration::from_millis(260);
+
 /// Tokens of a caller's prompt, and of a long one.
 const PROMPT_TOKENS: u32 = 900;
 const LONG_PROMPT_TOKENS: u32 = 2_600;
@@ -136,6 +139,16 @@
         self.nodes.iter().map(GatewayNode::log_path).collect()
     }
 
+    /// What all nodes logged on a caller's request.
+    fn story(&self, id: &str) -> String {
+        let mark = format!(" request={id} ");
+        let logs = self.nodes.iter().map(GatewayNode::log);
+        let lines = logs.flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>());
+        let mut lines: Vec<String> = lines.filter(|line| line.contains(&mark)).collect();
+        lines.sort_unstable();
+        lines.join("\n")
+    }
+
     /// The replicas that got the most requests so far.
     fn busiest(&self, count: usize) -> Vec<&StandInReplica> {
         let mut replicas: Vec<&StandInReplica> = self.replicas.iter().collect();
@@ -313,14 +326,15 @@
     let refused: Vec<&CallerAnswer> = answers.iter().filter(|answer| answer.status == 503).collect();
     assert!(!refused.is_empty(), "more was asked than the limits allow");
     for answer in refused {
-        assert!(answer.retry_after.is_some(), "{answer:?} {:?}", fleet.log_paths());
-        assert!(answer.took <= AT_ONCE, "{answer:?} {:?}", fleet.log_paths());
+        let story = || format!("{answer:?} {:?}\n{}", fleet.log_paths(), fleet.story(&answer.id));
+        assert!(answer.retry_after.is_some(), "{}", story());
+        assert!(answer.took <= AT_ONCE, "{}", story());
         let runs: usize = fleet
             .replicas
             .iter()
             .map(|replica| replica.runs(&answer.id))
             .sum();
-        assert_eq!(runs, 0, "{answer:?} {:?}", fleet.log_paths());
+        assert_eq!(runs, 0, "{}", story());
     }
     let counted: f64 = fleet
         .nodes
@@ -687,6 +701,34 @@
     }
 }
 
+#[test]
+fn a_generation_that_waits_for_a_turn_keeps_its_place_as_owners_stall() {
+    let fleet = LimitedFleet::with_engines(3);
+    let press = Press::start(fleet.addresses(), "/stream", 60, BEFORE + AFTER);
+    std::thread::sleep(BEFORE);
+    let engines = fleet.replicas.iter();
+    engines.for_each(|engine| engine.set_limit(Some("6.3")));
+    for node in [0, 1, 2, 0, 1, 2, 0, 1, 2] {
+        fleet.nodes[node].signal("STOP");
+        std::thread::sleep(LONG_STALL);
+        fleet.nodes[node].signal("CONT");
+        std::thread::sleep(JERK);
+    }
+    let answers = press.finish();
+    fleet.assert_kept();
+    let refused = answers.iter().filter(|answer| answer.status == 503);
+    // The caller's own node may have stood still, too.
+    let late = refused.filter(|answer| answer.took > AT_ONCE + LONG_STALL);
+    let late: Vec<String> = late.map(|answer| fleet.story(&answer.id)).collect();
+    assert!(
+        late.is_empty(),
+        "{}: {}\n{:?}",
+        late.len(),
+        late.join("\n\n"),
+        fleet.log_paths()
+    );
+}
+
 #[test]
 fn limits_are_kept_while_nodes_join() {
     let mut fleet = LimitedFleet::with_desks(3, 6);
