Ask the owners again for a generation whose prompt was run and whose owners are all late

Cause: a generation whose decode engine begins to name a limit as its prompt runs asks for another place. Where the owner and the next VM were both 120 ms late, it was refused with no_upstream: without an owner no engine that names a limit may be used. Change: what has begun asks again until its caller would leave.

--- a/src/controllers/slots/tending.rs
+++ b/src/controllers/slots/tending.rs
@@ -66,6 +66,11 @@
                 self.ask_owner(pending.ticket, pending.ask, pending.groups, silent, turn);
                 return;
             }
+            let has_begun = pending.ask.may_be_late && !turn.now.reached(pending.ask.give_up_at);
+            if has_begun && has_limits {
+                self.ask_owner(pending.ticket, pending.ask, pending.groups, None, turn);
+                return;
+            }
             self.choose_alone(pending.ticket, &pending.ask, PlacementPolicy::Owner, turn);
             return;
         }
--- a/tests/platform/request_limits.rs
+++ b/tests/platform/request_limits.rs
@@ -701,6 +701,51 @@
     }
 }
 
+#[test]
+fn a_generation_whose_prompt_was_run_is_served_though_no_owner_answers_for_a_moment() {
+    let fleet = LimitedFleet::with_engines(3);
+    let prefills = fleet.replicas[..3].iter();
+    prefills.for_each(|engine| engine.set_mood(ReplicaMood::PacedPrompts(SLOW_TOKEN_US / 2)));
+    let served = call(fleet.nodes[0].callers(), "/stream", "q-first");
+    assert_eq!(served.status, 200, "{served:?}");
+    let owner = fleet.engines_owner().name.clone();
+    let mut others = fleet.nodes.iter().filter(|node| node.name != owner);
+    let asked = others.next().expect("a node that does not own the engines");
+    let press = Press::start(vec![asked.callers()], "/stream", 60, BEFORE + BEFORE);
+    std::thread::sleep(BEFORE);
+    fleet.replicas[3..]
+        .iter()
+        .for_each(|engine| engine.set_limit(Some("6.3")));
+    wait_until("the asked node knows of the limits", || {
+        asked.log().matches("event=limit_named").count() == 3
+    });
+    let silent: Vec<&GatewayNode> = fleet
+        .nodes
+        .iter()
+        .filter(|node| node.name != asked.name)
+        .collect();
+    silent.iter().for_each(|node| node.signal("STOP"));
+    std::thread::sleep(LONG_STALL);
+    silent.iter().for_each(|node| node.signal("CONT"));
+    let answers = press.finish();
+    let is_begun = |answer: &&CallerAnswer| {
+        let story = fleet.story(&answer.id);
+        story.contains("event=prefilled") && story.contains("outcome=unpermitted")
+    };
+    let begun: Vec<&CallerAnswer> = answers.iter().filter(is_begun).collect();
+    assert!(!begun.is_empty(), "{:?}", fleet.log_paths());
+    let refused = begun.iter().filter(|answer| answer.status != 200);
+    let refused: Vec<String> = refused.map(|answer| fleet.story(&answer.id)).collect();
+    assert!(
+        refused.is_empty(),
+        "{} of {}: {}\n{:?}",
+        refused.len(),
+        begun.len(),
+        refused.join("\n\n"),
+        fleet.log_paths()
+    );
+}
+
 #[test]
 fn a_generation_that_waits_for_a_turn_keeps_its_place_as_owners_stall() {
     let fleet = LimitedFleet::with_engines(3);
