--- /dev/null
+++ b/tests/platform/limited_fleet.rs
@@ -0,0 +1,397 @@
+//! Nodes before replicas that name limits, callers that press on them, and what both kept to.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::node::{GatewayNode, publish_config, wait_until};
+use crate::replica::{ReplicaMood, StandInReplica};
+use crate::store::StandInStore;
+use crate::wire::{exchange, request};
+
+/// How long after a replica first named its limit the limit has to be kept.
+pub const KNOWN_AFTER: Duration = Duration::from_millis(3_000);
+
+/// The span over which arrivals are counted, in seconds.
+pub const WINDOW_S: f64 = 4.0;
+
+/// The factor and the number of requests by which a limit may be exceeded in a window.
+pub const WINDOW_SLACK: (f64, f64) = (1.5, 5.0);
+
+/// How long callers press before replicas name their limits.
+pub const BEFORE: Duration = Duration::from_millis(700);
+
+/// How long they go on after it.
+pub const AFTER: Duration = Duration::from_millis(8_500);
+
+/// The part of their limits that replicas have to get under overload, in percent.
+pub const USED_PERCENT: f64 = 80.0;
+
+/// How long a refusal may take that is made at once.
+pub const AT_ONCE: Duration = Duration::from_millis(300);
+
+/// How long news of a replica take around the ring.
+pub const NEWS_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longer than an owner may take to answer, shorter than it may be silent.
+pub const SHORT_STALL: Duration = Duration::from_millis(220);
+
+/// Longer than two owners may take to answer one after the other, shorter than one may be silent.
+pub const LONG_STALL: Duration = Duration::from_millis(260);
+
+/// Tokens of a caller's prompt, and of a long one.
+pub const PROMPT_TOKENS: u32 = 900;
+pub const LONG_PROMPT_TOKENS: u32 = 2_600;
+
+/// Calls that make room in the retry budget.
+pub const PAYING_CALLS: usize = 100;
+
+/// How long a node stands still, again and again, as one beside a busy neighbor does.
+pub const JERK: Duration = Duration::from_millis(20);
+
+/// How long it takes until a replica that named a limit of zero is asked again, and all nodes know what it says.
+pub const ZERO_ENDS_WITHIN: Duration = Duration::from_millis(3_500);
+
+/// Some nodes and the replicas of one service.
+pub struct LimitedFleet {
+    pub store: StandInStore,
+    pub nodes: Vec<GatewayNode>,
+    pub replicas: Vec<StandInReplica>,
+}
+
+impl LimitedFleet {
+    /// Nodes before plain replicas.
+    pub fn with_desks(node_count: usize, replica_count: usize) -> Self {
+        Self::start(node_count, |store| {
+            let ids = (1..=replica_count).map(|number| format!("i-{number}"));
+            ids.map(|id| StandInReplica::start(store, &id, "desk", None, ReplicaMood::Well))
+                .collect()
+        })
+    }
+
+    /// Nodes before three engines of each kind; those for prompts come first.
+    pub fn with_engines(node_count: usize) -> Self {
+        Self::with_pools(node_count, 3, 3)
+    }
+
+    /// Nodes before so many engines of each kind; those for prompts come first.
+    pub fn with_pools(node_count: usize, prefills: usize, decodes: usize) -> Self {
+        Self::start(node_count, |store| {
+            let pools = [("prefill", prefills), ("decode", decodes)].into_iter();
+            let engines = pools.flat_map(|(phase, count)| (1..=count).map(move |number| (phase, number)));
+            let start = |(phase, number): (&str, usize)| {
+                let id = format!("i-{}{number}", &phase[..1]);
+                StandInReplica::start(store, &id, "llm", Some(phase), ReplicaMood::Well)
+            };
+            engines.map(start).collect()
+        })
+    }
+
+    pub fn start(node_count: usize, start_replicas: impl Fn(&StandInStore) -> Vec<StandInReplica>) -> Self {
+        let store = StandInStore::start();
+        publish_config(&store, 1);
+        let replicas = start_replicas(&store);
+        let mut fleet = Self {
+            store,
+            nodes: Vec::new(),
+            replicas,
+        };
+        (0..node_count).for_each(|_| fleet.add_node());
+        fleet.nodes.iter().for_each(GatewayNode::wait_ready);
+        wait_until("the nodes know each other", || {
+            fleet
+                .nodes
+                .iter()
+                .all(|node| node.metric("vms{", "state=\"live\"") >= node_count as f64)
+        });
+        fleet
+    }
+
+    pub fn add_node(&mut self) {
+        let name = format!("vm-{}", self.nodes.len() + 1);
+        let seeds: Vec<&GatewayNode> = self.nodes.iter().take(3).collect();
+        let node = GatewayNode::start(&self.store, &name, &seeds);
+        self.nodes.push(node);
+    }
+
+    /// The node that gives permits, as those say that got some.
+    pub fn owner(&self) -> &GatewayNode {
+        self.owner_named_as("owner")
+    }
+
+    /// The node that grants engines, as those say that got some.
+    pub fn engines_owner(&self) -> &GatewayNode {
+        self.owner_named_as("granted_by")
+    }
+
+    pub fn owner_named_as(&self, key: &str) -> &GatewayNode {
+        let is_owner = |node: &&GatewayNode| {
+            let granted = format!(" {key}={} ", node.name);
+            self.nodes.iter().any(|other| other.log().contains(&granted))
+        };
+        self.nodes
+            .iter()
+            .find(is_owner)
+            .expect("an owner granted something")
+    }
+
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(GatewayNode::callers).collect()
+    }
+
+    pub fn log_paths(&self) -> Vec<std::path::PathBuf> {
+        self.nodes.iter().map(GatewayNode::log_path).collect()
+    }
+
+    /// What all nodes logged on a caller's request.
+    pub fn story(&self, id: &str) -> String {
+        let mark = format!(" request={id} ");
+        let logs = self.nodes.iter().map(GatewayNode::log);
+        let lines = logs.flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>());
+        let mut lines: Vec<String> = lines.filter(|line| line.contains(&mark)).collect();
+        lines.sort_unstable();
+        lines.join("\n")
+    }
+
+    /// The replicas that got the most requests so far.
+    pub fn busiest(&self, count: usize) -> Vec<&StandInReplica> {
+        let mut replicas: Vec<&StandInReplica> = self.replicas.iter().collect();
+        replicas.sort_by_key(|replica| std::cmp::Reverse(replica.count()));
+        replicas.truncate(count);
+        replicas
+    }
+
+    /// Checks each replica that named a limit against what it got.
+    pub fn assert_kept(&self) {
+        let counts = self.replicas.iter().filter_map(|replica| {
+            let named_at = replica.named_at()?;
+            let limit: f64 = replica.limit_text()?.parse().ok()?;
+            let allowed = allowed_in_window(limit);
+            let most = most_in_window(&replica.arrived_at(), named_at + KNOWN_AFTER);
+            println!("{}: {most} in {WINDOW_S} s, {allowed} allowed", replica.id);
+            Some((most, allowed, replica.id.clone()))
+        });
+        let counts: Vec<(usize, f64, String)> = counts.collect();
+        for (most, allowed, id) in &counts {
+            assert!(
+                *most as f64 <= *allowed,
+                "{id} got {most} in {WINDOW_S} s, {allowed} allowed; {:?}",
+                self.log_paths()
+            );
+        }
+        assert!(!counts.is_empty(), "limits were named");
+    }
+
+    /// Checks that replicas under overload get what they take.
+    pub fn assert_used(&self, replicas: &[StandInReplica], until: Instant) {
+        for replica in replicas {
+            let limit: f64 = replica
+                .limit_text()
+                .and_then(|text| text.parse().ok())
+                .expect("a limit");
+            let from = replica.named_at().expect("it named one") + KNOWN_AFTER;
+            let arrived_at = replica.arrived_at();
+            let count = arrived_at.iter().filter(|at| (from..until).contains(at)).count() as f64;
+            let wanted = limit * (until - from).as_secs_f64() * USED_PERCENT / 100.0;
+            println!("{}: {count} of {wanted} wanted", replica.id);
+            assert!(
+                count >= wanted,
+                "{} got {count}, {wanted} wanted; {:?}",
+                replica.id,
+                self.log_paths()
+            );
+        }
+    }
+}
+
+/// The most requests that a replica may get in a window.
+pub fn allowed_in_window(limit: f64) -> f64 {
+    WINDOW_SLACK.0 * limit * WINDOW_S + WINDOW_SLACK.1
+}
+
+/// The most arrivals in a window that begins at a moment or later.
+pub fn most_in_window(arrived_at: &[Instant], from: Instant) -> usize {
+    let mut late: Vec<Instant> = arrived_at.iter().copied().filter(|at| *at >= from).collect();
+    late.sort_unstable();
+    let window = Duration::from_secs_f64(WINDOW_S);
+    let counts = late
+        .iter()
+        .enumerate()
+        .map(|(first, begin)| late[first..].partition_point(|at| *at < *begin + window));
+    counts.max().unwrap_or_default()
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct CallerAnswer {
+    pub id: String,
+    pub took: Duration,
+    pub status: u16,
+    pub is_whole: bool,
+    pub retry_after: Option<String>,
+}
+
+/// Callers that press on some nodes at a rate, each with a new connection.
+pub struct Press {
+    thread: std::thread::JoinHandle<()>,
+    answers: Arc<Mutex<Vec<CallerAnswer>>>,
+}
+
+impl Press {
+    pub fn start(addresses: Vec<SocketAddr>, path: &'static str, a_second: u32, span: Duration) -> Self {
+        Self::start_with(addresses, path, a_second, span, PROMPT_TOKENS)
+    }
+
+    /// Callers whose prompts have this many tokens.
+    pub fn start_with(
+        addresses: Vec<SocketAddr>,
+        path: &'static str,
+        a_second: u32,
+        span: Duration,
+        tokens: u32,
+    ) -> Self {
+        let answers: Arc<Mutex<Vec<CallerAnswer>>> = Arc::default();
+        let kept = answers.clone();
+        let thread = std::thread::spawn(move || {
+            let began = Instant::now();
+            let mut callers = Vec::new();
+            for number in 0.. {
+                let due = began + Duration::from_secs(1) * number / a_second;
+                if due >= began + span {
+                    break;
+                }
+                std::thread::sleep(due.saturating_duration_since(Instant::now()));
+                let address = addresses[number as usize % addresses.len()];
+                let kept = kept.clone();
+                callers.push(std::thread::spawn(move || {
+                    let answer = call_with(address, path, &format!("q-{number}"), tokens);
+                    kept.lock().expect("no holder panics").push(answer);
+                }));
+            }
+            callers
+                .into_iter()
+                .for_each(|caller| caller.join().expect("a caller"));
+        });
+        Self { thread, answers }
+    }
+
+    pub fn finish(self) -> Vec<CallerAnswer> {
+        self.thread.join().expect("the callers' thread");
+        let answers = self.answers.lock().expect("no holder panics");
+        answers.clone()
+    }
+}
+
+pub fn call(address: SocketAddr, path: &str, id: &str) -> CallerAnswer {
+    call_with(address, path, id, PROMPT_TOKENS)
+}
+
+pub fn call_with(address: SocketAddr, path: &str, id: &str, tokens: u32) -> CallerAnswer {
+    let lines = &format!("X-Token-Count: {tokens},50\r\n");
+    let began = Instant::now();
+    let answer = exchange(
+        address,
+        &request("POST", "shop.example", path, id, lines, &format!("body of {id}")),
+    );
+    CallerAnswer {
+        id: id.to_owned(),
+        took: began.elapsed(),
+        status: answer.as_ref().map_or(0, |answer| answer.status()),
+        is_whole: answer.as_ref().is_some_and(|answer| answer.is_whole),
+        retry_after: answer.and_then(|answer| answer.header("Retry-After").map(str::to_owned)),
+    }
+}
+
+/// Presses on a fleet; some replicas name a limit after a while. Gives the callers' answers and when the press ended.
+pub fn press_with_limits(
+    fleet: &LimitedFleet,
+    addresses: Vec<SocketAddr>,
+    path: &'static str,
+    a_second: u32,
+    limits: &[(&StandInReplica, &str)],
+) -> (Vec<CallerAnswer>, Instant) {
+    let until = Instant::now() + BEFORE + AFTER;
+    let press = Press::start(addresses, path, a_second, BEFORE + AFTER);
+    std::thread::sleep(BEFORE);
+    limits
+        .iter()
+        .for_each(|(replica, text)| replica.set_limit(Some(text)));
+    let answers = press.finish();
+    fleet.assert_kept();
+    (answers, until)
+}
+
+pub fn all_with<'a>(replicas: &'a [StandInReplica], text: &'a str) -> Vec<(&'a StandInReplica, &'a str)> {
+    replicas.iter().map(|replica| (replica, text)).collect()
+}
+
+/// Checks that what was refused was refused at once, said when to come back, and never ran.
+pub fn assert_refused_well(fleet: &LimitedFleet, answers: &[CallerAnswer]) {
+    let refused: Vec<&CallerAnswer> = answers.iter().filter(|answer| answer.status == 503).collect();
+    assert!(!refused.is_empty(), "more was asked than the limits allow");
+    for answer in refused {
+        let story = || format!("{answer:?} {:?}\n{}", fleet.log_paths(), fleet.story(&answer.id));
+        assert!(answer.retry_after.is_some(), "{}", story());
+        assert!(answer.took <= AT_ONCE, "{}", story());
+        let runs: usize = fleet
+            .replicas
+            .iter()
+            .map(|replica| replica.runs(&answer.id))
+            .sum();
+        assert_eq!(runs, 0, "{}", story());
+    }
+    let counted: f64 = fleet
+        .nodes
+        .iter()
+        .map(|node| node.metric("limited_refusals", ""))
+        .sum();
+    assert!(counted > 0.0, "{:?}", fleet.log_paths());
+    let served = answers
+        .iter()
+        .filter(|answer| answer.status == 200 && answer.is_whole);
+    assert!(served.count() > 0, "{:?}", fleet.log_paths());
+}
+
+/// Checks that callers were all served.
+pub fn assert_served(fleet: &LimitedFleet, answers: &[CallerAnswer]) {
+    let failed: Vec<&CallerAnswer> = answers.iter().filter(|answer| answer.status != 200).collect();
+    assert!(failed.is_empty(), "{failed:?} {:?}", fleet.log_paths());
+}
+
+/// Presses on some nodes; all replicas name a limit after a while, and the fleet is disturbed then. Gives when the press ended.
+pub fn press_and_disturb(
+    fleet: &mut LimitedFleet,
+    addresses: Vec<SocketAddr>,
+    a_second: u32,
+    disturb: impl FnOnce(&mut LimitedFleet),
+) -> Instant {
+    press_on_and_disturb(fleet, addresses, "/read", a_second, disturb)
+}
+
+pub fn press_on_and_disturb(
+    fleet: &mut LimitedFleet,
+    addresses: Vec<SocketAddr>,
+    path: &'static str,
+    a_second: u32,
+    disturb: impl FnOnce(&mut LimitedFleet),
+) -> Instant {
+    let until = Instant::now() + BEFORE + AFTER;
+    let press = Press::start(addresses, path, a_second, BEFORE + AFTER);
+    std::thread::sleep(BEFORE);
+    let replicas = fleet.replicas.iter();
+    replicas.for_each(|replica| replica.set_limit(Some("5")));
+    disturb(fleet);
+    press.finish();
+    fleet.assert_kept();
+    until
+}
+
+/// Lets an owner stand still three times, for a moment each.
+pub fn stall_thrice(owner: &GatewayNode) {
+    for _ in 0..3 {
+        owner.signal("STOP");
+        std::thread::sleep(SHORT_STALL);
+        owner.signal("CONT");
+        std::thread::sleep(BEFORE);
+    }
+}
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -235,6 +235,13 @@
         self.lock().len()
     }
 
+    /// How many requests came so far that begin so.
+    pub fn count_begun_with(&self, begin: &str) -> usize {
+        let requests = self.lock();
+        let such = requests.iter().filter(|request| request.start.starts_with(begin));
+        such.count()
+    }
+
     /// When requests came whose body has [`DEATH_WORD`].
     pub fn deadly_arrivals(&self) -> Vec<Instant> {
         self.deadly_arrivals.lock().expect("no holder panics").clone()
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dotterelspan::blackboard::{OwnIdentity, ReplicaRecord, ReplicaRole};
+use dotterelspan::blackboard::{OwnIdentity, RateLimit, ReplicaRecord, ReplicaRole, RequestRate};
 use dotterelspan::controllers::discovery::{DiscoveryController, ReplicaUpdate};
 use dotterelspan::controllers::membership::MembershipController;
 use dotterelspan::controllers::message::{PeerMessage, VmIntroduction};
@@ -34,6 +34,11 @@
 
 /// A node that gives orders, or not, and knows a configuration.
 fn node(gives_orders: bool) -> ControlCore {
+    node_with_limits(gives_orders, 0)
+}
+
+/// The same, where so many engines name limits, the first ones of the list.
+fn node_with_limits(gives_orders: bool, limited: usize) -> ControlCore {
     let own = OwnIdentity {
         name: "vm-0".into(),
         zone: "a".into(),
@@ -45,6 +50,16 @@
     };
     let mut board = Blackboard::new(own);
     board.gives_orders = gives_orders;
+    let limits = (0..limited).map(|number| {
+        let limit = RateLimit {
+            started_epoch_ms: 1,
+            rate: RequestRate(5_000),
+            first_named_at: Moment(1),
+            seen_by: "vm-0".into(),
+        };
+        (format!("i-{number}").into(), limit)
+    });
+    board.rate_limits = Arc::new(limits.collect());
     board.register.revision = 1;
     board.register.register = Arc::new(register());
     let controllers: Vec<Box<dyn Controller>> = vec![
@@ -128,6 +143,17 @@
     }
 }
 
+#[test]
+fn engines_that_name_limits_stay_where_they_are() {
+    let orders = read_and_wait(&mut node_with_limits(true, 5), 6, 6, 40, 40);
+    assert!(
+        !orders.is_empty() && orders.iter().all(|order| &*order.engine == "i-5"),
+        "{orders:?}"
+    );
+    let orders = read_and_wait(&mut node_with_limits(true, 6), 6, 6, 40, 40);
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
 #[test]
 fn only_the_one_that_gives_orders_does_and_only_once_it_has_read_the_store_itself() {
     assert!(read_and_wait(&mut node(false), 6, 6, 40, 40).is_empty());
