Log and count what becomes of each configuration that is offered, and what a request was routed by

A node logged neither that a configuration was passed over since a higher number had been judged, nor by whom one that it refused was offered or what was wrong with it; content that can't be read was logged by the adapter and counted nowhere. Lines of requests took their revision from a later view than the one they were routed by.

Now: register_passed_over, register_unreadable (was config_unreadable; the controller decides and logs), register_refused with its first fault, register_accepted with how long the one before had not been confirmed, config_offers by fate and config_newest_offered in the metrics, and the revision and its age in routed, the revision in refused. The guard on what controllers are told drives the new event on real nodes.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod fingerprint;
+mod offer_tally;
 mod rate_limit;
 mod replica;
 mod suspicion;
@@ -9,6 +10,7 @@
 
 pub use engine::EngineView;
 pub use fingerprint::{Fingerprint, hash_parts};
+pub use offer_tally::{OfferFate, OfferTally};
 pub use rate_limit::{RateLimit, RateLimitMap, RequestRate, SharedRateLimits, find_limit};
 pub use replica::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
 pub use suspicion::{Suspicion, SuspicionMap};
@@ -105,6 +107,12 @@
     pub refused: Option<RefusedRevision>,
     /// Until when the revision counts as confirmed.
     pub fresh_until: Moment,
+    /// Since when it is in force here.
+    pub accepted_at: Moment,
+    /// The highest revision that this node was offered, of use or not.
+    pub newest_offered: Revision,
+    /// What became of the revisions that were offered.
+    pub offers: OfferTally,
 }
 
 /// What is known of one upstream from this node's own dealings with it.
--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -38,6 +38,11 @@
         /// Who offered it.
         source: RegisterSource,
     },
+    /// What is published as the register names no revision, or can't be read at all.
+    RegisterUnreadable {
+        /// What is wrong with it.
+        reason: String,
+    },
     /// The configuration service answered that nothing newer is published.
     RegisterConfirmed {
         /// The newest revision that the service knows.
@@ -272,6 +277,7 @@
 event_kinds! {
     Tick = "tick",
     RegisterOffered = "register_offered",
+    RegisterUnreadable = "register_unreadable",
     RegisterConfirmed = "register_confirmed",
     ReplicasRead = "replicas_read",
     ListReachable = "list_reachable",
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -5,7 +5,7 @@
 
 use super::RegisterSource;
 use super::message::PeerMessage;
-use crate::blackboard::RefusedRevision;
+use crate::blackboard::{OfferFate, RefusedRevision};
 use crate::prelude::*;
 use crate::register::{RegisterParser, parse_register};
 
@@ -21,6 +21,9 @@
 /// How long a fresh process keeps the service's first offer back for a peer to name a higher one, in milliseconds.
 const FIRST_OFFER_WAIT_MS: u64 = 500;
 
+/// How much of what is wrong with a register is logged, in characters.
+const REASON_CHARS: usize = 160;
+
 /// The service's first offer to a fresh process.
 #[derive(Debug)]
 struct HeldOffer {
@@ -100,7 +103,10 @@
         if *source == RegisterSource::Service && revision >= turn.board.register.revision {
             turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
         }
+        let facts = &mut turn.board.register;
+        facts.newest_offered = facts.newest_offered.max(revision);
         if revision <= self.judged {
+            self.pass_over(revision, source, turn);
             return;
         }
         self.judged = revision;
@@ -111,29 +117,66 @@
         match (self.parse)(text) {
             Ok(register) => {
                 let facts = &mut turn.board.register;
+                let previous = facts.revision;
+                // The service had confirmed the one before until then, so this one is not older than that.
+                let unconfirmed_ms = facts.fresh_until.until_ms(turn.now.after_ms(CONFIRMATION_MS));
+                facts.offers.note(OfferFate::Accepted);
+                facts.accepted_at = turn.now;
                 facts.revision = revision;
                 facts.register = Arc::new(register);
                 facts.text = text.clone();
                 facts.refused = None;
                 facts.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
-                turn.actions.push(Action::Log(format!(
-                    "event=register_accepted revision={revision} source={source:?}"
-                )));
+                turn.log(format!(
+                    "event=register_accepted revision={revision} previous={previous} source={source:?} \
+                     unconfirmed_ms={unconfirmed_ms}"
+                ));
                 // News does not wait for the next probes.
                 turn.send_to_neighbors(&turn.heartbeat(false));
             }
             Err(report) => {
                 let reasons = report.to_string();
-                turn.actions.push(Action::Log(format!(
-                    "event=register_refused revision={revision} faults={}",
-                    report.faults.len()
-                )));
+                let first = reasons.lines().next().unwrap_or_default();
+                turn.log(format!(
+                    "event=register_refused revision={revision} in_force={} source={source:?} faults={} first=\"{}\"",
+                    turn.board.register.revision,
+                    report.faults.len(),
+                    quote(first)
+                ));
+                turn.board.register.offers.note(OfferFate::Refused);
                 turn.board.register.refused = Some(RefusedRevision { revision, reasons });
             }
         }
         turn.publish();
     }
 
+    /// Notes an offer that is not looked at.
+    fn pass_over(&self, revision: Revision, source: &RegisterSource, turn: &mut Turn<'_>) {
+        let facts = &mut turn.board.register;
+        if revision == facts.revision {
+            facts.offers.note(OfferFate::Known);
+            return;
+        }
+        facts.offers.note(OfferFate::PassedOver);
+        let in_force = facts.revision;
+        turn.log(format!(
+            "event=register_passed_over revision={revision} in_force={in_force} judged={} source={source:?}",
+            self.judged
+        ));
+        turn.publish();
+    }
+
+    fn note_unreadable(&self, reason: &str, turn: &mut Turn<'_>) {
+        let facts = &mut turn.board.register;
+        facts.offers.note(OfferFate::Unreadable);
+        let in_force = facts.revision;
+        turn.log(format!(
+            "event=register_unreadable in_force={in_force} reason=\"{}\"",
+            quote(reason)
+        ));
+        turn.publish();
+    }
+
     fn hear_of(&mut self, peer: &VmAddress, revision: Revision, turn: &mut Turn<'_>) {
         if revision == turn.board.register.revision && revision > 0 {
             turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
@@ -182,11 +225,24 @@
     }
 }
 
+/// A text as the value of a field in quotation marks.
+fn quote(text: &str) -> String {
+    text.chars()
+        .take(REASON_CHARS)
+        .map(|letter| match letter {
+            '"' => '\'',
+            letter if letter.is_control() => ' ',
+            letter => letter,
+        })
+        .collect()
+}
+
 impl Controller for RevisionController {
     fn hears(&self) -> &'static [EventKind] {
         &[
             EventKind::Tick,
             EventKind::RegisterOffered,
+            EventKind::RegisterUnreadable,
             EventKind::RegisterConfirmed,
             EventKind::PeerJoined,
             EventKind::PeerMessage,
@@ -203,6 +259,7 @@
                 RegisterSource::Service => self.offer_of_service(*revision, text, turn),
                 RegisterSource::Peer(_) => self.offer(*revision, text, source, turn),
             },
+            Event::RegisterUnreadable { reason } => self.note_unreadable(reason, turn),
             Event::Tick { .. } => {
                 self.release_held(None, turn);
                 self.ask_source(turn);
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -55,7 +55,6 @@
     "attempt_failed", Failure, ["engine", "fate", "delivered"], "An attempt at a generation of the entry interface failed.";
     "caller_gone", Progress, ["request"], "A caller left before its answer was whole.";
     "clock_step", Belief, ["step_ms"], "The wall clock jumped against the clock that never goes back.";
-    "config_unreadable", Belief, ["reason"], "The store's configuration document can't be read.";
     "connection_refused", Belief, ["reason"], "A caller's connection was closed because there are too many.";
     "dependency_lost", Belief, ["dependency", "list_revision"], "The platform's store can't be read; what is known stays in force.";
     "dependency_regained", Belief, ["dependency", "outage_ms"], "The platform's store can be read again.";
@@ -86,9 +85,11 @@
     "permit_refused", Progress, ["request", "service", "candidates", "pause_ms", "elapsed_ms"], "A call may not go to any of the replicas that name limits in time.";
     "prefilled", Progress, ["request", "replica", "outcome", "tokens", "elapsed_ms", "total_ms"], "A prefill engine ran a prompt, or did not.";
     "queued", Progress, ["place", "owner"], "A generation waits for engines at their owner.";
-    "refused", Failure, ["request", "route", "code", "reason", "detail", "retry_after_ms"], "A request was refused.";
-    "register_accepted", Belief, ["revision", "source"], "A configuration is in force.";
-    "register_refused", Belief, ["revision", "faults"], "A configuration was not accepted; the last good one stays in force.";
+    "refused", Failure, ["request", "route", "code", "reason", "detail", "retry_after_ms", "revision"], "A request was refused; by which configuration.";
+    "register_accepted", Belief, ["revision", "previous", "source", "unconfirmed_ms"], "A configuration is in force; how long the one before had not been confirmed.";
+    "register_passed_over", Belief, ["revision", "in_force", "judged", "source"], "A configuration was not looked at, since a later one had been.";
+    "register_refused", Belief, ["revision", "in_force", "source", "faults", "first"], "A configuration was not accepted; the last good one stays in force.";
+    "register_unreadable", Belief, ["in_force", "reason"], "What is published names no revision, or can't be read at all.";
     "reload", Belief, ["outcome"], "The settings file was read again.";
     "replica_backs_off", Belief, ["replica", "service", "back_off_ms"], "A replica turned a request away and wants nothing from this VM for a while.";
     "replica_entry_unreadable", Belief, ["replica", "bytes"], "An entry of the replica list can't be read and names no replica.";
@@ -106,7 +107,7 @@
     "retry_denied", Failure, ["request", "reason", "extra", "allowed", "vms"], "A request was not sent again.";
     "extra_returned", Progress, ["request", "service", "count"], "Extra sends of a request were covered by the shared budget and did not go out.";
     "extra_send", Progress, ["request", "service", "extra", "allowed", "vms"], "A request goes out once more, from the shared budget.";
-    "routed", Progress, ["request", "fingerprint", "route", "kind", "service", "limit_ms", "attempts", "revision"], "A route was found for a request.";
+    "routed", Progress, ["request", "fingerprint", "route", "kind", "service", "limit_ms", "attempts", "revision", "revision_age_ms"], "A route was found for a request, and since when its configuration was in force.";
     "sent", Progress, ["request", "route", "replica", "outcome", "send", "ahead", "free_beside", "elapsed_ms", "total_ms"], "A replica answered a request, or did not. Of a plain call also what it was chosen on: requests expected there, and free slots at the others.";
     "statement_unknown", Belief, ["replica", "service", "name", "value"], "A replica says something of itself that nothing here reads; logged once for each replica.";
     "started", Belief, ["vm", "zone", "callers", "directory", "peers", "store", "incarnation", "version", "revision"], "The process is up.";
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -43,7 +43,8 @@
             }
             Err(ReadFailure::Gone) => return,
             Err(ReadFailure::Refused(notice)) => {
-                refuse_unrouted(stream.socket(), &notice, AfterAnswer::Close, "-").await;
+                let revision = context.snapshot().revision;
+                refuse_unrouted(stream.socket(), &notice, AfterAnswer::Close, "-", revision).await;
                 return;
             }
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 use crate::http::RequestHead;
 use crate::prelude::*;
 use crate::register::{RouteKind, RouteRule};
+use crate::runtime::Snapshot;
 
 /// When to come back where nothing says how long the cause will last, in milliseconds.
 pub const COME_BACK_MS: u64 = 400;
@@ -40,6 +41,8 @@
     pub facts: RequestFacts,
     /// Stands for its host, target, caller and body, which a repeat has too.
     pub fingerprint: Fingerprint,
+    /// The configuration that it was routed by.
+    pub revision: Revision,
     /// Its route.
     pub rule: Arc<RouteRule>,
     /// The service that it goes to.
@@ -91,17 +94,20 @@
     } else {
         AfterAnswer::Close
     };
-    let found = find_route(context, &head, &facts)
+    let snapshot = context.snapshot();
+    let found = find_route(&snapshot, &head, &facts)
         .and_then(|found| check_leaving(context, &found.0, received_at).map(|()| found));
     let (rule, service) = match found {
         Ok(found) => found,
-        Err(notice) => return refuse_unrouted(socket, &notice, after, &facts.id).await,
+        Err(notice) => {
+            return refuse_unrouted(socket, &notice, after, &facts.id, snapshot.revision).await;
+        }
     };
     let timeout = received_at.after_ms(rule.timeout_ms);
     let deadline = facts
         .wait_ms
         .map_or(timeout, |wait_ms| timeout.min(received_at.after_ms(wait_ms)));
-    let trace = RequestTrace::new(context, &facts, &rule, received_at);
+    let trace = RequestTrace::new(context, &facts, &rule, received_at, &snapshot);
     let has_body = body.is_some();
     let body = body.unwrap_or_default();
     let request = CallerRequest {
@@ -110,6 +116,7 @@
         body,
         head,
         facts,
+        revision: snapshot.revision,
         rule,
         service,
         received_at,
@@ -118,7 +125,8 @@
         trace,
     };
     spdlog::info!(
-        "event=routed request={} fingerprint={:016x} route={} kind={} service={} limit_ms={} attempts={} revision={}",
+        "event=routed request={} fingerprint={:016x} route={} kind={} service={} limit_ms={} attempts={} revision={} \
+         revision_age_ms={}",
         request.facts.id,
         request.fingerprint,
         request.rule.name,
@@ -126,7 +134,8 @@
         request.service,
         request.limit_ms(),
         request.rule.attempts,
-        context.snapshot().revision
+        request.revision,
+        snapshot.accepted_at.until_ms(received_at)
     );
     context.budget().note_request(&request.service, received_at);
     match request.rule.kind {
@@ -147,11 +156,10 @@
 }
 
 fn find_route(
-    context: &GatewayContext,
+    snapshot: &Snapshot,
     head: &RequestHead,
     facts: &RequestFacts,
 ) -> Result<(Arc<RouteRule>, Arc<str>), RefusalNotice> {
-    let snapshot = context.snapshot();
     if snapshot.revision == 0 {
         let notice = RefusalNotice::new(ResultCode::NoRegister, "");
         return Err(notice.retry_after_ms(START_MS));
@@ -190,7 +198,7 @@
     let notice = &with_return(notice);
     request.trace.end(outcome, refusal_status(notice));
     request.trace.record().code = notice.code.number();
-    log_refusal(&request.facts.id, &request.rule.name, notice);
+    log_refusal(&request.facts.id, &request.rule.name, notice, request.revision);
     write_notice(socket, notice, request.after).await
 }
 
@@ -200,8 +208,9 @@
     notice: &RefusalNotice,
     after: AfterAnswer,
     request_id: &str,
+    revision: Revision,
 ) -> AnswerEnd {
-    log_refusal(request_id, "-", notice);
+    log_refusal(request_id, "-", notice, revision);
     write_notice(socket, notice, after).await
 }
 
@@ -215,9 +224,10 @@
     }
 }
 
-fn log_refusal(request_id: &str, route: &str, notice: &RefusalNotice) {
+fn log_refusal(request_id: &str, route: &str, notice: &RefusalNotice, revision: Revision) {
     spdlog::error!(
-        "event=refused request={request_id} route={route} code={} reason={} detail=\"{}\" retry_after_ms={}",
+        "event=refused request={request_id} route={route} code={} reason={} detail=\"{}\" retry_after_ms={} \
+         revision={revision}",
         notice.code.number(),
         notice.code.entry().name,
         notice.detail,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -11,7 +11,7 @@
 use super::rate_permit::PermitFate;
 use super::statements::UnknownStatements;
 use super::trace::{RequestOutcome, TraceRecord};
-use crate::blackboard::ReplicaId;
+use crate::blackboard::{OfferFate, ReplicaId};
 use crate::clock;
 use crate::event_log::EventLog;
 use crate::prelude::*;
@@ -47,6 +47,8 @@
     moved_tokens: Counter<u64>,
     revision: Gauge<u64>,
     config_age: Gauge<u64>,
+    newest_offered: Gauge<u64>,
+    config_offers: Gauge<u64>,
     list_revision: Gauge<u64>,
     list_age: Gauge<u64>,
     vms: Gauge<u64>,
@@ -96,6 +98,11 @@
                 "config_unconfirmed_ms",
                 "How long the configuration is unconfirmed.",
             ),
+            newest_offered: meters.gauge(
+                "config_newest_offered",
+                "The highest configuration that was read or told, of use or not.",
+            ),
+            config_offers: meters.gauge("config_offers", "Configurations that were read or told, by fate."),
             list_revision: meters.gauge("list_revision", "The state of the replica list."),
             list_age: meters.gauge("list_unread_ms", "How long the store has not been read."),
             vms: meters.gauge("vms", "VMs by state."),
@@ -140,6 +147,11 @@
         let now = clock::now();
         self.revision.record(snapshot.revision, &[]);
         self.config_age.record(snapshot.fresh_until.until_ms(now), &[]);
+        self.newest_offered.record(snapshot.newest_offered, &[]);
+        for fate in OfferFate::ALL {
+            let label = KeyValue::new("fate", fate.as_str());
+            self.config_offers.record(snapshot.offers.count(fate), &[label]);
+        }
         self.list_revision.record(snapshot.list_revision, &[]);
         self.list_age
             .record(snapshot.list_lost_at.map_or(0, |at| at.until_ms(now)), &[]);
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::prelude::*;
 use crate::register::RouteRule;
-use crate::runtime::lock;
+use crate::runtime::{Snapshot, lock};
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -107,8 +107,8 @@
         facts: &RequestFacts,
         rule: &Arc<RouteRule>,
         received_at: Moment,
+        snapshot: &Snapshot,
     ) -> Self {
-        let snapshot = context.snapshot();
         Self {
             context: context.clone(),
             request: facts.id.clone(),
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -60,7 +60,9 @@
             text: Arc::from(text),
             source: RegisterSource::Service,
         }),
-        Err(error) => spdlog::warn!("event=config_unreadable reason=\"{error}\""),
+        Err(error) => control.tell(Event::RegisterUnreadable {
+            reason: error.to_string(),
+        }),
     }
 }
 
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -4,8 +4,8 @@
 
 use super::super::controllers::rendezvous;
 use crate::blackboard::{
-    Fingerprint, ReplicaFacts, ReplicaId, ReplicaRecord, SharedRateLimits, Suspicion, SuspicionMap,
-    find_limit,
+    Fingerprint, OfferTally, ReplicaFacts, ReplicaId, ReplicaRecord, SharedRateLimits, Suspicion,
+    SuspicionMap, find_limit,
 };
 use crate::controllers::discovery::ListRevision;
 use crate::controllers::message::VmIntroduction;
@@ -17,6 +17,12 @@
 pub struct Snapshot {
     /// The revision in force.
     pub revision: Revision,
+    /// Since when that one is in force here.
+    pub accepted_at: Moment,
+    /// The highest revision that this node was offered, of use or not.
+    pub newest_offered: Revision,
+    /// What became of the revisions that were offered.
+    pub offers: OfferTally,
     /// The register in force.
     pub register: Arc<Register>,
     /// The newest refused revision with its faults.
@@ -54,6 +60,9 @@
         let refused = board.register.refused.as_ref();
         Self {
             revision: board.register.revision,
+            accepted_at: board.register.accepted_at,
+            newest_offered: board.register.newest_offered,
+            offers: board.register.offers,
             register: board.register.register.clone(),
             refused: refused.map(|refused| (refused.revision, refused.reasons.clone())),
             fresh_until: board.register.fresh_until,
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -12,12 +12,16 @@
 const WITHIN_MS: u64 = 20_000;
 
 /// Kinds that the controllers of an entry hear and nobody has to tell there, with the reason.
-const NOT_NEEDED: [(&str, &str); 2] = [
+const NOT_NEEDED: [(&str, &str); 3] = [
     (
         "replica_replaced",
         "upstreams stand in the register; each answer of an engine tells its start",
     ),
     ("replicas_read", "there is no list of replicas"),
+    (
+        "register_unreadable",
+        "the service numbers each text itself; what can't be read of one is refused with its faults",
+    ),
 ];
 
 /// Kinds that some controller hears and that were told at no entry so far.
--- a/tests/platform/decisions.rs
+++ b/tests/platform/decisions.rs
@@ -101,6 +101,7 @@
         call(node, "/read", "q-8", "x");
         !find_untold(node).contains(&"permit_returned".to_owned())
     });
+    engines.store.put("op/config", "no configuration");
     peer.kill();
     wait_until("all but its own leaving was told", || {
         find_untold(node) == ["leave_ordered"]
