Failing tests of the incident: configurations that are late, barred or taken in error

Content that names a number bars all lower numbers for as long as a process lives, 13 of 17 contents with faults are put in force, five of ten valid forms never are, and where the six VMs that read the store are stopped or lose it without a word the others have a change after 2.3 and 4.1 s where 2 s are allowed.

The proxy of the stand-ins can silence its open connections from a test; the metrics say who reads the store.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -51,6 +51,7 @@
     config_offers: Gauge<u64>,
     list_revision: Gauge<u64>,
     list_age: Gauge<u64>,
+    reads_store: Gauge<u64>,
     vms: Gauge<u64>,
     replicas: Gauge<u64>,
     active: Gauge<u64>,
@@ -105,6 +106,7 @@
             config_offers: meters.gauge("config_offers", "Configurations that were read or told, by fate."),
             list_revision: meters.gauge("list_revision", "The state of the replica list."),
             list_age: meters.gauge("list_unread_ms", "How long the store has not been read."),
+            reads_store: meters.gauge("reads_store", "One where this VM reads the store for others too."),
             vms: meters.gauge("vms", "VMs by state."),
             replicas: meters.gauge("replicas", "Listed replicas by state."),
             suspected: meters.gauge(
@@ -155,6 +157,7 @@
         self.list_revision.record(snapshot.list_revision, &[]);
         self.list_age
             .record(snapshot.list_lost_at.map_or(0, |at| at.until_ms(now)), &[]);
+        self.reads_store.record(u64::from(snapshot.reads_store), &[]);
         let live = snapshot.live_vms.len();
         let leaving = snapshot.live_vms.iter().filter(|vm| vm.leaving).count();
         let suspected = snapshot.known_vms.saturating_sub(live);
--- a/stand_ins/src/proxy.rs
+++ b/stand_ins/src/proxy.rs
@@ -81,6 +81,12 @@
         *self.mode.lock().expect("no holder of this lock panics") = mode;
     }
 
+    /// Lets all open connections pass nothing more, for good and without an end; new ones are open.
+    pub fn silence(&self) {
+        let through = self.generation.fetch_add(1, Ordering::Relaxed);
+        self.silent_through.store(through, Ordering::Relaxed);
+    }
+
     fn mode(&self) -> RouteMode {
         *self.mode.lock().expect("no holder of this lock panics")
     }
@@ -120,8 +126,7 @@
         Some("hold_there") => RouteMode::HoldThere,
         Some("hold_back") => RouteMode::HoldBack,
         Some("silence") => {
-            let through = route.generation.fetch_add(1, Ordering::Relaxed);
-            route.silent_through.store(through, Ordering::Relaxed);
+            route.silence();
             RouteMode::Pass
         }
         _ => RouteMode::Pass,
--- /dev/null
+++ b/tests/platform/config_content.rs
@@ -0,0 +1,356 @@
+//! What is written where the configuration stands: what of it is taken, and what it must not cost.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::config_fleet::{
+    ConfigFleet, FIRST_VERSION, IN_FORCE_WITHIN, NEW_REPLICA, NEW_SERVICE, OLD_REPLICA, OLD_SERVICE,
+    add_route, add_service, answer_for, draft, moved_route, served_by,
+};
+use crate::node::wait_until;
+use crate::replica::{ReplicaMood, StandInReplica};
+
+/// How long callers are watched after content that must change nothing.
+const WATCHED: Duration = Duration::from_millis(400);
+
+/// How deep the deepest content is nested.
+const DEEP: usize = 200_000;
+
+/// A configuration with one thing changed.
+fn with(version: u64, change: impl FnOnce(&mut Value)) -> String {
+    let mut document = draft(version, NEW_SERVICE);
+    change(&mut document);
+    document.to_string()
+}
+
+/// Content that names a version and must not be taken.
+fn faulty_contents() -> Vec<(&'static str, String)> {
+    vec![
+        ("nothing but a number", json!({ "version": 900 }).to_string()),
+        (
+            "routes that are a text",
+            with(901, |document| document["routes"] = "none".into()),
+        ),
+        ("no routes", with(902, |document| document["routes"] = json!([]))),
+        (
+            "the largest version with a broken route",
+            with(u64::MAX, |document| {
+                moved_route(document)["timeoutMs"] = "soon".into()
+            }),
+        ),
+        (
+            "a route to a service that is not listed",
+            with(903, |document| {
+                moved_route(document)["service"] = "unlisted".into()
+            }),
+        ),
+        (
+            "a route without a service",
+            with(904, |document| moved_route(document)["service"] = Value::Null),
+        ),
+        (
+            "a split with a weight below zero",
+            with(905, |document| {
+                moved_route(document)["trafficSplit"] = json!([
+                    { "service": NEW_SERVICE, "weight": -1 },
+                    { "service": OLD_SERVICE, "weight": 2 },
+                ]);
+            }),
+        ),
+        (
+            "a split whose weights are all zero",
+            with(906, |document| {
+                moved_route(document)["trafficSplit"] = json!([{ "service": NEW_SERVICE, "weight": 0 }]);
+            }),
+        ),
+        (
+            "a split to a service that is not listed",
+            with(907, |document| {
+                moved_route(document)["trafficSplit"] = json!([{ "service": "unlisted", "weight": 1 }]);
+            }),
+        ),
+        (
+            "a timeout of zero",
+            with(908, |document| moved_route(document)["timeoutMs"] = 0.into()),
+        ),
+        (
+            "a timeout below zero",
+            with(909, |document| moved_route(document)["timeoutMs"] = (-5).into()),
+        ),
+        (
+            "the same route twice with two services",
+            with(910, |document| {
+                add_route(document, "again", "/moved", OLD_SERVICE)
+            }),
+        ),
+        (
+            "a route without a host",
+            with(911, |document| moved_route(document)["hostname"] = "".into()),
+        ),
+        (
+            "a prefix that no path begins with",
+            with(912, |document| {
+                moved_route(document)["pathPrefix"] = "moved".into()
+            }),
+        ),
+        (
+            "a limit of zero on heads",
+            with(913, |document| document["limits"]["maxHeaderBytes"] = 0.into()),
+        ),
+        (
+            "engines without memory",
+            with(914, |document| {
+                document["services"][2]["engine"]["kvTokens"] = 0.into()
+            }),
+        ),
+        (
+            "two different services of one name",
+            with(915, |document| {
+                let services = document["services"].as_array_mut().expect("a list");
+                services.push(json!({ "name": NEW_SERVICE, "healthCheck": "/other" }));
+            }),
+        ),
+    ]
+}
+
+/// Content that is no configuration at all.
+fn unreadable_contents() -> Vec<(&'static str, String)> {
+    vec![
+        ("no JSON", "version 950".to_owned()),
+        ("an empty text", String::new()),
+        ("a list", "[950]".to_owned()),
+        (
+            "a version that is a text",
+            with(0, |document| document["version"] = "950".into()),
+        ),
+        (
+            "a version below zero",
+            with(0, |document| document["version"] = (-950).into()),
+        ),
+        (
+            "deep nesting",
+            format!("{{\"version\":950,\"routes\":{}", "[".repeat(DEEP)),
+        ),
+    ]
+}
+
+/// What callers of each node got that they should not have, as content was written over the first version, and whether the
+/// version after it was in force in time.
+fn find_harm((what, text): (&str, String)) -> Option<String> {
+    let fleet = ConfigFleet::start(2);
+    fleet.write(&text);
+    let others = fleet.others_than(OLD_REPLICA, WATCHED);
+    fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
+    let taken = fleet.time_until(&[0, 1], NEW_REPLICA, IN_FORCE_WITHIN);
+    (!others.is_empty() || taken.is_none())
+        .then(|| format!("{what}: callers got {others:?}, the next version in force: {taken:?}"))
+}
+
+#[test]
+fn content_with_faults_changes_nothing_and_bars_no_later_version() {
+    let harms: Vec<String> = faulty_contents().into_iter().filter_map(find_harm).collect();
+    assert!(harms.is_empty(), "{}", harms.join("\n"));
+}
+
+#[test]
+fn content_that_can_not_be_read_changes_nothing_and_bars_no_later_version() {
+    let harms: Vec<String> = unreadable_contents().into_iter().filter_map(find_harm).collect();
+    assert!(harms.is_empty(), "{}", harms.join("\n"));
+}
+
+/// Valid versions whose numbers and fields have another form than usual.
+fn unusual_forms() -> Vec<(&'static str, String)> {
+    let next = FIRST_VERSION + 1;
+    vec![
+        (
+            "a timeout with a fraction",
+            with(next, |document| {
+                moved_route(document)["timeoutMs"] = json!(6000.0)
+            }),
+        ),
+        (
+            "a version with a fraction",
+            with(next, |document| document["version"] = json!(8.0)),
+        ),
+        (
+            "a count over 32 bits",
+            with(next, |document| {
+                document["services"][0]["maxConnections"] = json!(5_000_000_000_u64)
+            }),
+        ),
+        (
+            "a small weight",
+            with(next, |document| {
+                moved_route(document)["service"] = Value::Null;
+                moved_route(document)["trafficSplit"] = json!([{ "service": NEW_SERVICE, "weight": 0.0004 }]);
+            }),
+        ),
+        (
+            "a share that is drained",
+            with(next, |document| {
+                moved_route(document)["trafficSplit"] = json!([
+                    { "service": NEW_SERVICE, "weight": 100 },
+                    { "service": OLD_SERVICE, "weight": 0 },
+                ]);
+            }),
+        ),
+        (
+            "fields that are not known",
+            with(next, |document| {
+                document["region"] = json!({ "name": "x", "parts": [1, 2] });
+                moved_route(document)["mirror"] = json!([{ "share": 0.5 }]);
+                document["services"][0]["protocol"] = "h1".into();
+            }),
+        ),
+        (
+            "optional fields without a value",
+            with(next, |document| {
+                for field in ["trafficSplit", "attempts", "priority", "resumable", "targetGapMs"] {
+                    moved_route(document)[field] = Value::Null;
+                }
+                document["services"][0]["engine"] = Value::Null;
+                document["limits"]["idleTimeoutMs"] = Value::Null;
+            }),
+        ),
+        (
+            "the same route twice with the same rules",
+            with(next, |document| {
+                add_route(document, "again", "/moved", NEW_SERVICE)
+            }),
+        ),
+        (
+            "a kind that is not known",
+            with(next, |document| moved_route(document)["kind"] = "someday".into()),
+        ),
+        (
+            "no limits",
+            with(next, |document| document["limits"] = Value::Null),
+        ),
+    ]
+}
+
+#[test]
+fn a_valid_version_is_taken_whatever_the_form_of_its_numbers_and_fields() {
+    let untaken = |(what, text): (&'static str, String)| {
+        let fleet = ConfigFleet::start(1);
+        fleet.write(&text);
+        let taken = fleet.time_until(&[0], NEW_REPLICA, IN_FORCE_WITHIN);
+        taken.is_none().then_some(what)
+    };
+    let untaken: Vec<&str> = unusual_forms().into_iter().filter_map(untaken).collect();
+    assert!(untaken.is_empty(), "never in force: {untaken:?}");
+}
+
+#[test]
+fn a_version_that_first_came_with_faults_is_taken_once_it_comes_without() {
+    let fleet = ConfigFleet::start(2);
+    let next = FIRST_VERSION + 1;
+    fleet.write(&with(next, |document| {
+        moved_route(document)["timeoutMs"] = 0.into()
+    }));
+    assert_eq!(fleet.others_than(OLD_REPLICA, WATCHED), Vec::<String>::new());
+    fleet.publish(&draft(next, NEW_SERVICE));
+    let taken = fleet.time_until(&[0, 1], NEW_REPLICA, IN_FORCE_WITHIN);
+    assert!(taken.is_some(), "never in force");
+}
+
+#[test]
+fn an_older_version_written_again_and_a_removal_change_nothing() {
+    let mut fleet = ConfigFleet::start(3);
+    fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
+    fleet.wait_served_by(NEW_REPLICA);
+    fleet.publish(&draft(FIRST_VERSION, OLD_SERVICE));
+    assert_eq!(fleet.others_than(NEW_REPLICA, WATCHED), Vec::<String>::new());
+    fleet.nodes[2].kill();
+    fleet.nodes[2].spawn();
+    fleet.nodes[2].wait_ready();
+    assert_eq!(fleet.others_than(NEW_REPLICA, WATCHED), Vec::<String>::new());
+    fleet.store.remove("op/config");
+    assert_eq!(fleet.others_than(NEW_REPLICA, WATCHED), Vec::<String>::new());
+    fleet.publish(&draft(FIRST_VERSION + 2, OLD_SERVICE));
+    assert!(
+        fleet
+            .time_until(&[0, 1, 2], OLD_REPLICA, IN_FORCE_WITHIN)
+            .is_some()
+    );
+}
+
+#[test]
+fn all_nodes_come_to_hold_the_same_content_of_a_version() {
+    let mut fleet = ConfigFleet::start(3);
+    // Another writer wrote other content under the number that is in force, and a node that begins hears only of that.
+    fleet.publish(&draft(FIRST_VERSION, NEW_SERVICE));
+    fleet.nodes[2].kill();
+    fleet.nodes[..2].iter().for_each(|node| node.signal("STOP"));
+    fleet.nodes[2].spawn();
+    fleet.nodes[2].wait_ready();
+    fleet.nodes[..2].iter().for_each(|node| node.signal("CONT"));
+    wait_until("all nodes agree", || {
+        let answers: Vec<String> = fleet.nodes.iter().map(served_by).collect();
+        answers.iter().all(|answer| *answer == answers[0])
+    });
+    std::thread::sleep(WATCHED);
+    let answers: Vec<String> = fleet.nodes.iter().map(served_by).collect();
+    assert!(answers.iter().all(|answer| *answer == answers[0]), "{answers:?}");
+}
+
+#[test]
+fn added_routes_are_served_once_their_version_is_in_force() {
+    let fleet = ConfigFleet::start(2);
+    let mut document = draft(FIRST_VERSION + 1, OLD_SERVICE);
+    add_service(&mut document, "late");
+    add_route(&mut document, "longer", "/moved/longer/", NEW_SERVICE);
+    add_route(&mut document, "late", "/late/", "late");
+    add_route(&mut document, "other", "/other/", NEW_SERVICE);
+    moved_route(&mut document)["hostname"] = "Other.Example".into();
+    fleet.publish(&document);
+    let all = |host: &str, path: &str| -> Vec<String> {
+        fleet
+            .nodes
+            .iter()
+            .map(|node| answer_for(node, host, path))
+            .collect()
+    };
+    wait_until("the longer prefix counts", || {
+        all("shop.example", "/moved/longer/x") == [NEW_REPLICA; 2]
+    });
+    assert_eq!(all("shop.example", "/moved/x"), [OLD_REPLICA; 2]);
+    assert_eq!(all("other.example", "/other/x"), [NEW_REPLICA; 2]);
+    assert_eq!(all("OTHER.EXAMPLE", "/other/x"), [NEW_REPLICA; 2]);
+    assert_eq!(
+        all("shop.example", "/late/x"),
+        ["503", "503"],
+        "it has no replica yet"
+    );
+    StandInReplica::start(&fleet.store, "i-late", "late", None, ReplicaMood::Well);
+    wait_until("its first replica serves", || {
+        all("shop.example", "/late/x") == ["i-late"; 2]
+    });
+}
+
+#[test]
+fn what_is_refused_is_counted_with_its_reason() {
+    let fleet = ConfigFleet::start(1);
+    let node = &fleet.nodes[0];
+    fleet.write(&with(20, |document| {
+        moved_route(document)["service"] = "unlisted".into()
+    }));
+    wait_until("it is counted", || {
+        node.metric("config_offers", "fate=\"refused\"") == 1.0
+    });
+    fleet.write("no configuration");
+    wait_until("it is counted", || {
+        node.metric("config_offers", "fate=\"unreadable\"") == 1.0
+    });
+    assert_eq!(node.metric("config_revision", ""), FIRST_VERSION as f64);
+    assert_eq!(node.metric("config_newest_offered", ""), 20.0);
+    let log = node.log();
+    let line = log.lines().find(|line| line.contains("event=register_refused"));
+    let line = line.expect("a line says so");
+    assert!(
+        line.contains("unlisted") && line.contains("revision=20 in_force=7 "),
+        "{line}"
+    );
+    assert!(log.contains("event=register_unreadable in_force=7 "), "{log}");
+}
--- /dev/null
+++ b/tests/platform/config_spread.rs
@@ -0,0 +1,171 @@
+//! By when a version is in force on nodes that are undisturbed, whatever becomes of others.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use stand_ins::proxy::RouteMode;
+
+use crate::config_fleet::{
+    CALM_AFTER, ConfigFleet, FIRST_VERSION, IN_FORCE_WITHIN, NEW_REPLICA, NEW_SERVICE, OLD_REPLICA,
+    OLD_SERVICE, add_route, draft,
+};
+use crate::node::wait_until;
+use crate::wire::{read_answer, request};
+
+/// Nodes of these tests.
+const NODES: usize = 12;
+
+/// How many of them read the store for others.
+const READERS: usize = 6;
+
+/// How long a test waits beyond a bound, to tell how much it is missed by.
+const PATIENCE: Duration = Duration::from_millis(8_000);
+
+/// How long after silence came over all connections a change is written.
+const SILENT_BEFORE: Duration = Duration::from_millis(300);
+
+/// Versions in series.
+const SERIES: u64 = 8;
+
+/// Nodes that read the store for others, and all others.
+fn split_by_role(fleet: &ConfigFleet) -> (Vec<usize>, Vec<usize>) {
+    let all = 0..fleet.nodes.len();
+    let (readers, others): (Vec<usize>, Vec<usize>) =
+        all.partition(|index| fleet.nodes[*index].metric("reads_store", "") == 1.0);
+    assert!(!readers.is_empty() && !others.is_empty(), "{readers:?} read");
+    (readers, others)
+}
+
+/// How long the other nodes take for a version that is written as those who read the store are disturbed.
+fn time_beside(disturb: impl Fn(&mut ConfigFleet, usize)) -> Option<Duration> {
+    let mut fleet = ConfigFleet::start(NODES);
+    wait_until("the fleet has settled on who reads", || {
+        split_by_role(&fleet).0.len() == READERS
+    });
+    let (readers, others) = split_by_role(&fleet);
+    readers.iter().for_each(|index| disturb(&mut fleet, *index));
+    fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
+    let took = fleet.time_until(&others, NEW_REPLICA, IN_FORCE_WITHIN + PATIENCE);
+    println!("in force after {took:?}");
+    took
+}
+
+fn is_in_time(took: Option<Duration>, bound: Duration) -> bool {
+    took.is_some_and(|took| took <= bound)
+}
+
+#[test]
+fn a_version_is_in_force_in_time_while_those_who_read_the_store_are_stopped() {
+    let took = time_beside(|fleet, index| fleet.nodes[index].signal("STOP"));
+    assert!(is_in_time(took, IN_FORCE_WITHIN), "{took:?}");
+}
+
+#[test]
+fn a_version_is_in_force_in_time_while_those_who_read_the_store_are_killed() {
+    let took = time_beside(|fleet, index| fleet.nodes[index].kill());
+    assert!(is_in_time(took, IN_FORCE_WITHIN), "{took:?}");
+}
+
+#[test]
+fn a_version_is_in_force_in_time_while_those_who_read_the_store_lost_it() {
+    let took = time_beside(|fleet, index| fleet.ways[index].set_mode(RouteMode::Partition, 0));
+    assert!(is_in_time(took, IN_FORCE_WITHIN), "{took:?}");
+}
+
+#[test]
+fn a_version_is_in_force_in_time_after_all_open_connections_to_the_store_fell_silent() {
+    let fleet = ConfigFleet::start(NODES);
+    let silent_at = Instant::now();
+    fleet.ways.iter().for_each(|way| way.silence());
+    std::thread::sleep(SILENT_BEFORE);
+    fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
+    let all: Vec<usize> = (0..NODES).collect();
+    let took = fleet.time_until(&all, NEW_REPLICA, CALM_AFTER + PATIENCE);
+    let since_silence = silent_at.elapsed();
+    println!("in force {since_silence:?} after the silence began");
+    assert!(took.is_some() && since_silence <= CALM_AFTER, "{since_silence:?}");
+}
+
+#[test]
+fn a_node_alone_follows_in_time_after_its_connection_to_the_store_fell_silent() {
+    let fleet = ConfigFleet::start(1);
+    let silent_at = Instant::now();
+    fleet.ways[0].silence();
+    std::thread::sleep(SILENT_BEFORE);
+    fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
+    let took = fleet.time_until(&[0], NEW_REPLICA, CALM_AFTER + PATIENCE);
+    let since_silence = silent_at.elapsed();
+    println!("in force {since_silence:?} after the silence began");
+    assert!(took.is_some() && since_silence <= CALM_AFTER, "{since_silence:?}");
+}
+
+#[test]
+fn versions_in_series_are_in_force_in_time_beside_nodes_that_stop_and_go_on() {
+    let fleet = ConfigFleet::start(6);
+    let mut late = Vec::new();
+    for number in 1..=SERIES {
+        let stopped = (number % 6) as usize;
+        fleet.nodes[stopped].signal("STOP");
+        let (service, replica) =
+            [(NEW_SERVICE, NEW_REPLICA), (OLD_SERVICE, OLD_REPLICA)][(number % 2) as usize];
+        fleet.publish(&draft(FIRST_VERSION + number, service));
+        let others: Vec<usize> = (0..6).filter(|index| *index != stopped).collect();
+        let took = fleet.time_until(&others, replica, IN_FORCE_WITHIN + PATIENCE);
+        fleet.nodes[stopped].signal("CONT");
+        if !is_in_time(took, IN_FORCE_WITHIN) {
+            late.push((number, took));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// How long a node stands still.
+const STILL: Duration = Duration::from_millis(1_200);
+
+#[test]
+fn a_request_that_waited_at_a_stopped_node_goes_by_the_version_that_was_written_meanwhile() {
+    let fleet = ConfigFleet::start(3);
+    let node = &fleet.nodes[1];
+    let mut kept = TcpStream::connect(node.callers()).expect("the node listens");
+    let ask = |stream: &mut TcpStream| {
+        let text = request("GET", "shop.example", "/moved", "q-1", "", "");
+        stream.write_all(text.as_bytes()).expect("it takes bytes");
+    };
+    ask(&mut kept);
+    assert_eq!(
+        read_answer(&mut kept).expect("an answer").text().trim(),
+        OLD_REPLICA
+    );
+    node.signal("STOP");
+    fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
+    std::thread::sleep(STILL);
+    let mut fresh = TcpStream::connect(node.callers()).expect("its system takes connections");
+    ask(&mut kept);
+    ask(&mut fresh);
+    node.signal("CONT");
+    let answers = [&mut kept, &mut fresh].map(|stream| read_answer(stream).expect("an answer"));
+    assert_eq!(
+        answers.map(|answer| answer.text().trim().to_owned()),
+        [NEW_REPLICA; 2]
+    );
+}
+
+/// Routes that make a configuration nearly as large as the store takes, before its encoding.
+const MANY_ROUTES: usize = 4_300;
+
+#[test]
+fn a_large_version_reaches_nodes_that_lost_the_store() {
+    let fleet = ConfigFleet::start(3);
+    fleet.ways[2].set_mode(RouteMode::Cut, 0);
+    let mut document = draft(FIRST_VERSION + 1, NEW_SERVICE);
+    for number in 0..MANY_ROUTES {
+        let name = format!("many-{number}");
+        add_route(&mut document, &name, &format!("/many/{number:060}/"), OLD_SERVICE);
+    }
+    let text = document.to_string();
+    assert!((900_000..1_048_576).contains(&text.len()), "{} bytes", text.len());
+    fleet.write(&text);
+    let took = fleet.time_until(&[0, 1, 2], NEW_REPLICA, IN_FORCE_WITHIN + PATIENCE);
+    assert!(is_in_time(took, IN_FORCE_WITHIN), "{took:?}");
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,9 @@
 //! The product against stand-ins of the users' platform: its store, its replicas and their callers.
 
 mod calls;
+mod config_content;
+mod config_fleet;
+mod config_spread;
 mod decisions;
 mod endless;
 mod faults;
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -232,17 +232,18 @@
 
 /// Writes the configuration of these tests.
 pub fn publish_config(store: &StandInStore, version: u32) {
-    store.put("op/config", &config_document(version).to_string());
+    store.put("op/config", &config_document(version.into()).to_string());
 }
 
 /// The same, with engines that may change pools.
 pub fn publish_moving_config(store: &StandInStore, version: u32) {
-    let mut document = config_document(version);
+    let mut document = config_document(version.into());
     document["services"][2]["engine"]["stageSwitchS"] = POOL_SWITCH_S.into();
     store.put("op/config", &document.to_string());
 }
 
-fn config_document(version: u32) -> serde_json::Value {
+/// The same, not yet written.
+pub fn config_document(version: u64) -> serde_json::Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
             "name": name, "hostname": "shop.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": 6000,
