Let a refused configuration bar nothing but itself

Callers: after any content with a number had been written over the configuration, no later valid version was in force on any VM, until its process ended; nothing was logged of it.

Cause: the controller judged each number once, the highest first, and raised that mark for contents of no use too. A list counted as a document, whose first member was taken for its number.

Now what is in force is the only mark. A refused content is remembered by its number and digest, so that it is not parsed on each reading, and the same number is judged again when it comes with other content. Peers are not asked for a revision whose content was refused when one of them sent it for 10 s, so that VMs of two releases don't send it in circles.

Contents with faults that name a number still are taken, not refused: the next fix.

--- a/src/blackboard/offer_tally.rs
+++ b/src/blackboard/offer_tally.rs
@@ -11,7 +11,7 @@
     Refused,
     /// It names no revision, or can't be read at all.
     Unreadable,
-    /// It was not looked at, since a later one was before.
+    /// It was not looked at: a later one is in force, or its content was refused before.
     PassedOver,
 }
 
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -5,7 +5,7 @@
 
 use super::RegisterSource;
 use super::message::PeerMessage;
-use crate::blackboard::{OfferFate, RefusedRevision};
+use crate::blackboard::{Fingerprint, OfferFate, RefusedRevision, hash_parts};
 use crate::prelude::*;
 use crate::register::{RegisterParser, parse_register};
 
@@ -24,6 +24,21 @@
 /// How much of what is wrong with a register is logged, in characters.
 const REASON_CHARS: usize = 160;
 
+/// Refused contents that are remembered, so that they are not parsed again each time they are read.
+const REFUSED_LIMIT: usize = 16;
+
+/// How long peers are not asked for a revision whose content was refused when one of them sent it, in milliseconds.
+const REFUSED_PAUSE_MS: u64 = 10_000;
+
+/// A content that was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RefusedContent {
+    revision: Revision,
+    digest: Fingerprint,
+    /// From when on peers may be asked for this revision.
+    ask_at: Moment,
+}
+
 /// The service's first offer to a fresh process.
 #[derive(Debug)]
 struct HeldOffer {
@@ -39,8 +54,8 @@
     first_wait_ms: u64,
     /// The first offer, while peers may still know better.
     held: Option<HeldOffer>,
-    /// The highest revision already judged, accepted or not.
-    judged: Revision,
+    /// What was refused, the latest last. It bars nothing but itself.
+    refused: VecDeque<RefusedContent>,
     /// The highest revision that a peer has named.
     wanted: Revision,
     /// Peers that have it, the next one to ask first.
@@ -63,7 +78,7 @@
             parse,
             first_wait_ms,
             held: None,
-            judged: 0,
+            refused: VecDeque::new(),
             wanted: 0,
             sources: VecDeque::new(),
             wanted_until: None,
@@ -105,15 +120,12 @@
         }
         let facts = &mut turn.board.register;
         facts.newest_offered = facts.newest_offered.max(revision);
-        if revision <= self.judged {
+        let digest = hash_parts(&[text.as_bytes()]);
+        let is_refused = |refused: &RefusedContent| (refused.revision, refused.digest) == (revision, digest);
+        if revision <= facts.revision || self.refused.iter().any(is_refused) {
             self.pass_over(revision, source, turn);
             return;
         }
-        self.judged = revision;
-        if revision >= self.wanted {
-            self.sources.clear();
-            self.wanted_until = None;
-        }
         match (self.parse)(text) {
             Ok(register) => {
                 let facts = &mut turn.board.register;
@@ -127,6 +139,10 @@
                 facts.text = text.clone();
                 facts.refused = None;
                 facts.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
+                self.refused.retain(|refused| refused.revision > revision);
+                if revision >= self.wanted {
+                    self.forget_wanted();
+                }
                 turn.log(format!(
                     "event=register_accepted revision={revision} previous={previous} source={source:?} \
                      unconfirmed_ms={unconfirmed_ms}"
@@ -143,6 +159,7 @@
                     report.faults.len(),
                     quote(first)
                 ));
+                self.note_refused(revision, digest, source, turn);
                 turn.board.register.offers.note(OfferFate::Refused);
                 turn.board.register.refused = Some(RefusedRevision { revision, reasons });
             }
@@ -150,6 +167,37 @@
         turn.publish();
     }
 
+    /// Remembers a refused content, and stops asking for it.
+    fn note_refused(
+        &mut self,
+        revision: Revision,
+        digest: Fingerprint,
+        source: &RegisterSource,
+        turn: &Turn<'_>,
+    ) {
+        let ask_at = match source {
+            RegisterSource::Service => turn.now,
+            RegisterSource::Peer(_) => turn.now.after_ms(REFUSED_PAUSE_MS),
+        };
+        if self.refused.len() >= REFUSED_LIMIT {
+            self.refused.pop_front();
+        }
+        self.refused.push_back(RefusedContent {
+            revision,
+            digest,
+            ask_at,
+        });
+        if *source != RegisterSource::Service && revision >= self.wanted {
+            self.forget_wanted();
+        }
+    }
+
+    fn forget_wanted(&mut self) {
+        self.wanted = 0;
+        self.sources.clear();
+        self.wanted_until = None;
+    }
+
     /// Notes an offer that is not looked at.
     fn pass_over(&self, revision: Revision, source: &RegisterSource, turn: &mut Turn<'_>) {
         let facts = &mut turn.board.register;
@@ -160,8 +208,7 @@
         facts.offers.note(OfferFate::PassedOver);
         let in_force = facts.revision;
         turn.log(format!(
-            "event=register_passed_over revision={revision} in_force={in_force} judged={} source={source:?}",
-            self.judged
+            "event=register_passed_over revision={revision} in_force={in_force} source={source:?}"
         ));
         turn.publish();
     }
@@ -181,7 +228,10 @@
         if revision == turn.board.register.revision && revision > 0 {
             turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
         }
-        if revision <= self.judged || revision < self.wanted {
+        let is_paused =
+            |refused: &RefusedContent| refused.revision == revision && !turn.now.reached(refused.ask_at);
+        let is_of_use = revision > turn.board.register.revision && revision >= self.wanted;
+        if !is_of_use || self.refused.iter().any(is_paused) {
             return;
         }
         if revision > self.wanted {
@@ -198,7 +248,7 @@
     /// Asks a peer for the wanted content, and the next one when it does not come.
     fn ask_source(&mut self, turn: &mut Turn<'_>) {
         let is_waiting = self.wanted_until.is_some_and(|until| !turn.now.reached(until));
-        if is_waiting || self.wanted <= self.judged {
+        if is_waiting || self.wanted <= turn.board.register.revision {
             return;
         }
         let Some(peer) = self.sources.pop_front() else {
@@ -284,9 +334,9 @@
         }
     }
 
-    fn wake_at(&self, _board: &Blackboard, now: Moment) -> Option<Moment> {
+    fn wake_at(&self, board: &Blackboard, now: Moment) -> Option<Moment> {
         let held = self.held.as_ref().map(|held| held.until);
-        let is_wanting = self.wanted > self.judged && !self.sources.is_empty();
+        let is_wanting = self.wanted > board.register.revision && !self.sources.is_empty();
         let wanted = is_wanting.then_some(self.wanted_until.unwrap_or(now));
         held.into_iter().chain(wanted).min()
     }
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -54,6 +54,13 @@
         version: u64,
     }
     let text = String::from_utf8_lossy(value);
+    // A list would be taken for the fields in their order.
+    let is_object = text.trim_start().starts_with('{');
+    if !is_object {
+        let reason = "it is no object".to_owned();
+        control.tell(Event::RegisterUnreadable { reason });
+        return;
+    }
     match serde_json::from_str::<VersionField>(&text) {
         Ok(field) => control.tell(Event::RegisterOffered {
             revision: field.version,
--- a/tests/properties/revisions.rs
+++ b/tests/properties/revisions.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use dotterelspan::controllers::RegisterSource;
+use dotterelspan::controllers::message::PeerMessage;
 use dotterelspan::prelude::*;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
@@ -95,3 +96,51 @@
     assert_eq!(spread(4, 412_884_817_541_939_352), vec![2; NODES]);
     assert_eq!(spread(1, 11_232_863_454_340_605_840), vec![2; NODES]);
 }
+
+/// Offers one node a text, and gives the revision that it has in force then.
+fn offer_text(network: &mut Network, revision: u64, text: &str) -> u64 {
+    let event = Event::RegisterOffered {
+        revision,
+        text: text.into(),
+        source: RegisterSource::Service,
+    };
+    network.event(0, &event);
+    network.pass(600);
+    network.cores[0].board.register.revision
+}
+
+const FAULTY_TEXT: &str = "[[zone]]\nnome = \"a\"\n";
+
+#[test]
+fn a_refused_revision_bars_nothing_but_itself() {
+    let mut network = Network::new(1);
+    assert_eq!(offer_text(&mut network, 7, &text_of(7)), 7);
+    assert_eq!(offer_text(&mut network, u64::MAX, FAULTY_TEXT), 7);
+    assert_eq!(offer_text(&mut network, 8, &text_of(8)), 8, "a lower number");
+    assert_eq!(offer_text(&mut network, 9, FAULTY_TEXT), 8);
+    assert_eq!(
+        offer_text(&mut network, 9, &text_of(9)),
+        9,
+        "other content of the same number"
+    );
+    assert_eq!(offer_text(&mut network, 8, &text_of(8)), 9);
+}
+
+#[test]
+fn a_peer_whose_content_is_refused_is_not_asked_for_it_again_at_once() {
+    let mut network = Network::new(2);
+    // The other node runs a release that takes what this one refuses.
+    network.cores[1].board.register.revision = 5;
+    network.cores[1].board.register.text = FAULTY_TEXT.into();
+    let mut sent = 0;
+    for _ in 0..300 {
+        network.pass(10);
+        let flights: Vec<_> = network.flights.drain(..).collect();
+        for flight in flights {
+            sent += usize::from(matches!(flight.message, PeerMessage::RegisterContent { .. }));
+            network.deliver(flight);
+        }
+    }
+    assert_eq!(sent, 1, "contents sent in three seconds");
+    assert_eq!(network.cores[0].board.register.revision, 0);
+}
