Refuse configurations of which a part could not be served as it is written

Callers: content that parses was put in force on all VMs at once, and they got 404, 503 or 431 for routes that had been served, or were served by one of two routes that contradict each other.

Cause: the checks of a register stood in the parser of the own interface alone. The platform's document only had to parse; lists that were absent counted as empty, routes could lead nowhere, weights below zero became zero.

Now one check on the product's own types (register/route_check.rs) is behind Register::from_rules, whatever the format: there are routes; hosts and prefixes can match; services are known, and of one name alike; weights are zero or more and their sum above it; time-outs and limits above zero; engines have memory; no two routes of one host and prefix with other rules. The document is refused whole, so that no VM differs from another and no half of a change is in force. Weights are kept as they are published: 0.0004 was rounded to nothing.

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -6,8 +6,7 @@
 
 use crate::prelude::*;
 use crate::register::{
-    CallerLimits, EngineTraits, FaultReport, RegisterFault, RouteKind, RouteRule, RouteShare, RouteTable,
-    ServiceRule,
+    CallerLimits, EngineTraits, FaultReport, RegisterFault, RouteKind, RouteRule, RouteShare, ServiceRule,
 };
 
 /// The attempts of a route that names none: one send, the most careful choice.
@@ -19,7 +18,6 @@
 /// The whole document.
 #[derive(Debug, Deserialize)]
 struct ConfigDocument {
-    #[serde(default)]
     routes: Vec<RouteEntry>,
     #[serde(default)]
     services: Vec<ServiceEntry>,
@@ -90,17 +88,14 @@
     idle_timeout_ms: Option<u64>,
 }
 
-/// Share weights are given with fractions at times; this many parts of one are kept.
-const WEIGHT_PARTS: f64 = 1_000.0;
-
 /// Reads a configuration document.
 pub fn parse_config(text: &str) -> Result<Register, FaultReport> {
     let document: ConfigDocument = serde_json::from_str(text).map_err(|error| to_report(&error))?;
-    Ok(Register::of_routes(
-        RouteTable::new(document.routes.into_iter().map(to_route)),
-        document.services.into_iter().map(to_service),
+    Register::from_rules(
+        document.routes.into_iter().map(to_route).collect(),
+        document.services.into_iter().map(to_service).collect(),
         document.limits.map_or_else(CallerLimits::default, to_limits),
-    ))
+    )
 }
 
 fn to_report(error: &serde_json::Error) -> FaultReport {
@@ -120,13 +115,13 @@
         .into_iter()
         .map(|share| RouteShare {
             service: share.service.into(),
-            weight: (share.weight * WEIGHT_PARTS) as u32,
+            weight: share.weight,
         })
         .collect();
     if let (true, Some(service)) = (shares.is_empty(), entry.service) {
         shares.push(RouteShare {
             service: service.into(),
-            weight: 1,
+            weight: 1.0,
         });
     }
     RouteRule {
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod fields;
+mod route_check;
 mod routes;
 
 pub use check::{FaultReport, parse_register};
@@ -10,6 +11,7 @@
 use std::sync::Arc;
 
 use crate::prelude::*;
+use route_check::check_rules;
 
 /// The number the configuration service gives a published register; it only grows.
 pub type Revision = u64;
@@ -136,6 +138,24 @@
 pub type RegisterParser = fn(&str) -> Result<Register, FaultReport>;
 
 impl Register {
+    /// A register that has only routes and what they lead to, checked.
+    ///
+    /// # Errors
+    ///
+    /// The faults, where something could not be served as it is written.
+    pub fn from_rules(
+        rules: Vec<RouteRule>,
+        services: Vec<ServiceRule>,
+        limits: CallerLimits,
+    ) -> Result<Self, FaultReport> {
+        check_rules(&rules, &services, &limits)?;
+        Ok(Self::of_routes(
+            RouteTable::new(rules),
+            services.into_iter(),
+            limits,
+        ))
+    }
+
     /// A register that has only routes and what they lead to.
     pub fn of_routes(
         routes: RouteTable,
@@ -204,7 +224,7 @@
 pub struct RegisterFault {
     /// The kind of fault.
     pub code: ResultCode,
-    /// The line it stands on, from 1.
+    /// The line it stands on, from 1; zero where only the place is known.
     pub line: usize,
     /// The entry and field, as `upstream[2].address`.
     pub place: String,
@@ -214,10 +234,12 @@
 
 impl std::fmt::Display for RegisterFault {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        if self.line > 0 {
+            write!(formatter, "line {}: ", self.line)?;
+        }
         write!(
             formatter,
-            "line {}: {}: {} [{} {}]",
-            self.line,
+            "{}: {} [{} {}]",
             self.place,
             self.reason,
             self.code.number(),
--- /dev/null
+++ b/src/register/route_check.rs
@@ -0,0 +1,170 @@
+//! Checks routes, services and limits, in whatever format they were published.
+
+use std::collections::hash_map::Entry;
+
+use super::fields::suggest;
+use super::{CallerLimits, FaultReport, RegisterFault, RouteRule, ServiceRule};
+use crate::prelude::*;
+
+/// Faults that are reported of one register; where there are more, one cause mostly explains them.
+const MOST_FAULTS: usize = 50;
+
+/// Collects faults by the entry that they stand in.
+#[derive(Debug, Default)]
+struct EntryFaults {
+    faults: Vec<RegisterFault>,
+}
+
+impl EntryFaults {
+    fn is_full(&self) -> bool {
+        self.faults.len() >= MOST_FAULTS
+    }
+
+    fn note(&mut self, code: ResultCode, place: String, reason: String) {
+        if !self.is_full() {
+            self.faults.push(RegisterFault {
+                code,
+                line: 0,
+                place,
+                reason,
+            });
+        }
+    }
+}
+
+/// Checks what can't be served as it is written. All VMs come to the same result for the same entries.
+///
+/// # Errors
+///
+/// The faults, in the order of the entries; the first [`MOST_FAULTS`] of them.
+pub fn check_rules(
+    rules: &[RouteRule],
+    services: &[ServiceRule],
+    limits: &CallerLimits,
+) -> Result<(), FaultReport> {
+    let mut found = EntryFaults::default();
+    let named = check_services(services, &mut found);
+    if rules.is_empty() {
+        let reason = "there is no route, so no request could be served; write all routes".to_owned();
+        found.note(ResultCode::RegisterMissingField, "route".to_owned(), reason);
+    }
+    let mut firsts: FastMap<(&str, &str), &RouteRule> = FastMap::default();
+    for (index, rule) in rules.iter().enumerate() {
+        if found.is_full() {
+            break;
+        }
+        let place = format!("route[{index}] {}", rule.name);
+        check_rule(rule, &place, &named, &mut found);
+        match firsts.entry((&rule.host, &rule.path_prefix)) {
+            Entry::Vacant(entry) => {
+                entry.insert(rule);
+            }
+            Entry::Occupied(entry) if !entry.get().serves_alike(rule) => {
+                let reason = format!(
+                    "`{}` has the same host and prefix and other rules; remove one of them",
+                    entry.get().name
+                );
+                found.note(ResultCode::RegisterDuplicate, place, reason);
+            }
+            Entry::Occupied(_) => {}
+        }
+    }
+    check_limits(limits, &mut found);
+    if found.faults.is_empty() {
+        Ok(())
+    } else {
+        Err(FaultReport { faults: found.faults })
+    }
+}
+
+fn check_services<'a>(
+    services: &'a [ServiceRule],
+    found: &mut EntryFaults,
+) -> FastMap<&'a str, &'a ServiceRule> {
+    let mut named: FastMap<&str, &ServiceRule> = FastMap::default();
+    for (index, service) in services.iter().enumerate() {
+        let place = format!("service[{index}] {}", service.name);
+        if service.name.is_empty() {
+            let reason = "the name must not be empty".to_owned();
+            found.note(ResultCode::RegisterBadValue, place.clone(), reason);
+        }
+        if service
+            .engine
+            .as_ref()
+            .is_some_and(|engine| engine.memory_tokens == 0)
+        {
+            let reason = "its engines hold no token, so nothing fits into them".to_owned();
+            found.note(ResultCode::RegisterBadValue, place.clone(), reason);
+        }
+        let earlier = named.insert(&service.name, service);
+        if earlier.is_some_and(|earlier| earlier != service) {
+            let reason = "an earlier service has this name and is another one; rename or remove one of them";
+            found.note(ResultCode::RegisterDuplicate, place, reason.to_owned());
+        }
+    }
+    named
+}
+
+fn check_rule(
+    rule: &RouteRule,
+    place: &str,
+    services: &FastMap<&str, &ServiceRule>,
+    found: &mut EntryFaults,
+) {
+    let mut note = |code, reason: String| found.note(code, place.to_owned(), reason);
+    if rule.host.is_empty() {
+        note(
+            ResultCode::RegisterBadValue,
+            "the host must not be empty".to_owned(),
+        );
+    }
+    if !rule.path_prefix.starts_with('/') {
+        let reason = format!(
+            "no path begins with `{}`; write a prefix that begins with a slash",
+            rule.path_prefix
+        );
+        note(ResultCode::RegisterBadValue, reason);
+    }
+    if rule.timeout_ms == 0 {
+        let reason = "a timeout of zero leaves no time to answer; write how long requests may take";
+        note(ResultCode::RegisterBadValue, reason.to_owned());
+    }
+    if rule.shares.is_empty() {
+        let reason = "it names no service; name one, or shares of some".to_owned();
+        note(ResultCode::RegisterMissingField, reason);
+        return;
+    }
+    for share in &rule.shares {
+        if !services.contains_key(&*share.service) {
+            let hint = suggest(&share.service, services.keys().copied());
+            let reason = format!("no service is named `{}`{hint}", share.service);
+            note(ResultCode::RegisterUnknownName, reason);
+        }
+        if !share.weight.is_finite() || share.weight < 0.0 {
+            let reason = format!(
+                "the weight {} of `{}` must be zero or more",
+                share.weight, share.service
+            );
+            note(ResultCode::RegisterBadValue, reason);
+        }
+    }
+    let total = rule.total_weight();
+    if !total.is_finite() || total <= 0.0 {
+        let reason = format!("its weights add up to {total}, so no share would get a request");
+        note(ResultCode::RegisterBadValue, reason);
+    }
+}
+
+/// Limits of zero would refuse every request.
+fn check_limits(limits: &CallerLimits, found: &mut EntryFaults) {
+    let figures = [
+        ("the longest head", limits.head_bytes as u64),
+        ("the longest body", limits.body_bytes as u64),
+        ("the time for a head", limits.head_timeout_ms),
+        ("the idle time", limits.idle_timeout_ms),
+    ];
+    for (what, _) in figures.iter().filter(|(_, figure)| *figure == 0) {
+        let reason = format!("{what} must be above zero");
+        found.note(ResultCode::RegisterBadValue, "limits".to_owned(), reason);
+    }
+}
--- a/src/register/routes.rs
+++ b/src/register/routes.rs
@@ -36,16 +36,16 @@
 }
 
 /// A service that a route leads to, and its share of the route's requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouteShare {
     /// The service.
     pub service: Arc<str>,
-    /// Its weight beside the other shares.
-    pub weight: u32,
+    /// Its weight beside the other shares; zero where it is to get nothing.
+    pub weight: f64,
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouteRule {
     /// Its name.
     pub name: Arc<str>,
@@ -81,19 +81,32 @@
         SHORTEST_PATIENCE_MS.max(by_latency).max(by_gap)
     }
 
+    /// What the weights of its shares add up to.
+    pub fn total_weight(&self) -> f64 {
+        self.shares.iter().map(|share| share.weight).sum()
+    }
+
+    /// Whether another rule serves requests in the same way, whatever its name.
+    pub fn serves_alike(&self, other: &Self) -> bool {
+        let renamed = Self {
+            name: self.name.clone(),
+            ..other.clone()
+        };
+        *self == renamed
+    }
+
     /// The service for a request; `draw` is a number that is spread evenly over requests.
     pub fn pick_service(&self, draw: u64) -> Option<&Arc<str>> {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
-        let mut left = draw.checked_rem(total)?;
-        self.shares
-            .iter()
-            .find(|share| {
-                let weight = u64::from(share.weight);
-                let is_picked = left < weight;
-                left = left.saturating_sub(weight);
-                is_picked
-            })
-            .map(|share| &share.service)
+        let part = draw as f64 / u64::MAX as f64;
+        let mut left = part * self.total_weight();
+        let mut weighing = self.shares.iter().filter(|share| share.weight > 0.0);
+        let picked = weighing.find(|share| {
+            left -= share.weight;
+            left < 0.0
+        });
+        // Rounding may leave a little after the last share.
+        let last = || self.shares.iter().rfind(|share| share.weight > 0.0);
+        picked.or_else(last).map(|share| &share.service)
     }
 }
 
@@ -149,7 +162,7 @@
 }
 
 /// The routes of one revision, by host.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
     hosts: FastMap<String, Vec<Arc<RouteRule>>>,
 }
