Take configurations whatever the form of their numbers and of fields without a value

Callers: a valid version was never in force on any VM where one number had a fraction of zero (6000.0, version 8.0), was larger than the type that held it, or an optional field was null.

Cause: each number had to fit one integer type of the adapter, and a field that was absent counted as another thing than null. One such field made the whole document unreadable.

Now an amount is any JSON number of zero or more, rounded and capped; versions are whole and exact; null is absent. A route without an objective takes its timeout, one without a kind runs once.

--- /dev/null
+++ b/src/platform/amount.rs
@@ -0,0 +1,102 @@
+//! Numbers as other writers form them: 6000, 6000.0 and 6e3 are the same amount.
+
+use std::fmt;
+
+use serde::de::{Deserialize, Deserializer, Error, Visitor};
+
+/// A number that is not below zero, in whatever form it was written.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Amount(f64);
+
+impl Amount {
+    /// The nearest whole number; the largest one of 64 bits where that is smaller.
+    pub fn whole(self) -> u64 {
+        self.0.round() as u64
+    }
+
+    /// The nearest whole number; the largest one of 32 bits where that is smaller.
+    pub fn count(self) -> u32 {
+        self.0.round() as u32
+    }
+
+    /// The nearest size; the largest one of this machine where that is smaller.
+    pub fn size(self) -> usize {
+        self.0.round() as usize
+    }
+
+    /// The number itself.
+    pub fn real(self) -> f64 {
+        self.0
+    }
+
+    /// A span in seconds, in milliseconds.
+    pub fn seconds_as_ms(self) -> u64 {
+        (self.0 * 1_000.0).round() as u64
+    }
+}
+
+impl<'de> Deserialize<'de> for Amount {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_f64(AmountVisitor)
+    }
+}
+
+struct AmountVisitor;
+
+impl Visitor<'_> for AmountVisitor {
+    type Value = Amount;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a number of zero or more")
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<Amount, E> {
+        Ok(Amount(number as f64))
+    }
+
+    fn visit_i64<E: Error>(self, number: i64) -> Result<Amount, E> {
+        self.visit_f64(number as f64)
+    }
+
+    fn visit_f64<E: Error>(self, number: f64) -> Result<Amount, E> {
+        if number.is_finite() && number >= 0.0 {
+            Ok(Amount(number))
+        } else {
+            Err(E::custom(format!("{number} is no number of zero or more")))
+        }
+    }
+}
+
+/// A number that tells versions apart: whole, and exact at whatever size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionNumber(pub u64);
+
+impl<'de> Deserialize<'de> for VersionNumber {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_u64(VersionVisitor)
+    }
+}
+
+struct VersionVisitor;
+
+impl Visitor<'_> for VersionVisitor {
+    type Value = VersionNumber;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a whole number of zero or more")
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<VersionNumber, E> {
+        Ok(VersionNumber(number))
+    }
+
+    fn visit_f64<E: Error>(self, number: f64) -> Result<VersionNumber, E> {
+        /// From here on not every whole number has a form of its own.
+        const EXACT_BELOW: f64 = 9_007_199_254_740_992.0;
+        if (0.0..EXACT_BELOW).contains(&number) && number.fract() == 0.0 {
+            Ok(VersionNumber(number as u64))
+        } else {
+            Err(E::custom(format!("{number} is no whole number of zero or more")))
+        }
+    }
+}
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use super::amount::Amount;
 use crate::prelude::*;
 use crate::register::{
     CallerLimits, EngineTraits, FaultReport, RegisterFault, RouteKind, RouteRule, RouteShare, ServiceRule,
@@ -19,8 +20,7 @@
 #[derive(Debug, Deserialize)]
 struct ConfigDocument {
     routes: Vec<RouteEntry>,
-    #[serde(default)]
-    services: Vec<ServiceEntry>,
+    services: Option<Vec<ServiceEntry>>,
     limits: Option<LimitsEntry>,
 }
 
@@ -28,30 +28,27 @@
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct RouteEntry {
-    #[serde(default)]
-    name: String,
+    name: Option<String>,
     hostname: String,
     path_prefix: String,
-    kind: String,
-    timeout_ms: u64,
-    target_latency_ms: u64,
+    kind: Option<String>,
+    timeout_ms: Amount,
+    target_latency_ms: Option<Amount>,
     /// The longest pause between a stream's events; only routes of streams have it.
-    target_gap_ms: Option<u64>,
-    attempts: Option<u32>,
-    priority: Option<u32>,
+    target_gap_ms: Option<Amount>,
+    attempts: Option<Amount>,
+    priority: Option<Amount>,
     /// Where all requests go; a route has this or `traffic_split`.
     service: Option<String>,
-    #[serde(default)]
-    traffic_split: Vec<ShareEntry>,
-    #[serde(default)]
-    resumable: bool,
+    traffic_split: Option<Vec<ShareEntry>>,
+    resumable: Option<bool>,
 }
 
 /// A share of a route's requests.
 #[derive(Debug, Deserialize)]
 struct ShareEntry {
     service: String,
-    weight: f64,
+    weight: Amount,
 }
 
 /// A service.
@@ -59,7 +56,7 @@
 #[serde(rename_all = "camelCase")]
 struct ServiceEntry {
     name: String,
-    max_connections: Option<u32>,
+    max_connections: Option<Amount>,
     /// The path of the replicas' health check.
     health_check: Option<String>,
     engine: Option<EngineEntry>,
@@ -69,23 +66,23 @@
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct EngineEntry {
-    kv_tokens: u32,
+    kv_tokens: Amount,
     /// Tokens in one event of a stream.
-    stride: Option<u32>,
+    stride: Option<Amount>,
     /// Seconds, although the neighbouring fields are in milliseconds.
-    kv_ttl_s: f64,
+    kv_ttl_s: Amount,
     /// Seconds, too.
-    stage_switch_s: Option<f64>,
+    stage_switch_s: Option<Amount>,
 }
 
 /// What callers may send.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct LimitsEntry {
-    max_header_bytes: Option<usize>,
-    max_body_bytes: Option<usize>,
-    header_timeout_ms: Option<u64>,
-    idle_timeout_ms: Option<u64>,
+    max_header_bytes: Option<Amount>,
+    max_body_bytes: Option<Amount>,
+    header_timeout_ms: Option<Amount>,
+    idle_timeout_ms: Option<Amount>,
 }
 
 /// Reads a configuration document.
@@ -93,7 +90,7 @@
     let document: ConfigDocument = serde_json::from_str(text).map_err(|error| to_report(&error))?;
     Register::from_rules(
         document.routes.into_iter().map(to_route).collect(),
-        document.services.into_iter().map(to_service).collect(),
+        document.services.into_iter().flatten().map(to_service).collect(),
         document.limits.map_or_else(CallerLimits::default, to_limits),
     )
 }
@@ -113,9 +110,10 @@
     let mut shares: Vec<RouteShare> = entry
         .traffic_split
         .into_iter()
+        .flatten()
         .map(|share| RouteShare {
             service: share.service.into(),
-            weight: share.weight,
+            weight: share.weight.real(),
         })
         .collect();
     if let (true, Some(service)) = (shares.is_empty(), entry.service) {
@@ -124,23 +122,26 @@
             weight: 1.0,
         });
     }
+    let timeout_ms = entry.timeout_ms.whole();
+    // What it is missed by costs no more than lateness, so a route without one is served like any other.
+    let latency_objective_ms = entry.target_latency_ms.map_or(timeout_ms, Amount::whole).max(1);
     RouteRule {
-        name: entry.name.into(),
+        name: entry.name.unwrap_or_default().into(),
         host: entry.hostname.to_ascii_lowercase(),
         path_prefix: entry.path_prefix,
-        kind: match entry.kind.as_str() {
-            "safe" => RouteKind::Idempotent,
-            "streaming" => RouteKind::Stream {
-                resumable: entry.resumable,
+        kind: match entry.kind.as_deref() {
+            Some("safe") => RouteKind::Idempotent,
+            Some("streaming") => RouteKind::Stream {
+                resumable: entry.resumable.unwrap_or_default(),
             },
             // A kind that is not known yet gets the most careful treatment.
             _ => RouteKind::RunOnce,
         },
-        timeout_ms: entry.timeout_ms,
-        latency_objective_ms: entry.target_latency_ms,
-        gap_objective_ms: entry.target_gap_ms.unwrap_or(entry.target_latency_ms),
-        attempts: entry.attempts.unwrap_or(DEFAULT_ATTEMPTS).max(1),
-        priority: entry.priority.unwrap_or(DEFAULT_PRIORITY),
+        timeout_ms,
+        latency_objective_ms,
+        gap_objective_ms: entry.target_gap_ms.map_or(latency_objective_ms, Amount::whole),
+        attempts: entry.attempts.map_or(DEFAULT_ATTEMPTS, Amount::count).max(1),
+        priority: entry.priority.map_or(DEFAULT_PRIORITY, Amount::count),
         shares,
     }
 }
@@ -149,13 +150,13 @@
     let name: Arc<str> = entry.name.into();
     ServiceRule {
         name,
-        most_connections: entry.max_connections.unwrap_or(u32::MAX),
+        most_connections: entry.max_connections.map_or(u32::MAX, Amount::count),
         health_path: entry.health_check,
         engine: entry.engine.map(|engine| EngineTraits {
-            memory_tokens: engine.kv_tokens,
-            event_tokens: engine.stride.unwrap_or(1).max(1),
-            prefill_keep_ms: (engine.kv_ttl_s * 1_000.0) as u64,
-            role_switch_ms: (engine.stage_switch_s.unwrap_or_default() * 1_000.0) as u64,
+            memory_tokens: engine.kv_tokens.count(),
+            event_tokens: engine.stride.map_or(1, Amount::count).max(1),
+            prefill_keep_ms: engine.kv_ttl_s.seconds_as_ms(),
+            role_switch_ms: engine.stage_switch_s.map_or(0, Amount::seconds_as_ms),
         }),
     }
 }
@@ -163,9 +164,13 @@
 fn to_limits(entry: LimitsEntry) -> CallerLimits {
     let fallback = CallerLimits::default();
     CallerLimits {
-        head_bytes: entry.max_header_bytes.unwrap_or(fallback.head_bytes),
-        body_bytes: entry.max_body_bytes.unwrap_or(fallback.body_bytes),
-        head_timeout_ms: entry.header_timeout_ms.unwrap_or(fallback.head_timeout_ms),
-        idle_timeout_ms: entry.idle_timeout_ms.unwrap_or(fallback.idle_timeout_ms),
+        head_bytes: entry.max_header_bytes.map_or(fallback.head_bytes, Amount::size),
+        body_bytes: entry.max_body_bytes.map_or(fallback.body_bytes, Amount::size),
+        head_timeout_ms: entry
+            .header_timeout_ms
+            .map_or(fallback.head_timeout_ms, Amount::whole),
+        idle_timeout_ms: entry
+            .idle_timeout_ms
+            .map_or(fallback.idle_timeout_ms, Amount::whole),
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here decides anything, and no name of the platform is known outside this folder.
 
+mod amount;
 mod config;
 mod protocol;
 mod replica_entry;
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -6,6 +6,7 @@
 
 use rand::Rng;
 
+use super::amount::VersionNumber;
 use super::replica_entry::{REPLICA_PREFIX, parse_replica};
 use super::store::{StoreClient, StoreError, StoreItem};
 use crate::blackboard::ReplicaRecord;
@@ -51,7 +52,7 @@
     /// Only the version is read here; the rest is the parser's.
     #[derive(serde::Deserialize)]
     struct VersionField {
-        version: u64,
+        version: VersionNumber,
     }
     let text = String::from_utf8_lossy(value);
     // A list would be taken for the fields in their order.
@@ -63,7 +64,7 @@
     }
     match serde_json::from_str::<VersionField>(&text) {
         Ok(field) => control.tell(Event::RegisterOffered {
-            revision: field.version,
+            revision: field.version.0,
             text: Arc::from(text),
             source: RegisterSource::Service,
         }),
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -149,10 +149,12 @@
         limits: CallerLimits,
     ) -> Result<Self, FaultReport> {
         check_rules(&rules, &services, &limits)?;
+        let rules = rules.into_iter().map(RouteRule::bounded);
+        let services = services.into_iter().map(ServiceRule::bounded);
         Ok(Self::of_routes(
             RouteTable::new(rules),
-            services.into_iter(),
-            limits,
+            services,
+            limits.bounded(),
         ))
     }
 
--- a/src/register/routes.rs
+++ b/src/register/routes.rs
@@ -72,7 +72,20 @@
 /// The shortest time after which callers give up a stream from which nothing comes, in milliseconds.
 const SHORTEST_PATIENCE_MS: u64 = 2_000;
 
+/// The longest span that is kept, in milliseconds: a day. Longer ones mean that there is no bound.
+const LONGEST_SPAN_MS: u64 = 86_400_000;
+
 impl RouteRule {
+    /// The rule with spans that can be reckoned with.
+    pub fn bounded(self) -> Self {
+        Self {
+            timeout_ms: self.timeout_ms.min(LONGEST_SPAN_MS),
+            latency_objective_ms: self.latency_objective_ms.min(LONGEST_SPAN_MS),
+            gap_objective_ms: self.gap_objective_ms.min(LONGEST_SPAN_MS),
+            ..self
+        }
+    }
+
     /// How long callers wait for a stream's first event, in milliseconds: four times the objective, or eight times that
     /// for pauses.
     pub fn patience_ms(&self) -> u64 {
@@ -136,6 +149,17 @@
     pub engine: Option<EngineTraits>,
 }
 
+impl ServiceRule {
+    /// The rule with spans that can be reckoned with.
+    pub fn bounded(mut self) -> Self {
+        if let Some(engine) = &mut self.engine {
+            engine.prefill_keep_ms = engine.prefill_keep_ms.min(LONGEST_SPAN_MS);
+            engine.role_switch_ms = engine.role_switch_ms.min(LONGEST_SPAN_MS);
+        }
+        self
+    }
+}
+
 /// What callers may send, and how long they may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -149,6 +173,22 @@
     pub idle_timeout_ms: u64,
 }
 
+/// The longest head and body that are taken whatever the limits say, in bytes: a VM holds both whole.
+const MOST_HEAD_BYTES: usize = 1_048_576;
+const MOST_BODY_BYTES: usize = 67_108_864;
+
+impl CallerLimits {
+    /// The limits, as far as a VM can keep them.
+    pub fn bounded(self) -> Self {
+        Self {
+            head_bytes: self.head_bytes.min(MOST_HEAD_BYTES),
+            body_bytes: self.body_bytes.min(MOST_BODY_BYTES),
+            head_timeout_ms: self.head_timeout_ms.min(LONGEST_SPAN_MS),
+            idle_timeout_ms: self.idle_timeout_ms.min(LONGEST_SPAN_MS),
+        }
+    }
+}
+
 impl Default for CallerLimits {
     /// The limits before any configuration is known: those of common web servers.
     fn default() -> Self {
--- a/tests/platform/config_content.rs
+++ b/tests/platform/config_content.rs
@@ -223,6 +223,31 @@
             "a kind that is not known",
             with(next, |document| moved_route(document)["kind"] = "someday".into()),
         ),
+        (
+            "figures beyond all use",
+            with(next, |document| {
+                for field in [
+                    "timeoutMs",
+                    "targetLatencyMs",
+                    "targetGapMs",
+                    "attempts",
+                    "priority",
+                ] {
+                    moved_route(document)[field] = json!(1e300);
+                }
+                for field in [
+                    "maxHeaderBytes",
+                    "maxBodyBytes",
+                    "headerTimeoutMs",
+                    "idleTimeoutMs",
+                ] {
+                    document["limits"][field] = json!(1e300);
+                }
+                for field in ["kvTokens", "kvTtlS", "stageSwitchS", "stride"] {
+                    document["services"][2]["engine"][field] = json!(1e300);
+                }
+            }),
+        ),
         (
             "no limits",
             with(next, |document| document["limits"] = Value::Null),
