Let every VM watch the configuration itself

Callers: at VMs that were undisturbed, requests went by the version of before for 2.3 s where the six VMs that read the store were stopped as a version was written, for 4.1 s where their ways to it fell silent, and for up to 6.2 s at a VM alone whose connection did (2 s and, after a silence, 3 s are allowed).

Cause: six VMs read the store for all, and the others went by their word, which is missed only once they are taken for dead: a guarantee that rested on other processes. And a watch waited up to 5 s, and 1.5 s more, before it was taken for lost.

Now each VM has a watch of its own on the configuration, waits of 1.1 to 1.6 s and a second for the answer, so that a lost one is replaced and made up for within 2.7 s whatever becomes of others. The word of peers serves those who can't read the store: asked for at once there, after 60 ms by those who read, since the store tells all at about the same time. VMs that begin together begin to watch within 1.5 s. The list of replicas still is read by six.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -107,6 +107,10 @@
     pub refused: Option<RefusedRevision>,
     /// Until when the revision counts as confirmed.
     pub fresh_until: Moment,
+    /// Until when this node's own reading of the service counts as up to date.
+    pub read_until: Moment,
+    /// Since when this node can't read the service itself; `None` while it can, or has not tried.
+    pub unread_since: Option<Moment>,
     /// Since when it is in force here.
     pub accepted_at: Moment,
     /// The highest revision that this node was offered, of use or not.
--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -60,6 +60,11 @@
         /// Whether it can.
         is_reachable: bool,
     },
+    /// The configuration service can be read by this node, or no longer.
+    ConfigReachable {
+        /// Whether it can.
+        is_reachable: bool,
+    },
     /// Another replica answers at a replica's address.
     ReplicaReplaced {
         /// The one that was expected.
@@ -281,6 +286,7 @@
     RegisterConfirmed = "register_confirmed",
     ReplicasRead = "replicas_read",
     ListReachable = "list_reachable",
+    ConfigReachable = "config_reachable",
     ReplicaReplaced = "replica_replaced",
     ReplicaLeaving = "replica_leaving",
     VmsListed = "vms_listed",
--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -1,5 +1,6 @@
-//! Which VMs read the platform's store: a few, on behalf of all, since each call is counted and each change would
-//! otherwise cost a call of every VM.
+//! Which VMs read the platform's store. The list of replicas is read by a few, on behalf of all, since each call is counted and
+//! each change would otherwise cost a call of every VM. The configuration is watched by every VM: what a VM has to be sure of
+//! in time can't rest on others.
 
 use super::rendezvous::weight;
 use crate::prelude::*;
@@ -38,7 +39,7 @@
 /// VMs have to serve, less the time of its own reading.
 const PEERS_LATEST_MS: u64 = 3_000;
 
-/// Whether this node should read the store.
+/// Whether this node should read the list of replicas.
 pub fn reads_store(board: &Blackboard, now: Moment) -> bool {
     let view = board.live_view(now);
     if board.list_revision == 0 || board.register.revision == 0 {
@@ -49,6 +50,21 @@
     is_due && now.reached(Moment(PEERS_FIRST_MS))
 }
 
+/// What all nodes hash names with, so that those that begin together don't watch the configuration together.
+const WATCH_KEY: &str = "configuration";
+
+/// The time over which nodes that begin together begin to watch, in milliseconds. Until then they go by what peers told them.
+const WATCH_SPREAD_MS: u64 = 1_500;
+
+/// Whether this node should watch the configuration. One that knows none reads it by the same turns as the list.
+pub fn watches_config(board: &Blackboard, now: Moment) -> bool {
+    if board.register.revision == 0 {
+        return reads_store(board, now);
+    }
+    let spread_ms = weight(WATCH_KEY, &board.own.name) % WATCH_SPREAD_MS;
+    now.reached(Moment(PEERS_FIRST_MS + spread_ms))
+}
+
 /// When a process that knows nothing yet reads the store itself. Seeds do so first, since all ask them; the others take
 /// turns, so that the store does not answer a whole fleet at once.
 fn blank_read_at(board: &Blackboard, readers_ahead: usize) -> Moment {
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -18,6 +18,13 @@
 /// Peers that are remembered as having a wanted revision.
 const SOURCE_LIMIT: usize = 4;
 
+/// How long a reading of this node counts as up to date, in milliseconds: a wait for news and the time of an answer.
+const READ_KEEPS_MS: u64 = 2_600;
+
+/// How long a node that reads the service itself waits for its own reading before it asks a peer that has a later revision, in
+/// milliseconds: the store tells all at about the same time.
+const OWN_WORD_MS: u64 = 60;
+
 /// How long a fresh process keeps the service's first offer back for a peer to name a higher one, in milliseconds.
 const FIRST_OFFER_WAIT_MS: u64 = 500;
 
@@ -239,12 +246,38 @@
             self.sources.clear();
             self.wanted_until = None;
         }
+        if self.sources.is_empty() && !turn.now.reached(turn.board.register.read_until) {
+            self.wanted_until = Some(turn.now.after_ms(OWN_WORD_MS));
+        }
         if !self.sources.contains(peer) && self.sources.len() < SOURCE_LIMIT {
             self.sources.push_back(peer.clone());
         }
         self.ask_source(turn);
     }
 
+    /// Notes whether this node can read the service itself.
+    fn set_reachable(&self, is_reachable: bool, turn: &mut Turn<'_>) {
+        let facts = &mut turn.board.register;
+        if is_reachable {
+            facts.read_until = turn.now.after_ms(READ_KEEPS_MS);
+            let Some(since) = facts.unread_since.take() else {
+                return;
+            };
+            let (revision, outage_ms) = (facts.revision, since.until_ms(turn.now));
+            turn.log(format!(
+                "event=config_source_regained revision={revision} outage_ms={outage_ms}"
+            ));
+        } else if facts.unread_since.is_none() {
+            facts.read_until = turn.now;
+            facts.unread_since = Some(turn.now);
+            let revision = facts.revision;
+            turn.log(format!("event=config_source_lost revision={revision}"));
+        } else {
+            return;
+        }
+        turn.publish();
+    }
+
     /// Asks a peer for the wanted content, and the next one when it does not come.
     fn ask_source(&mut self, turn: &mut Turn<'_>) {
         let is_waiting = self.wanted_until.is_some_and(|until| !turn.now.reached(until));
@@ -294,6 +327,7 @@
             EventKind::RegisterOffered,
             EventKind::RegisterUnreadable,
             EventKind::RegisterConfirmed,
+            EventKind::ConfigReachable,
             EventKind::PeerJoined,
             EventKind::PeerMessage,
         ]
@@ -317,6 +351,7 @@
             Event::RegisterConfirmed { revision } if *revision == turn.board.register.revision => {
                 turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
             }
+            Event::ConfigReachable { is_reachable } => self.set_reachable(*is_reachable, turn),
             Event::PeerJoined { introduction } => {
                 self.release_held(Some(introduction.revision), turn);
                 self.hear_of(&introduction.name, introduction.revision, turn);
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -55,6 +55,8 @@
     "attempt_failed", Failure, ["engine", "fate", "delivered"], "An attempt at a generation of the entry interface failed.";
     "caller_gone", Progress, ["request"], "A caller left before its answer was whole.";
     "clock_step", Belief, ["step_ms"], "The wall clock jumped against the clock that never goes back.";
+    "config_source_lost", Belief, ["revision"], "This VM can't read the configuration in the store; it goes by its peers.";
+    "config_source_regained", Belief, ["revision", "outage_ms"], "This VM can read the configuration in the store again.";
     "connection_refused", Belief, ["reason"], "A caller's connection was closed because there are too many.";
     "dependency_lost", Belief, ["dependency", "list_revision"], "The platform's store can't be read; what is known stays in force.";
     "dependency_regained", Belief, ["dependency", "outage_ms"], "The platform's store can be read again.";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -47,6 +47,7 @@
     moved_tokens: Counter<u64>,
     revision: Gauge<u64>,
     config_age: Gauge<u64>,
+    config_unread: Gauge<u64>,
     newest_offered: Gauge<u64>,
     config_offers: Gauge<u64>,
     list_revision: Gauge<u64>,
@@ -99,6 +100,10 @@
                 "config_unconfirmed_ms",
                 "How long the configuration is unconfirmed.",
             ),
+            config_unread: meters.gauge(
+                "config_unread_ms",
+                "How long this VM has not been able to read the configuration itself.",
+            ),
             newest_offered: meters.gauge(
                 "config_newest_offered",
                 "The highest configuration that was read or told, of use or not.",
@@ -149,6 +154,10 @@
         let now = clock::now();
         self.revision.record(snapshot.revision, &[]);
         self.config_age.record(snapshot.fresh_until.until_ms(now), &[]);
+        let unread_ms = snapshot
+            .config_unread_since
+            .map_or(0, |since| since.until_ms(now));
+        self.config_unread.record(unread_ms, &[]);
         self.newest_offered.record(snapshot.newest_offered, &[]);
         for fate in OfferFate::ALL {
             let label = KeyValue::new("fate", fate.as_str());
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,10 +12,6 @@
 use crate::prelude::*;
 use crate::transport::{HttpStream, StreamError, until};
 
-/// How long the store may take beyond the wait that a call asks for, in milliseconds: it answers in some
-/// milliseconds, and sixty times slower when it is troubled.
-const ANSWER_LIMIT_MS: u64 = 1_500;
-
 /// The longest head of an answer, in bytes.
 const HEAD_LIMITS: HeadLimits = HeadLimits {
     most_bytes: 16 * 1024,
@@ -124,14 +120,16 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
+    answer_limit_ms: u64,
     stream: Option<HttpStream>,
 }
 
 impl StoreClient {
-    /// A client without a connection yet.
-    pub fn new(address: SocketAddr) -> Self {
+    /// A client without a connection yet; the store may take `answer_limit_ms` beyond the wait that a call asks for.
+    pub fn new(address: SocketAddr, answer_limit_ms: u64) -> Self {
         Self {
             address,
+            answer_limit_ms,
             stream: None,
         }
     }
@@ -185,7 +183,7 @@
         target: &str,
         wait_ms: u64,
     ) -> Result<T, StoreError> {
-        let deadline = clock::now().after_ms(wait_ms + ANSWER_LIMIT_MS);
+        let deadline = clock::now().after_ms(wait_ms + self.answer_limit_ms);
         // The connection is taken out, so that it is dropped with whatever ends the exchange early.
         let stream = self.stream.take();
         let address = self.address;
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -14,14 +14,24 @@
 use crate::controllers::RegisterSource;
 use crate::controllers::discovery::ReplicaUpdate;
 use crate::prelude::*;
-use crate::runtime::ControlHandle;
+use crate::runtime::{ControlHandle, Snapshot};
 use crate::source::Backoff;
 
 /// Where the operator writes the configuration.
 const CONFIG_KEY: &str = "op/config";
 
-/// The shortest and the longest wait of a watch, in milliseconds. A watch that was silently lost shows only at its end.
-const WAIT_RANGE_MS: (u64, u64) = (2_500, 5_000);
+/// How the list of replicas is watched.
+const LIST_PACE: WatchPace = WatchPace {
+    wait_range_ms: (2_500, 5_000),
+    answer_limit_ms: 1_500,
+};
+
+/// How the configuration is watched: a connection that went silent is replaced, and what it did not bring is read, within the
+/// three seconds after which a VM has to be up to date again.
+const CONFIG_PACE: WatchPace = WatchPace {
+    wait_range_ms: (1_100, 1_600),
+    answer_limit_ms: 1_000,
+};
 
 /// The state of a list that has never had an entry, so that it is told from one that was never read.
 const FIRST_REVISION: u64 = 1;
@@ -35,7 +45,13 @@
 
 /// Follows the configuration for as long as the process lives.
 pub async fn watch_config(address: SocketAddr, control: ControlHandle) {
-    let mut follower = StoreFollower::new(address, CONFIG_KEY, control.clone());
+    let subject = WatchSubject {
+        prefix: CONFIG_KEY,
+        pace: CONFIG_PACE,
+        is_due: |snapshot| snapshot.watches_config,
+        to_event: |is_reachable| Event::ConfigReachable { is_reachable },
+    };
+    let mut follower = StoreFollower::new(address, subject, control.clone());
     loop {
         let reading = follower.next(None).await;
         let newest = reading.items.iter().rev().find(|item| item.key == CONFIG_KEY);
@@ -76,7 +92,13 @@
 
 /// Follows the replicas for as long as the process lives.
 pub async fn watch_replicas(address: SocketAddr, control: ControlHandle) {
-    let mut follower = StoreFollower::new(address, REPLICA_PREFIX, control.clone());
+    let subject = WatchSubject {
+        prefix: REPLICA_PREFIX,
+        pace: LIST_PACE,
+        is_due: |snapshot| snapshot.reads_store,
+        to_event: |is_reachable| Event::ListReachable { is_reachable },
+    };
+    let mut follower = StoreFollower::new(address, subject, control.clone());
     loop {
         // What peers told is as good as what was read.
         let known = control.snapshot().list_revision;
@@ -137,10 +159,30 @@
     store_revision: u64,
 }
 
+/// How long the calls of a watch take.
+#[derive(Clone, Copy, Debug)]
+struct WatchPace {
+    /// The shortest and the longest wait, in milliseconds. A watch that was silently lost shows only at its end.
+    wait_range_ms: (u64, u64),
+    /// How long the store may take beyond the wait that a call asks for, in milliseconds: it answers in some milliseconds,
+    /// and sixty times slower when it is troubled.
+    answer_limit_ms: u64,
+}
+
+/// What is followed.
+struct WatchSubject {
+    prefix: &'static str,
+    pace: WatchPace,
+    /// Whether this VM is to follow it now.
+    is_due: fn(&Snapshot) -> bool,
+    /// What the control thread is told of whether it can be read.
+    to_event: fn(bool) -> Event,
+}
+
 /// Follows the items under one prefix, for as long as this VM is one of those that read.
 struct StoreFollower {
     client: StoreClient,
-    prefix: &'static str,
+    subject: WatchSubject,
     control: ControlHandle,
     backoff: Backoff,
     /// The state from which to watch on; `None` while all has to be read anew.
@@ -154,10 +196,10 @@
 }
 
 impl StoreFollower {
-    fn new(address: SocketAddr, prefix: &'static str, control: ControlHandle) -> Self {
+    fn new(address: SocketAddr, subject: WatchSubject, control: ControlHandle) -> Self {
         Self {
-            client: StoreClient::new(address),
-            prefix,
+            client: StoreClient::new(address, subject.pace.answer_limit_ms),
+            subject,
             control,
             backoff: Backoff::new(),
             cursor: None,
@@ -171,7 +213,7 @@
     async fn next(&mut self, known: Option<u64>) -> FollowedReading {
         async_std::task::sleep(clock::now().remaining(self.gather_until)).await;
         loop {
-            if !self.control.snapshot().reads_store {
+            if !(self.subject.is_due)(&self.control.snapshot()) {
                 self.is_reading = false;
                 async_std::task::sleep(ROLE_EVERY).await;
                 continue;
@@ -183,22 +225,22 @@
             match self.read().await {
                 Ok(reading) => {
                     self.backoff.reset();
-                    self.control.tell(Event::ListReachable { is_reachable: true });
+                    self.control.tell((self.subject.to_event)(true));
                     if !reading.items.is_empty() && !reading.is_whole {
                         self.gather_until = clock::now().after_ms(GATHER_MS);
                     }
                     return reading;
                 }
                 Err(StoreError::HistoryGone) => {
-                    spdlog::info!("event=store_history_gone prefix={}", self.prefix);
+                    spdlog::info!("event=store_history_gone prefix={}", self.subject.prefix);
                     self.cursor = None;
                 }
                 Err(error) => {
                     spdlog::info!(
                         "event=store_read_failed prefix={} reason=\"{error}\"",
-                        self.prefix
+                        self.subject.prefix
                     );
-                    self.control.tell(Event::ListReachable { is_reachable: false });
+                    self.control.tell((self.subject.to_event)(false));
                     self.backoff.pause().await;
                 }
             }
@@ -208,10 +250,14 @@
     async fn read(&mut self) -> Result<FollowedReading, StoreError> {
         let since = self.content;
         let (reading, is_whole) = match self.cursor {
-            None => (self.client.read_range(self.prefix).await?, true),
+            None => (self.client.read_range(self.subject.prefix).await?, true),
             Some(cursor) => {
-                let wait_ms = rand::rng().random_range(WAIT_RANGE_MS.0..=WAIT_RANGE_MS.1);
-                (self.client.watch(self.prefix, cursor, wait_ms).await?, false)
+                let (shortest_ms, longest_ms) = self.subject.pace.wait_range_ms;
+                let wait_ms = rand::rng().random_range(shortest_ms..=longest_ms);
+                (
+                    self.client.watch(self.subject.prefix, cursor, wait_ms).await?,
+                    false,
+                )
             }
         };
         self.cursor = Some(reading.revision);
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -9,7 +9,7 @@
 };
 use crate::controllers::discovery::ListRevision;
 use crate::controllers::message::VmIntroduction;
-use crate::controllers::readers::reads_store;
+use crate::controllers::readers::{reads_store, watches_config};
 use crate::prelude::*;
 
 /// A view of the board.
@@ -17,6 +17,8 @@
 pub struct Snapshot {
     /// The revision in force.
     pub revision: Revision,
+    /// Since when this VM can't read the configuration itself; `None` while it can.
+    pub config_unread_since: Option<Moment>,
     /// Since when that one is in force here.
     pub accepted_at: Moment,
     /// The highest revision that this node was offered, of use or not.
@@ -35,8 +37,10 @@
     pub list_revision: ListRevision,
     /// When the list went out of reach; `None` while it can be read.
     pub list_lost_at: Option<Moment>,
-    /// Whether this VM should read the platform's store.
+    /// Whether this VM should read the list of replicas in the platform's store.
     pub reads_store: bool,
+    /// Whether this VM should watch the configuration there.
+    pub watches_config: bool,
     /// What this process says of itself on a new link.
     pub introduction: VmIntroduction,
     /// All VMs that are taken for alive, this one too.
@@ -60,6 +64,7 @@
         let refused = board.register.refused.as_ref();
         Self {
             revision: board.register.revision,
+            config_unread_since: board.register.unread_since,
             accepted_at: board.register.accepted_at,
             newest_offered: board.register.newest_offered,
             offers: board.register.offers,
@@ -70,6 +75,7 @@
             list_revision: board.list_revision,
             list_lost_at: board.list_lost_at,
             reads_store: reads_store(board, now),
+            watches_config: watches_config(board, now),
             introduction: board.introduction(),
             live_vms: view.vms.clone(),
             known_vms: board.vms.len() + 1,
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -12,12 +12,16 @@
 const WITHIN_MS: u64 = 20_000;
 
 /// Kinds that the controllers of an entry hear and nobody has to tell there, with the reason.
-const NOT_NEEDED: [(&str, &str); 3] = [
+const NOT_NEEDED: [(&str, &str); 4] = [
     (
         "replica_replaced",
         "upstreams stand in the register; each answer of an engine tells its start",
     ),
     ("replicas_read", "there is no list of replicas"),
+    (
+        "config_reachable",
+        "an entry that can't read the service refuses nothing for that; its peers' word is asked for at once",
+    ),
     (
         "register_unreadable",
         "the service numbers each text itself; what can't be read of one is refused with its faults",
--- /dev/null
+++ b/tests/fleet_view/configuration.rs
@@ -0,0 +1,179 @@
+//! By when a version is in force at all nodes of a simulated fleet, as a distribution over seeds.
+
+use dotterelspan::prelude::*;
+
+use crate::change;
+use crate::simulated_fleet::SimulatedFleet;
+
+/// Fleets with the seeds of each case: a small deployment, and the one to design for.
+const SMALL: (usize, &[u64]) = (18, &[1, 2, 3, 4, 5]);
+const LARGE: (usize, &[u64]) = (330, &[6]);
+
+/// When the nodes of a fleet have met, in milliseconds.
+const START_MS: u64 = 1_500;
+
+/// How long a fleet has run since then when the trouble begins, in milliseconds.
+const SETTLED_MS: u64 = 6_000;
+
+/// By when a version has to be in force at a node that is undisturbed, in milliseconds.
+const IN_FORCE_MS: u64 = 2_000;
+
+/// By when a node that was disturbed has to be up to date again, in milliseconds.
+const CALM_AFTER_MS: u64 = 3_000;
+
+/// By when one that can't read the store itself has to follow its peers, in milliseconds.
+const BY_PEERS_MS: u64 = 7_000;
+
+/// How long a case goes on, in milliseconds.
+const PATIENCE_MS: u64 = 15_000;
+
+/// The version that all have as a case begins.
+const FIRST_VERSION: Revision = 1;
+
+/// What befalls a fleet as a version is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    ReadersFrozen,
+    HalfFrozen,
+    ReadersLoseStore,
+    ReadersCutFromOthers,
+    ReadersHeardByNobody,
+    AllCutFromEachOther,
+    AllSilent,
+    HalfLoseStore,
+}
+
+/// Times after the version was written at which nodes had it, in milliseconds, sorted; of the nodes that can read the store, and
+/// of those that can't. One that never had it counts as the end of the case.
+struct SpreadTimes {
+    reading: Vec<u64>,
+    by_peers: Vec<u64>,
+    calls_a_second: f64,
+}
+
+fn befall(fleet: &mut SimulatedFleet, trouble: Trouble) {
+    let readers = fleet.readers();
+    let half: Vec<usize> = (0..fleet.len()).filter(|index| index % 2 == 1).collect();
+    match trouble {
+        Trouble::None => {}
+        Trouble::ReadersFrozen => readers.iter().for_each(|index| fleet.freeze(*index)),
+        Trouble::HalfFrozen => half.iter().for_each(|index| fleet.freeze(*index)),
+        Trouble::ReadersLoseStore => readers.iter().for_each(|index| fleet.silence_store(*index)),
+        Trouble::ReadersCutFromOthers => {
+            fleet.cut(move |from, to| readers.contains(&from) != readers.contains(&to));
+        }
+        Trouble::ReadersHeardByNobody => fleet.cut(move |from, _| readers.contains(&from)),
+        Trouble::AllCutFromEachOther => fleet.cut(|_, _| true),
+        Trouble::AllSilent => {
+            fleet.silence_watches();
+            fleet.cut(|_, _| true);
+        }
+        Trouble::HalfLoseStore => half.iter().for_each(|index| fleet.silence_store(*index)),
+    }
+}
+
+fn spread(size: usize, seed: u64, trouble: Trouble) -> SpreadTimes {
+    let mut fleet = SimulatedFleet::new(size, seed);
+    fleet.follow_configuration(FIRST_VERSION);
+    fleet.run_ms(START_MS);
+    fleet.read_all(change(0, 3, &["i-1"], &[]));
+    fleet.run_ms(SETTLED_MS);
+    let calls_a_second = fleet.watched.calls as f64 * 1_000.0 / SETTLED_MS as f64;
+    befall(&mut fleet, trouble);
+    let version = FIRST_VERSION + 1;
+    fleet.watched.version = version;
+    let began = fleet.now();
+    let nodes: Vec<usize> = (0..size).filter(|index| fleet.runs(*index)).collect();
+    let mut had_after = vec![None; size];
+    let is_over = |had_after: &[Option<u64>]| nodes.iter().all(|index| had_after[*index].is_some());
+    while began.until_ms(fleet.now()) < PATIENCE_MS && !is_over(&had_after) {
+        fleet.run_ms(50);
+        let elapsed_ms = began.until_ms(fleet.now());
+        for index in &nodes {
+            if fleet.board(*index).register.revision == version {
+                had_after[*index].get_or_insert(elapsed_ms);
+            }
+        }
+    }
+    let times = |reads: bool| {
+        let such = nodes.iter().filter(|index| fleet.has_store(**index) == reads);
+        let mut times: Vec<u64> = such
+            .map(|index| had_after[*index].unwrap_or(PATIENCE_MS))
+            .collect();
+        times.sort_unstable();
+        times
+    };
+    SpreadTimes {
+        reading: times(true),
+        by_peers: times(false),
+        calls_a_second,
+    }
+}
+
+/// The value below which some percent of sorted times lie.
+fn quantile(times: &[u64], percent: usize) -> u64 {
+    let index = (times.len() * percent / 100).min(times.len().saturating_sub(1));
+    times.get(index).copied().unwrap_or(0)
+}
+
+/// Prints the distribution of a case, and gives the latest of the nodes that can read the store, and of the others.
+fn latest((size, seeds): (usize, &[u64]), trouble: Trouble) -> (u64, u64) {
+    let (mut reading, mut by_peers, mut calls) = (Vec::new(), Vec::new(), 0.0);
+    for seed in seeds {
+        let times = spread(size, *seed, trouble);
+        reading.extend(times.reading);
+        by_peers.extend(times.by_peers);
+        calls += times.calls_a_second / seeds.len() as f64;
+    }
+    reading.sort_unstable();
+    by_peers.sort_unstable();
+    for (who, times) in [("reading", &reading), ("by peers", &by_peers)] {
+        if !times.is_empty() {
+            println!(
+                "{size} nodes, {trouble:?}, {who}: half {} ms, 99 in 100 {} ms, all {} ms; {calls:.0} calls a second",
+                quantile(times, 50),
+                quantile(times, 99),
+                quantile(times, 100)
+            );
+        }
+    }
+    (quantile(&reading, 100), quantile(&by_peers, 100))
+}
+
+#[test]
+fn nodes_that_read_the_store_have_a_version_in_time_whatever_befalls_others() {
+    let mut late = Vec::new();
+    for trouble in [
+        Trouble::None,
+        Trouble::ReadersFrozen,
+        Trouble::HalfFrozen,
+        Trouble::ReadersLoseStore,
+        Trouble::ReadersCutFromOthers,
+        Trouble::ReadersHeardByNobody,
+        Trouble::AllCutFromEachOther,
+    ] {
+        let (reading, by_peers) = latest(SMALL, trouble);
+        if reading > IN_FORCE_MS || by_peers > BY_PEERS_MS {
+            late.push((trouble, reading, by_peers));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
+#[test]
+fn nodes_of_which_each_is_alone_after_a_silence_are_up_to_date_when_they_count_as_calm() {
+    for fleet in [SMALL, LARGE] {
+        let (reading, _) = latest(fleet, Trouble::AllSilent);
+        assert!(reading <= CALM_AFTER_MS, "{fleet:?}: {reading} ms");
+    }
+}
+
+#[test]
+fn nodes_that_can_not_read_the_store_follow_their_peers() {
+    for fleet in [SMALL, LARGE] {
+        let (reading, by_peers) = latest(fleet, Trouble::HalfLoseStore);
+        assert!(reading <= IN_FORCE_MS, "{fleet:?}: {reading} ms");
+        assert!(by_peers <= BY_PEERS_MS, "{fleet:?}: {by_peers} ms");
+    }
+}
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -1,8 +1,10 @@
 //! What many nodes believe of each other and of the list of replicas, on a clock of their own, with messages that are lost.
 
+mod configuration;
 mod deaths;
 mod limits;
 mod simulated_fleet;
+mod store_watch;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -11,12 +11,15 @@
 use dotterelspan::controllers::quarantine::QuarantineController;
 use dotterelspan::controllers::rate_limits::RateLimitController;
 use dotterelspan::controllers::readers::reads_store;
+use dotterelspan::controllers::revision::RevisionController;
 use dotterelspan::controllers::{ControlCore, Reply};
 use dotterelspan::peers::{PeerFrame, to_frame, to_message};
 use dotterelspan::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::store_watch::{StoreCall, WatchedStore, step_watch, text_of};
+
 /// The time between two looks at all nodes, in milliseconds.
 const STEP_MS: u64 = 50;
 
@@ -42,6 +45,7 @@
     /// When this process began, on the fleet's clock.
     began: Moment,
     has_store: bool,
+    call: StoreCall,
 }
 
 struct Flight {
@@ -68,6 +72,10 @@
     introductions_told: Vec<usize>,
     /// Answers to waiting tasks, with the nodes that gave them.
     replies: Vec<(usize, ReplyTicket, Reply)>,
+    /// The configuration in the store.
+    pub watched: WatchedStore,
+    /// Whether nodes watch the configuration.
+    is_watching: bool,
 }
 
 fn name_of(index: usize) -> String {
@@ -94,6 +102,7 @@
         vec![
             Box::new(MembershipController::default()),
             Box::new(CensusController::default()),
+            Box::new(RevisionController::new(|_| Ok(Register::default()), 0)),
             Box::new(DiscoveryController::default()),
             Box::new(QuarantineController::default()),
             Box::new(RateLimitController::new(GROUP_SIZE)),
@@ -104,6 +113,7 @@
         state: NodeState::Runs,
         began: now,
         has_store: true,
+        call: StoreCall::Paused(now),
     }
 }
 
@@ -122,6 +132,8 @@
             entries_told: 0,
             introductions_told: vec![0; count],
             replies: Vec::new(),
+            watched: WatchedStore::default(),
+            is_watching: false,
         };
         for index in 0..count {
             fleet.starts += 1;
@@ -179,6 +191,46 @@
         self.event(index, &Event::ListReachable { is_reachable: false });
     }
 
+    /// Lets all nodes have a version of the configuration, and watch it from now on.
+    pub fn follow_configuration(&mut self, version: Revision) {
+        self.is_watching = true;
+        self.watched.version = version;
+        for node in &mut self.nodes {
+            node.core.board.register.revision = version;
+            node.core.board.register.text = text_of(version);
+        }
+    }
+
+    /// Lets a node's calls to the store, open or new, bring nothing more.
+    pub fn silence_store(&mut self, index: usize) {
+        self.nodes[index].has_store = false;
+    }
+
+    /// Lets all open watches bring nothing more; new calls are answered.
+    pub fn silence_watches(&mut self) {
+        for node in &mut self.nodes {
+            if let StoreCall::Waiting { is_silent, .. } = &mut node.call {
+                *is_silent = true;
+            }
+        }
+    }
+
+    pub fn has_store(&self, index: usize) -> bool {
+        self.nodes[index].has_store
+    }
+
+    pub fn call_of(&self, index: usize) -> StoreCall {
+        self.nodes[index].call
+    }
+
+    pub fn set_call(&mut self, index: usize, call: StoreCall) {
+        self.nodes[index].call = call;
+    }
+
+    pub fn random(&mut self) -> &mut StdRng {
+        &mut self.random
+    }
+
     /// A node reads the list.
     pub fn read(&mut self, index: usize, update: ReplicaUpdate) {
         self.event(index, &Event::ListReachable { is_reachable: true });
@@ -312,6 +364,9 @@
                 self.event(index, &Event::ListReachable { is_reachable });
             }
             self.deliver_all();
+            if self.is_watching {
+                (0..self.nodes.len()).for_each(|index| step_watch(self, index));
+            }
         }
     }
 
--- /dev/null
+++ b/tests/fleet_view/store_watch.rs
@@ -0,0 +1,89 @@
+//! How the nodes of a simulated fleet follow the configuration in the store: one watch each, on the fleet's clock.
+
+use std::sync::Arc;
+
+use dotterelspan::controllers::RegisterSource;
+use dotterelspan::controllers::readers::watches_config;
+use dotterelspan::prelude::*;
+use rand::Rng;
+
+use crate::simulated_fleet::SimulatedFleet;
+
+/// The shortest and the longest wait of a watch, and how long an answer may take beyond it, in milliseconds.
+const WAITS_MS: std::ops::RangeInclusive<u64> = 1_100..=1_600;
+const ANSWER_LIMIT_MS: u64 = 1_000;
+
+/// The pause after a change was read, and the first one after a failure, in milliseconds.
+const GATHER_MS: u64 = 250;
+const PAUSES_MS: std::ops::RangeInclusive<u64> = 50..=100;
+
+/// A node's call to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// None; the next one begins then.
+    Paused(Moment),
+    /// It waits for news until then. A silent one brings none, nor an end.
+    Waiting { until: Moment, is_silent: bool },
+}
+
+/// The store as the nodes' watches see it.
+#[derive(Clone, Debug, Default)]
+pub struct WatchedStore {
+    /// The version that was written last.
+    pub version: Revision,
+    /// Calls so far.
+    pub calls: usize,
+}
+
+/// The text of a version.
+pub fn text_of(version: Revision) -> Arc<str> {
+    format!("version {version}").into()
+}
+
+/// Lets the watch of a node go on for one step.
+pub fn step_watch(fleet: &mut SimulatedFleet, index: usize) {
+    let now = fleet.now();
+    if !fleet.runs(index) || !watches_config(fleet.board(index), fleet.clock_of(index)) {
+        return;
+    }
+    let known = fleet.board(index).register.revision;
+    match fleet.call_of(index) {
+        StoreCall::Paused(until) if now.reached(until) => {
+            let wait_ms = fleet.random().random_range(WAITS_MS);
+            fleet.watched.calls += 1;
+            let is_silent = !fleet.has_store(index);
+            fleet.set_call(
+                index,
+                StoreCall::Waiting {
+                    until: now.after_ms(wait_ms),
+                    is_silent,
+                },
+            );
+        }
+        StoreCall::Paused(_) => {}
+        StoreCall::Waiting { until, is_silent } if is_silent || !fleet.has_store(index) => {
+            if now.reached(until.after_ms(ANSWER_LIMIT_MS)) {
+                fleet.tell(index, &Event::ConfigReachable { is_reachable: false });
+                let pause_ms = fleet.random().random_range(PAUSES_MS);
+                fleet.set_call(index, StoreCall::Paused(now.after_ms(pause_ms)));
+            }
+        }
+        StoreCall::Waiting { until, .. } => {
+            let version = fleet.watched.version;
+            if version > known {
+                fleet.tell(index, &Event::ConfigReachable { is_reachable: true });
+                let offer = Event::RegisterOffered {
+                    revision: version,
+                    text: text_of(version),
+                    source: RegisterSource::Service,
+                };
+                fleet.tell(index, &offer);
+                fleet.set_call(index, StoreCall::Paused(now.after_ms(GATHER_MS)));
+            } else if now.reached(until) {
+                fleet.tell(index, &Event::ConfigReachable { is_reachable: true });
+                fleet.tell(index, &Event::RegisterConfirmed { revision: known });
+                fleet.set_call(index, StoreCall::Paused(now));
+            }
+        }
+    }
+}
