Route a request once a stopped VM has read what it missed

Callers: a request that waited at a VM while that stood still went by the configuration of before, though another one had been in force for seconds: the route was chosen before the VM had read anything.

Cause: requests waited for the news only before they ran, after their route was chosen. Now they wait before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -89,6 +89,7 @@
     body: Option<Vec<u8>>,
 ) -> AnswerEnd {
     let received_at = clock::now();
+    context.control.catch_up().await;
     let after = if head.keeps_connection() && context.snapshot().accept_until.is_none() {
         AfterAnswer::Keep
     } else {
--- a/tests/platform/config_spread.rs
+++ b/tests/platform/config_spread.rs
@@ -120,13 +120,15 @@
     assert!(late.is_empty(), "{late:?}");
 }
 
-/// How long a node stands still.
-const STILL: Duration = Duration::from_millis(1_200);
+/// How long a node stands still: shorter and longer than its watch of the store.
+const SHORT_STILL: Duration = Duration::from_millis(1_200);
+const LONG_STILL: Duration = Duration::from_millis(4_000);
 
-#[test]
-fn a_request_that_waited_at_a_stopped_node_goes_by_the_version_that_was_written_meanwhile() {
+/// Which replicas answer requests over a kept and a new connection that waited at a node as it stood still.
+fn answers_after(still: Duration) -> [String; 2] {
     let fleet = ConfigFleet::start(3);
     let node = &fleet.nodes[1];
+    std::thread::sleep(CALM_AFTER);
     let mut kept = TcpStream::connect(node.callers()).expect("the node listens");
     let ask = |stream: &mut TcpStream| {
         let text = request("GET", "shop.example", "/moved", "q-1", "", "");
@@ -139,16 +141,21 @@
     );
     node.signal("STOP");
     fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
-    std::thread::sleep(STILL);
+    std::thread::sleep(still);
     let mut fresh = TcpStream::connect(node.callers()).expect("its system takes connections");
     ask(&mut kept);
     ask(&mut fresh);
     node.signal("CONT");
-    let answers = [&mut kept, &mut fresh].map(|stream| read_answer(stream).expect("an answer"));
-    assert_eq!(
-        answers.map(|answer| answer.text().trim().to_owned()),
-        [NEW_REPLICA; 2]
-    );
+    [&mut kept, &mut fresh].map(|stream| {
+        let answer = read_answer(stream).expect("an answer");
+        answer.text().trim().to_owned()
+    })
+}
+
+#[test]
+fn a_request_that_waited_at_a_stopped_node_goes_by_the_version_that_was_written_meanwhile() {
+    assert_eq!(answers_after(SHORT_STILL), [NEW_REPLICA; 2]);
+    assert_eq!(answers_after(LONG_STILL), [NEW_REPLICA; 2]);
 }
 
 /// Routes that make a configuration nearly as large as the store takes, before its encoding.
