Let all VMs come to hold the same content of a version: the one written last

Callers: where another writer had written valid content under the number in force, VMs that ran went on with theirs, and one that began took the other; the two answered differently for as long as both ran.

Cause: of two contents of one number the first to arrive counted, and the order of arrival differs between VMs. Now a register has a stamp, its revision and the store's state as it was written, in heartbeats, questions and contents between peers; the later one counts everywhere, also at VMs that can't read the store. Texts that the own interface's service numbers have no such state. register_accepted said unconfirmed_ms=0 for the store's offers, since the offer itself had confirmed; it now says how long it was.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -99,6 +99,8 @@
 pub struct RegisterFacts {
     /// The highest accepted revision.
     pub revision: Revision,
+    /// Which content of it this is.
+    pub written: u64,
     /// Its content.
     pub register: Arc<Register>,
     /// Its text as published, to pass on to peers.
@@ -119,6 +121,16 @@
     pub offers: OfferTally,
 }
 
+impl RegisterFacts {
+    /// Which content is in force.
+    pub fn stamp(&self) -> RegisterStamp {
+        RegisterStamp {
+            revision: self.revision,
+            written: self.written,
+        }
+    }
+}
+
 /// What is known of one upstream from this node's own dealings with it.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamFacts {
--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -31,8 +31,8 @@
     },
     /// A register was read from the service or passed on by a peer.
     RegisterOffered {
-        /// Its number.
-        revision: Revision,
+        /// Its number, and when it was written.
+        stamp: RegisterStamp,
         /// Its text.
         text: Arc<str>,
         /// Who offered it.
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -172,8 +172,8 @@
 pub enum PeerMessage {
     /// The sender is alive.
     Heartbeat {
-        /// The revision it has in force.
-        revision: Revision,
+        /// Which register it has in force.
+        stamp: RegisterStamp,
         /// The state of the list of replicas that it has.
         list_revision: ListRevision,
         /// How long ago it, or a VM that it heard of, has read the store, in milliseconds.
@@ -225,15 +225,15 @@
         /// How long it will take, in milliseconds.
         span_ms: u64,
     },
-    /// The sender wants the content of a revision at least this high.
+    /// The sender wants the content of a register that is no older than this.
     RegisterWanted {
-        /// The lowest revision of use.
-        revision: Revision,
+        /// The lowest one of use.
+        stamp: RegisterStamp,
     },
-    /// The content of a revision.
+    /// The content of a register.
     RegisterContent {
-        /// Its number.
-        revision: Revision,
+        /// Which one it is.
+        stamp: RegisterStamp,
         /// Its text.
         text: Arc<str>,
     },
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -161,7 +161,7 @@
     /// What this node says to show that it is alive.
     pub fn heartbeat(&self, wants_echo: bool) -> PeerMessage {
         PeerMessage::Heartbeat {
-            revision: self.board.register.revision,
+            stamp: self.board.register.stamp(),
             list_revision: self.board.list_revision,
             store_age_ms: self.board.store_heard_at.until_ms(self.now),
             view: self.board.live_view(self.now).member_view,
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -49,7 +49,7 @@
 /// The service's first offer to a fresh process.
 #[derive(Debug)]
 struct HeldOffer {
-    revision: Revision,
+    stamp: RegisterStamp,
     text: Arc<str>,
     until: Moment,
 }
@@ -63,8 +63,8 @@
     held: Option<HeldOffer>,
     /// What was refused, the latest last. It bars nothing but itself.
     refused: VecDeque<RefusedContent>,
-    /// The highest revision that a peer has named.
-    wanted: Revision,
+    /// The latest register that a peer has named.
+    wanted: RegisterStamp,
     /// Peers that have it, the next one to ask first.
     sources: VecDeque<VmAddress>,
     /// Until when content is on its way from a peer.
@@ -86,22 +86,22 @@
             first_wait_ms,
             held: None,
             refused: VecDeque::new(),
-            wanted: 0,
+            wanted: RegisterStamp::default(),
             sources: VecDeque::new(),
             wanted_until: None,
         }
     }
 
     /// Takes the service's word; the first one is kept back for a moment, since the service may be stale.
-    fn offer_of_service(&mut self, revision: Revision, text: &Arc<str>, turn: &mut Turn<'_>) {
+    fn offer_of_service(&mut self, stamp: RegisterStamp, text: &Arc<str>, turn: &mut Turn<'_>) {
         if turn.board.register.revision > 0 || self.first_wait_ms == 0 {
-            self.offer(revision, text, &RegisterSource::Service, turn);
+            self.offer(stamp, text, &RegisterSource::Service, turn);
             return;
         }
         let until = turn.now.after_ms(self.first_wait_ms);
         let until = self.held.as_ref().map_or(until, |held| held.until.min(until));
         self.held = Some(HeldOffer {
-            revision,
+            stamp,
             text: text.clone(),
             until,
         });
@@ -112,47 +112,56 @@
         let Some(held) = &self.held else {
             return;
         };
-        let is_vouched = peer_revision.is_some_and(|revision| revision > 0 && revision <= held.revision);
+        let is_vouched =
+            peer_revision.is_some_and(|revision| revision > 0 && revision <= held.stamp.revision);
         if !is_vouched && !turn.now.reached(held.until) {
             return;
         }
         if let Some(held) = self.held.take() {
-            self.offer(held.revision, &held.text, &RegisterSource::Service, turn);
+            self.offer(held.stamp, &held.text, &RegisterSource::Service, turn);
         }
     }
 
-    fn offer(&mut self, revision: Revision, text: &Arc<str>, source: &RegisterSource, turn: &mut Turn<'_>) {
-        if *source == RegisterSource::Service && revision >= turn.board.register.revision {
-            turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
-        }
+    fn offer(&mut self, stamp: RegisterStamp, text: &Arc<str>, source: &RegisterSource, turn: &mut Turn<'_>) {
+        let revision = stamp.revision;
         let facts = &mut turn.board.register;
+        // The service had confirmed the one before until then, so this one is not older than that.
+        let unconfirmed_ms = facts.fresh_until.until_ms(turn.now.after_ms(CONFIRMATION_MS));
+        if *source == RegisterSource::Service && revision >= facts.revision {
+            facts.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
+        }
         facts.newest_offered = facts.newest_offered.max(revision);
+        if revision == facts.revision && *text == facts.text {
+            facts.written = facts.written.max(stamp.written);
+            facts.offers.note(OfferFate::Known);
+            return;
+        }
         let digest = hash_parts(&[text.as_bytes()]);
         let is_refused = |refused: &RefusedContent| (refused.revision, refused.digest) == (revision, digest);
-        if revision <= facts.revision || self.refused.iter().any(is_refused) {
-            self.pass_over(revision, source, turn);
+        if stamp <= facts.stamp() || self.refused.iter().any(is_refused) {
+            self.pass_over(stamp, source, turn);
             return;
         }
         match (self.parse)(text) {
             Ok(register) => {
                 let facts = &mut turn.board.register;
                 let previous = facts.revision;
-                // The service had confirmed the one before until then, so this one is not older than that.
-                let unconfirmed_ms = facts.fresh_until.until_ms(turn.now.after_ms(CONFIRMATION_MS));
                 facts.offers.note(OfferFate::Accepted);
                 facts.accepted_at = turn.now;
                 facts.revision = revision;
+                facts.written = stamp.written;
                 facts.register = Arc::new(register);
                 facts.text = text.clone();
                 facts.refused = None;
                 facts.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
                 self.refused.retain(|refused| refused.revision > revision);
-                if revision >= self.wanted {
+                if stamp >= self.wanted {
                     self.forget_wanted();
                 }
                 turn.log(format!(
-                    "event=register_accepted revision={revision} previous={previous} source={source:?} \
-                     unconfirmed_ms={unconfirmed_ms}"
+                    "event=register_accepted revision={revision} previous={previous} written={} source={source:?} \
+                     unconfirmed_ms={unconfirmed_ms}",
+                    stamp.written
                 ));
                 // News does not wait for the next probes.
                 turn.send_to_neighbors(&turn.heartbeat(false));
@@ -166,7 +175,7 @@
                     report.faults.len(),
                     quote(first)
                 ));
-                self.note_refused(revision, digest, source, turn);
+                self.note_refused(stamp, digest, source, turn);
                 turn.board.register.offers.note(OfferFate::Refused);
                 turn.board.register.refused = Some(RefusedRevision { revision, reasons });
             }
@@ -177,7 +186,7 @@
     /// Remembers a refused content, and stops asking for it.
     fn note_refused(
         &mut self,
-        revision: Revision,
+        stamp: RegisterStamp,
         digest: Fingerprint,
         source: &RegisterSource,
         turn: &Turn<'_>,
@@ -190,32 +199,29 @@
             self.refused.pop_front();
         }
         self.refused.push_back(RefusedContent {
-            revision,
+            revision: stamp.revision,
             digest,
             ask_at,
         });
-        if *source != RegisterSource::Service && revision >= self.wanted {
+        if *source != RegisterSource::Service && stamp >= self.wanted {
             self.forget_wanted();
         }
     }
 
     fn forget_wanted(&mut self) {
-        self.wanted = 0;
+        self.wanted = RegisterStamp::default();
         self.sources.clear();
         self.wanted_until = None;
     }
 
     /// Notes an offer that is not looked at.
-    fn pass_over(&self, revision: Revision, source: &RegisterSource, turn: &mut Turn<'_>) {
+    fn pass_over(&self, stamp: RegisterStamp, source: &RegisterSource, turn: &mut Turn<'_>) {
         let facts = &mut turn.board.register;
-        if revision == facts.revision {
-            facts.offers.note(OfferFate::Known);
-            return;
-        }
         facts.offers.note(OfferFate::PassedOver);
-        let in_force = facts.revision;
+        let (revision, in_force) = (stamp.revision, facts.revision);
         turn.log(format!(
-            "event=register_passed_over revision={revision} in_force={in_force} source={source:?}"
+            "event=register_passed_over revision={revision} written={} in_force={in_force} source={source:?}",
+            stamp.written
         ));
         turn.publish();
     }
@@ -231,18 +237,19 @@
         turn.publish();
     }
 
-    fn hear_of(&mut self, peer: &VmAddress, revision: Revision, turn: &mut Turn<'_>) {
+    fn hear_of(&mut self, peer: &VmAddress, stamp: RegisterStamp, turn: &mut Turn<'_>) {
+        let revision = stamp.revision;
         if revision == turn.board.register.revision && revision > 0 {
             turn.board.register.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
         }
         let is_paused =
             |refused: &RefusedContent| refused.revision == revision && !turn.now.reached(refused.ask_at);
-        let is_of_use = revision > turn.board.register.revision && revision >= self.wanted;
+        let is_of_use = stamp > turn.board.register.stamp() && stamp >= self.wanted;
         if !is_of_use || self.refused.iter().any(is_paused) {
             return;
         }
-        if revision > self.wanted {
-            self.wanted = revision;
+        if stamp > self.wanted {
+            self.wanted = stamp;
             self.sources.clear();
             self.wanted_until = None;
         }
@@ -281,27 +288,25 @@
     /// Asks a peer for the wanted content, and the next one when it does not come.
     fn ask_source(&mut self, turn: &mut Turn<'_>) {
         let is_waiting = self.wanted_until.is_some_and(|until| !turn.now.reached(until));
-        if is_waiting || self.wanted <= turn.board.register.revision {
+        if is_waiting || self.wanted <= turn.board.register.stamp() {
             return;
         }
         let Some(peer) = self.sources.pop_front() else {
             return;
         };
         self.wanted_until = Some(turn.now.after_ms(CONTENT_WAIT_MS));
-        let message = PeerMessage::RegisterWanted {
-            revision: self.wanted,
-        };
+        let message = PeerMessage::RegisterWanted { stamp: self.wanted };
         turn.send_to(&peer, message);
         self.sources.push_back(peer);
     }
 
-    fn pass_on(&self, peer: &VmAddress, wanted: Revision, turn: &mut Turn<'_>) {
+    fn pass_on(&self, peer: &VmAddress, wanted: RegisterStamp, turn: &mut Turn<'_>) {
         let facts = &turn.board.register;
-        if facts.revision < wanted || facts.revision == 0 {
+        if facts.stamp() < wanted || facts.revision == 0 {
             return;
         }
         let message = PeerMessage::RegisterContent {
-            revision: facts.revision,
+            stamp: facts.stamp(),
             text: facts.text.clone(),
         };
         turn.send_to(peer, message);
@@ -335,13 +340,9 @@
 
     fn handle(&mut self, event: &Event, turn: &mut Turn<'_>) {
         match event {
-            Event::RegisterOffered {
-                revision,
-                text,
-                source,
-            } => match source {
-                RegisterSource::Service => self.offer_of_service(*revision, text, turn),
-                RegisterSource::Peer(_) => self.offer(*revision, text, source, turn),
+            Event::RegisterOffered { stamp, text, source } => match source {
+                RegisterSource::Service => self.offer_of_service(*stamp, text, turn),
+                RegisterSource::Peer(_) => self.offer(*stamp, text, source, turn),
             },
             Event::RegisterUnreadable { reason } => self.note_unreadable(reason, turn),
             Event::Tick { .. } => {
@@ -354,14 +355,18 @@
             Event::ConfigReachable { is_reachable } => self.set_reachable(*is_reachable, turn),
             Event::PeerJoined { introduction } => {
                 self.release_held(Some(introduction.revision), turn);
-                self.hear_of(&introduction.name, introduction.revision, turn);
+                self.hear_of(
+                    &introduction.name,
+                    RegisterStamp::of_revision(introduction.revision),
+                    turn,
+                );
             }
             Event::PeerMessage { from, message, .. } => match message {
-                PeerMessage::Heartbeat { revision, .. } => self.hear_of(from, *revision, turn),
-                PeerMessage::RegisterWanted { revision } => self.pass_on(from, *revision, turn),
-                PeerMessage::RegisterContent { revision, text } => {
+                PeerMessage::Heartbeat { stamp, .. } => self.hear_of(from, *stamp, turn),
+                PeerMessage::RegisterWanted { stamp } => self.pass_on(from, *stamp, turn),
+                PeerMessage::RegisterContent { stamp, text } => {
                     let source = RegisterSource::Peer(from.clone());
-                    self.offer(*revision, text, &source, turn);
+                    self.offer(*stamp, text, &source, turn);
                 }
                 _ => {}
             },
@@ -371,7 +376,7 @@
 
     fn wake_at(&self, board: &Blackboard, now: Moment) -> Option<Moment> {
         let held = self.held.as_ref().map(|held| held.until);
-        let is_wanting = self.wanted > board.register.revision && !self.sources.is_empty();
+        let is_wanting = self.wanted > board.register.stamp() && !self.sources.is_empty();
         let wanted = is_wanting.then_some(self.wanted_until.unwrap_or(now));
         held.into_iter().chain(wanted).min()
     }
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -88,8 +88,8 @@
     "prefilled", Progress, ["request", "replica", "outcome", "tokens", "elapsed_ms", "total_ms"], "A prefill engine ran a prompt, or did not.";
     "queued", Progress, ["place", "owner"], "A generation waits for engines at their owner.";
     "refused", Failure, ["request", "route", "code", "reason", "detail", "retry_after_ms", "revision"], "A request was refused; by which configuration.";
-    "register_accepted", Belief, ["revision", "previous", "source", "unconfirmed_ms"], "A configuration is in force; how long the one before had not been confirmed.";
-    "register_passed_over", Belief, ["revision", "in_force", "source"], "A configuration was not looked at: a later one is in force, or the same content was refused before.";
+    "register_accepted", Belief, ["revision", "previous", "written", "source", "unconfirmed_ms"], "A configuration is in force; the state of the store that its write led to, and how long the one before had not been confirmed.";
+    "register_passed_over", Belief, ["revision", "written", "in_force", "source"], "A configuration was not looked at: a later one is in force, or the same content was refused before.";
     "register_refused", Belief, ["revision", "in_force", "source", "faults", "first"], "A configuration was not accepted; the last good one stays in force.";
     "register_unreadable", Belief, ["in_force", "reason"], "What is published names no revision, or can't be read at all.";
     "reload", Belief, ["outcome"], "The settings file was read again.";
--- a/src/peers/convert/mod.rs
+++ b/src/peers/convert/mod.rs
@@ -41,7 +41,7 @@
 pub fn to_frame(message: &PeerMessage, now: Moment) -> PeerFrame {
     let body = match message {
         PeerMessage::Heartbeat {
-            revision,
+            stamp,
             list_revision,
             store_age_ms,
             view,
@@ -50,7 +50,8 @@
             leaving,
             wants_echo,
         } => FrameBody::Heartbeat(HeartbeatFrame {
-            revision: *revision,
+            revision: stamp.revision,
+            written: stamp.written,
             list_revision: *list_revision,
             store_age_ms: *store_age_ms,
             live_vms: view.count,
@@ -93,12 +94,14 @@
             fencing_token: *fencing_token,
             span_ms: *span_ms,
         }),
-        PeerMessage::RegisterWanted { revision } => {
-            FrameBody::RegisterWanted(RegisterWantedFrame { revision: *revision })
-        }
-        PeerMessage::RegisterContent { revision, text } => FrameBody::RegisterContent(RegisterContentFrame {
-            revision: *revision,
+        PeerMessage::RegisterWanted { stamp } => FrameBody::RegisterWanted(RegisterWantedFrame {
+            revision: stamp.revision,
+            written: stamp.written,
+        }),
+        PeerMessage::RegisterContent { stamp, text } => FrameBody::RegisterContent(RegisterContentFrame {
+            revision: stamp.revision,
             text: text.to_string(),
+            written: stamp.written,
         }),
         PeerMessage::SlotAsk { group, ask } => FrameBody::SlotAsk(to_ask_frame(*group, ask, now)),
         PeerMessage::SlotAnswer {
@@ -183,7 +186,10 @@
     match frame.body.ok_or(InvalidFrame)? {
         FrameBody::Hello(_) | FrameBody::Challenge(_) | FrameBody::Proof(_) => Err(InvalidFrame),
         FrameBody::Heartbeat(frame) => Ok(PeerMessage::Heartbeat {
-            revision: frame.revision,
+            stamp: RegisterStamp {
+                revision: frame.revision,
+                written: frame.written,
+            },
             list_revision: frame.list_revision,
             store_age_ms: frame.store_age_ms,
             view: MemberView {
@@ -219,10 +225,16 @@
             span_ms: frame.span_ms,
         }),
         FrameBody::RegisterWanted(frame) => Ok(PeerMessage::RegisterWanted {
-            revision: frame.revision,
+            stamp: RegisterStamp {
+                revision: frame.revision,
+                written: frame.written,
+            },
         }),
         FrameBody::RegisterContent(frame) => Ok(PeerMessage::RegisterContent {
-            revision: frame.revision,
+            stamp: RegisterStamp {
+                revision: frame.revision,
+                written: frame.written,
+            },
             text: frame.text.into(),
         }),
         FrameBody::SlotAsk(frame) => to_ask(frame, now),
--- a/src/peers/wire/members.rs
+++ b/src/peers/wire/members.rs
@@ -118,6 +118,9 @@
     /// A hash of the replicas that name limits.
     #[prost(fixed64, tag = "9")]
     pub limit_digest: u64,
+    /// When the content of the revision in force was written.
+    #[prost(uint64, tag = "10")]
+    pub written: u64,
 }
 
 /// A VM can't be reached.
--- a/src/peers/wire/replicas.rs
+++ b/src/peers/wire/replicas.rs
@@ -90,6 +90,9 @@
     /// The lowest revision of use.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// The earliest write of use of that one.
+    #[prost(uint64, tag = "2")]
+    pub written: u64,
 }
 
 /// A register.
@@ -101,4 +104,7 @@
     /// Its text.
     #[prost(string, tag = "2")]
     pub text: String,
+    /// When it was written.
+    #[prost(uint64, tag = "3")]
+    pub written: u64,
 }
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -55,8 +55,8 @@
     loop {
         let reading = follower.next(None).await;
         let newest = reading.items.iter().rev().find(|item| item.key == CONFIG_KEY);
-        match newest.and_then(|item| item.value.as_deref()) {
-            Some(value) => offer_config(value, &control),
+        match newest.and_then(|item| Some((item.value.as_deref()?, item.revision))) {
+            Some((value, written)) => offer_config(value, written, &control),
             None => control.tell(Event::RegisterConfirmed {
                 revision: control.snapshot().revision,
             }),
@@ -64,7 +64,8 @@
     }
 }
 
-fn offer_config(value: &[u8], control: &ControlHandle) {
+/// Offers a document that was written as the store came to a state.
+fn offer_config(value: &[u8], written: u64, control: &ControlHandle) {
     /// Only the version is read here; the rest is the parser's.
     #[derive(serde::Deserialize)]
     struct VersionField {
@@ -80,7 +81,10 @@
     }
     match serde_json::from_str::<VersionField>(&text) {
         Ok(field) => control.tell(Event::RegisterOffered {
-            revision: field.version.0,
+            stamp: RegisterStamp {
+                revision: field.version.0,
+                written,
+            },
             text: Arc::from(text),
             source: RegisterSource::Service,
         }),
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::blackboard::{Blackboard, VmAddress, VmRecord};
 pub use crate::clock::Moment;
 pub use crate::controllers::{Action, Controller, Event, EventKind, ReplyTicket, Turn};
-pub use crate::register::{Register, RepeatRule, Revision, Upstream};
+pub use crate::register::{Register, RegisterStamp, RepeatRule, Revision, Upstream};
 pub use crate::result_code::{RefusalNotice, ResultCode, RunEffect};
 
 /// A hash map with a fast hasher; keys come from our own processes or the register.
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -16,6 +16,22 @@
 /// The number the configuration service gives a published register; it only grows.
 pub type Revision = u64;
 
+/// Which content of a register this is. Of two with one revision the later written counts, so that all nodes come to hold the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RegisterStamp {
+    /// Its revision.
+    pub revision: Revision,
+    /// The state of the store that its write led to; zero where the service itself numbers each text.
+    pub written: u64,
+}
+
+impl RegisterStamp {
+    /// The stamp of a text that the service itself has numbered.
+    pub fn of_revision(revision: Revision) -> Self {
+        Self { revision, written: 0 }
+    }
+}
+
 /// The longest register that is read, in bytes.
 pub const REGISTER_LIMIT_BYTES: usize = 1_000_000;
 
--- a/tests/platform/config_content.rs
+++ b/tests/platform/config_content.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use stand_ins::proxy::RouteMode;
 
 use crate::config_fleet::{
     ConfigFleet, FIRST_VERSION, IN_FORCE_WITHIN, NEW_REPLICA, NEW_SERVICE, OLD_REPLICA, OLD_SERVICE,
@@ -320,6 +321,15 @@
     assert!(answers.iter().all(|answer| *answer == answers[0]), "{answers:?}");
 }
 
+#[test]
+fn a_node_that_lost_the_store_follows_its_peers_to_later_content_of_a_version() {
+    let fleet = ConfigFleet::start(3);
+    fleet.ways[2].set_mode(RouteMode::Cut, 0);
+    fleet.publish(&draft(FIRST_VERSION, NEW_SERVICE));
+    let taken = fleet.time_until(&[0, 1, 2], NEW_REPLICA, IN_FORCE_WITHIN);
+    assert!(taken.is_some(), "two contents of one version are in force");
+}
+
 #[test]
 fn added_routes_are_served_once_their_version_is_in_force() {
     let fleet = ConfigFleet::start(2);
