--- a/tests/platform/config_fleet.rs
+++ b/tests/platform/config_fleet.rs
@@ -26,6 +26,9 @@
 pub const OLD_REPLICA: &str = "i-old";
 pub const NEW_REPLICA: &str = "i-new";
 
+/// Where the configuration stands.
+pub const CONFIG_KEY: &str = "op/config";
+
 /// The version that is in force as a test begins.
 pub const FIRST_VERSION: u64 = 7;
 
@@ -104,7 +107,7 @@
 
     /// Writes any text where the configuration stands.
     pub fn write(&self, text: &str) {
-        self.store.put("op/config", text);
+        self.store.put(CONFIG_KEY, text);
     }
 
     /// Waits until each node has read the replicas and serves the moved route.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod config_content;
 mod config_fleet;
+mod config_soak;
 mod config_spread;
 mod decisions;
 mod endless;
