Escape keys in the target of the next page of a range

An entry of another writer whose key has a space or a line break, as the last one of a page: the next call asked for another key than that, got the same page again up to the bound on pages, and the list was never read; VMs that begin are never ready.

The stand-in store gives pages and decodes queries.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,6 +4,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 use snafu::Snafu;
 
@@ -141,7 +142,7 @@
         for _ in 0..MOST_PAGES {
             let last = whole.as_ref().and_then(|reading| reading.items.last());
             let after = last
-                .map(|item| format!("&after={}", item.key))
+                .map(|item| format!("&after={}", utf8_percent_encode(&item.key, NON_ALPHANUMERIC)))
                 .unwrap_or_default();
             let target = format!("/kv-range?pathPrefix={prefix}{after}");
             let page: RangeFields = self.call(&target, 0).await?;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -26,6 +26,8 @@
     dropped_to: u64,
     mood: StoreMood,
     ranges: u32,
+    /// Items in one answer to a range.
+    page_size: usize,
 }
 
 /// A store that listens on loopback.
@@ -45,6 +47,7 @@
                 dropped_to: 0,
                 mood: StoreMood::Well,
                 ranges: 0,
+                page_size: usize::MAX,
             })),
         };
         let served = store.clone();
@@ -85,6 +88,11 @@
         state.dropped_to = state.changes.len() as u64;
     }
 
+    /// Gives this many items in one answer from now on.
+    pub fn set_page_size(&self, page_size: usize) {
+        self.lock().page_size = page_size;
+    }
+
     /// Whole readings so far.
     pub fn ranges(&self) -> u32 {
         self.lock().ranges
@@ -98,7 +106,7 @@
             let query = |name: &str| request.query(name);
             let prefix = query("pathPrefix");
             let (status, body) = if request.path() == "/kv-range" {
-                (200, self.range(&prefix))
+                (200, self.range(&prefix, &query("after")))
             } else {
                 let after = query("after").parse().unwrap_or_default();
                 let wait = Duration::from_millis(query("waitMs").parse().unwrap_or_default());
@@ -112,20 +120,22 @@
         }
     }
 
-    fn range(&self, prefix: &str) -> Value {
+    fn range(&self, prefix: &str, after: &str) -> Value {
         let mut state = self.lock();
         state.ranges += 1;
         let mut latest: std::collections::BTreeMap<&str, (u64, &Option<String>)> = Default::default();
         for (revision, key, value) in &state.changes {
-            if key.starts_with(prefix) {
+            if key.starts_with(prefix) && key.as_str() > after {
                 latest.insert(key, (*revision, value));
             }
         }
-        let items: Vec<Value> = latest
+        let items = latest
             .into_iter()
-            .filter_map(|(key, (revision, value))| Some(to_item(key, revision, value.as_deref()?)))
-            .collect();
-        json!({ "items": items, "morePages": false, "currentRev": state.changes.len() })
+            .filter_map(|(key, (revision, value))| Some(to_item(key, revision, value.as_deref()?)));
+        let mut items: Vec<Value> = items.collect();
+        let has_more = items.len() > state.page_size;
+        items.truncate(state.page_size);
+        json!({ "items": items, "morePages": has_more, "currentRev": state.changes.len() })
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
--- a/tests/platform/wire.rs
+++ b/tests/platform/wire.rs
@@ -38,7 +38,7 @@
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         pairs
             .find(|(other, _)| *other == name)
-            .map(|(_, value)| value.to_owned())
+            .map(|(_, value)| decode_percent(value))
             .unwrap_or_default()
     }
 
@@ -154,3 +154,24 @@
         body.len()
     )
 }
+
+/// A part of a query without its escapes.
+fn decode_percent(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, behind)) = rest.split_first() {
+        let escaped = behind.get(..2).filter(|_| *first == b'%');
+        let digits = escaped.and_then(|digits| std::str::from_utf8(digits).ok());
+        match digits.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &behind[2..];
+            }
+            None => {
+                bytes.push(*first);
+                rest = behind;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
