--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -289,7 +289,8 @@
             if standing.record.id == record.id {
                 evidence.ahead = expected;
             } else if !standing.is_stopped(now) {
-                evidence.free_beside += standing.record.slots.saturating_sub(expected);
+                let free = standing.record.slots.saturating_sub(expected);
+                evidence.free_beside = evidence.free_beside.saturating_add(free);
             }
         }
         evidence
--- a/src/controllers/dispatch/standing.rs
+++ b/src/controllers/dispatch/standing.rs
@@ -113,7 +113,9 @@
 
     /// Requests that the replica probably holds, from all nodes.
     pub fn expected_requests(&self, now: Moment) -> u32 {
-        let reported = self.load(now).map_or(0, |load| load.running + load.waiting);
+        let reported = self
+            .load(now)
+            .map_or(0, |load| load.running.saturating_add(load.waiting));
         reported.max(self.in_flight)
     }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -14,7 +14,7 @@
 const ROUTED_WORKSPACE: &str = "routes";
 
 /// The part of the most tokens that a request is expected to generate where its caller gives no estimate, in percent.
-const EXPECTED_PERCENT: u32 = 45;
+const EXPECTED_PERCENT: u64 = 45;
 
 /// The rank of whoever has begun, who goes before whoever has not: what was done for it would be in vain.
 const BEGUN_PRIORITY: u32 = 0;
@@ -256,8 +256,9 @@
 
 /// Tokens that a request will probably generate.
 fn expected_tokens(facts: &RequestFacts) -> u32 {
-    let usual = facts.output_tokens * EXPECTED_PERCENT / 100;
-    facts.expected_tokens.unwrap_or(usual).min(facts.output_tokens)
+    let usual = u64::from(facts.output_tokens) * EXPECTED_PERCENT / 100;
+    let expected = facts.expected_tokens.map_or(usual, u64::from);
+    expected.min(u64::from(facts.output_tokens)) as u32
 }
 
 fn note_grant(
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -50,7 +50,7 @@
 
     /// Keeps a connection for as long as the replica said, or a while.
     pub fn put(&self, replica: &ReplicaId, mut stream: HttpStream, head: &ResponseHead) {
-        let said_ms = keep_alive_s(head).map(|span_s| span_s * 1_000);
+        let said_ms = keep_alive_s(head).map(|span_s| span_s.saturating_mul(1_000));
         let span_ms = said_ms.unwrap_or(KEEP_MS).saturating_sub(KEEP_MARGIN_MS);
         stream.shrink();
         let used_at = clock::now();
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -53,6 +53,13 @@
 /// The status with which a replica turns a request away.
 const TURNED_AWAY_STATUS: u16 = 503;
 
+/// The most requests, or slots, of a replica that count.
+const MOST_REQUESTS: u32 = 1_000_000;
+
+/// How long work takes at a replica that does not say, and at the slowest one that counts, in percent of the usual.
+const USUAL_PACE_PERCENT: u32 = 100;
+const SLOWEST_PACE_PERCENT: u32 = 100_000;
+
 /// Headers that are ours to set: what a caller sends under these names is dropped.
 const OWN_HEADERS: [&str; 11] = [
     DEADLINE_LEFT,
@@ -264,11 +271,14 @@
 }
 
 fn read_load(text: &str) -> Option<ReplicaLoad> {
-    let mut figures = text.split(',').map(|figure| figure.trim().parse().ok());
+    let mut figures = text.split(',').map(|figure| figure.trim().parse::<u32>().ok());
+    let mut next_count = || Some(figures.next()??.min(MOST_REQUESTS));
+    let (running, waiting, slots) = (next_count()?, next_count()?, next_count()?);
+    let pace_percent = figures.next().flatten().unwrap_or(USUAL_PACE_PERCENT);
     Some(ReplicaLoad {
-        running: figures.next()??,
-        waiting: figures.next()??,
-        slots: figures.next()??,
-        pace_percent: figures.next().flatten().unwrap_or(100),
+        running,
+        waiting,
+        slots,
+        pace_percent: pace_percent.min(SLOWEST_PACE_PERCENT),
     })
 }
--- a/tests/platform/config_fleet.rs
+++ b/tests/platform/config_fleet.rs
@@ -65,14 +65,14 @@
     pub store: StandInStore,
     pub nodes: Vec<GatewayNode>,
     pub ways: Vec<Arc<ProxyRoute>>,
-    _replicas: [StandInReplica; 2],
+    pub replicas: [StandInReplica; 2],
 }
 
 impl ConfigFleet {
     pub fn start(node_count: usize) -> Self {
         let store = StandInStore::start();
         let mut fleet = Self {
-            _replicas: [(OLD_REPLICA, OLD_SERVICE), (NEW_REPLICA, NEW_SERVICE)]
+            replicas: [(OLD_REPLICA, OLD_SERVICE), (NEW_REPLICA, NEW_SERVICE)]
                 .map(|(id, service)| StandInReplica::start(&store, id, service, None, ReplicaMood::Well)),
             store,
             nodes: Vec::new(),
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -105,6 +105,8 @@
     limit: Arc<Mutex<NamedLimit>>,
     /// Whether its answers have a line that nothing reads.
     has_unknown_line: Arc<Mutex<bool>>,
+    /// What it says of its load.
+    load: Arc<Mutex<String>>,
     pub life: Arc<ReplicaLife>,
 }
 
@@ -137,6 +139,7 @@
             arrived_at: Arc::default(),
             limit: Arc::default(),
             has_unknown_line: Arc::default(),
+            load: Arc::new(Mutex::new("1,0,4".to_owned())),
             life: Arc::new(ReplicaLife::new(address)),
         };
         replica.publish(store, service, phase, "ready");
@@ -252,6 +255,11 @@
         *self.has_unknown_line.lock().expect("no holder panics") = has_one;
     }
 
+    /// Says something else of its load from now on.
+    pub fn set_load(&self, text: &str) {
+        *self.load.lock().expect("no holder panics") = text.to_owned();
+    }
+
     /// Names a limit on its requests a second from now on, or none.
     pub fn set_limit(&self, text: Option<&str>) {
         self.lock_limit().text = text.map(str::to_owned);
@@ -324,11 +332,12 @@
         if *self.has_unknown_line.lock().expect("no holder panics") {
             own_lines.push(("Server-Mood", "fair"));
         }
+        let load = self.load.lock().expect("no holder panics").clone();
         let signed = [
             &[
                 ("X-Request-Id", id),
                 ("X-Response-Signature", "s"),
-                ("X-Server-Load", "1,0,4"),
+                ("X-Server-Load", load.as_str()),
             ],
             &own_lines[..],
         ]
