Let an odd entry cost nothing but itself

Report of other operators: one odd entry among those of the replicas ends the machines that read the list, or they stop following it.

Here, on real nodes, twenty kinds of entries (nested 200,000 deep, numbers and ports out of range, endless names, starts in the future): none ended a node. An entry with a start in the far future under a replica's own key kept the replica off the list for as long as the process lived, since its own entries counted as those of an earlier start. Zones with line breaks and of 300,000 letters were taken, logged and told to all peers.

What is wrong with another one is logged (replica_entry_unreadable has a reason). Texts of others can't end their field or the line.

--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -6,6 +6,7 @@
 use super::RegisterSource;
 use super::message::PeerMessage;
 use crate::blackboard::{Fingerprint, OfferFate, RefusedRevision, hash_parts};
+use crate::event_log::to_phrase;
 use crate::prelude::*;
 use crate::register::{RegisterParser, parse_register};
 
@@ -28,9 +29,6 @@
 /// How long a fresh process keeps the service's first offer back for a peer to name a higher one, in milliseconds.
 const FIRST_OFFER_WAIT_MS: u64 = 500;
 
-/// How much of what is wrong with a register is logged, in characters.
-const REASON_CHARS: usize = 160;
-
 /// Refused contents that are remembered, so that they are not parsed again each time they are read.
 const REFUSED_LIMIT: usize = 16;
 
@@ -173,7 +171,7 @@
                     "event=register_refused revision={revision} in_force={} source={source:?} faults={} first=\"{}\"",
                     turn.board.register.revision,
                     report.faults.len(),
-                    quote(first)
+                    to_phrase(first)
                 ));
                 self.note_refused(stamp, digest, source, turn);
                 turn.board.register.offers.note(OfferFate::Refused);
@@ -232,7 +230,7 @@
         let in_force = facts.revision;
         turn.log(format!(
             "event=register_unreadable in_force={in_force} reason=\"{}\"",
-            quote(reason)
+            to_phrase(reason)
         ));
         turn.publish();
     }
@@ -313,18 +311,6 @@
     }
 }
 
-/// A text as the value of a field in quotation marks.
-fn quote(text: &str) -> String {
-    text.chars()
-        .take(REASON_CHARS)
-        .map(|letter| match letter {
-            '"' => '\'',
-            letter if letter.is_control() => ' ',
-            letter => letter,
-        })
-        .collect()
-}
-
 impl Controller for RevisionController {
     fn hears(&self) -> &'static [EventKind] {
         &[
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -94,7 +94,7 @@
     "register_unreadable", Belief, ["in_force", "reason"], "What is published names no revision, or can't be read at all.";
     "reload", Belief, ["outcome"], "The settings file was read again.";
     "replica_backs_off", Belief, ["replica", "service", "back_off_ms"], "A replica turned a request away and wants nothing from this VM for a while.";
-    "replica_entry_unreadable", Belief, ["replica", "bytes"], "An entry of the replica list can't be read and names no replica.";
+    "replica_entry_unreadable", Belief, ["replica", "bytes", "reason"], "An entry of the replica list can't be read and names no replica.";
     "replica_gone", Belief, ["replica", "reason"], "A replica gets nothing any more.";
     "replica_leaving", Belief, ["replica", "reason", "source", "list_revision"], "A replica is off the list, or said that it leaves; it gets nothing new after a moment.";
     "replica_listed", Belief, ["replica", "service", "role", "address", "zone", "draining", "list_revision"], "A replica is new on the list, or its entry changed.";
--- a/src/event_log/mod.rs
+++ b/src/event_log/mod.rs
@@ -5,9 +5,11 @@
 //! what was dropped is counted, and said in a line.
 
 mod catalogue;
+mod field;
 mod queue;
 mod sink;
 
 pub use catalogue::{EVENTS, EventEntry, LineClass, render_markdown};
+pub use field::{to_phrase, to_word};
 pub use queue::{LineQueue, QueueTally};
 pub use sink::{EventLog, LONGEST_LINE_BYTES};
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::controllers::RegisterSource;
 use crate::controllers::discovery::ReplicaUpdate;
+use crate::event_log::{to_phrase, to_word};
 use crate::prelude::*;
 use crate::runtime::{ControlHandle, Snapshot};
 use crate::source::Backoff;
@@ -141,14 +142,18 @@
 }
 
 fn read_entry(id: &str, value: &[u8]) -> Option<ReplicaRecord> {
-    let record = parse_replica(id, value);
-    if record.is_none() {
-        spdlog::warn!(
-            "event=replica_entry_unreadable replica={id} bytes={}",
-            value.len()
-        );
+    match parse_replica(id, value, clock::epoch_ms()) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            spdlog::warn!(
+                "event=replica_entry_unreadable replica={} bytes={} reason=\"{}\"",
+                to_word(id),
+                value.len(),
+                to_phrase(&error.to_string())
+            );
+            None
+        }
     }
-    record
 }
 
 /// Items, or their changes, and between which states they tell all.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod life;
 mod limited_fleet;
 mod node;
+mod odd_entries;
 mod query_of_death;
 mod replica;
 mod replica_words;
--- /dev/null
+++ b/tests/platform/odd_entries.rs
@@ -0,0 +1,263 @@
+//! Entries of another writer among those of the replicas: an odd one costs nothing but itself.
+
+use std::time::Duration;
+
+use dotterelspan::platform::{parse_config, parse_replica};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+use crate::config_fleet::{
+    ConfigFleet, FIRST_VERSION, IN_FORCE_WITHIN, NEW_REPLICA, NEW_SERVICE, OLD_REPLICA, OLD_SERVICE, draft,
+    served_by,
+};
+use crate::node::{GatewayNode, publish_config, wait_until};
+use crate::replica::{ReplicaMood, StandInReplica};
+use crate::store::StandInStore;
+use crate::wire::request;
+
+/// How deep the deepest entry is nested.
+const DEEP: usize = 200_000;
+
+/// Calls that are made beside odd entries.
+const CALLS: usize = 30;
+
+/// By when a change of the list is followed.
+const FOLLOWED_WITHIN: Duration = Duration::from_millis(2_000);
+
+/// A usual entry of the service under test, at an address where nobody listens.
+fn entry(change: impl FnOnce(&mut Value)) -> String {
+    let mut entry = json!({
+        "service": OLD_SERVICE, "address": "127.0.0.1:9", "zone": "a", "slots": 4, "state": "ready", "born": 1,
+    });
+    change(&mut entry);
+    entry.to_string()
+}
+
+/// Entries that name no replica to use.
+fn odd_entries() -> Vec<(&'static str, String)> {
+    vec![
+        (
+            "deep nesting",
+            format!("{}{}", "[".repeat(DEEP), "]".repeat(DEEP)),
+        ),
+        (
+            "a field that is nested deeply",
+            entry(|entry| entry["zone"] = "a".into()).replace(
+                "\"a\"",
+                &format!("{}{}", "{\"x\":".repeat(DEEP), "1".to_owned() + &"}".repeat(DEEP)),
+            ),
+        ),
+        (
+            "a port out of range",
+            entry(|entry| entry["address"] = "127.0.0.1:70000".into()),
+        ),
+        (
+            "a port of zero",
+            entry(|entry| entry["address"] = "127.0.0.1:0".into()),
+        ),
+        (
+            "an address of all networks",
+            entry(|entry| entry["address"] = "0.0.0.0:8080".into()),
+        ),
+        (
+            "a name for an address",
+            entry(|entry| entry["address"] = "desk.example:8080".into()),
+        ),
+        (
+            "slots over 32 bits",
+            entry(|entry| entry["slots"] = json!(18_446_744_073_709_551_615_u64)),
+        ),
+        (
+            "slots beyond all numbers",
+            entry(|entry| entry["slots"] = 1.into()).replace(":1,\"state\"", ":1e999,\"state\""),
+        ),
+        (
+            "the most slots of 32 bits",
+            entry(|entry| entry["slots"] = json!(4_294_967_295_u32)),
+        ),
+        ("no slots", entry(|entry| entry["slots"] = 0.into())),
+        ("slots below zero", entry(|entry| entry["slots"] = (-4).into())),
+        (
+            "a start beyond all numbers",
+            entry(|entry| entry["born"] = json!(1e300)),
+        ),
+        (
+            "a start in the far future",
+            entry(|entry| entry["born"] = json!(u64::MAX)),
+        ),
+        (
+            "an endless zone",
+            entry(|entry| entry["zone"] = "z".repeat(300_000).into()),
+        ),
+        (
+            "a zone with a line break",
+            entry(|entry| entry["zone"] = "a\nevent=ended".into()),
+        ),
+        (
+            "a service that nobody names",
+            entry(|entry| entry["service"] = "s".repeat(100_000).into()),
+        ),
+        (
+            "an unknown state",
+            entry(|entry| entry["state"] = "sleeping".into()),
+        ),
+        ("nothing", String::new()),
+        ("a number", "7".to_owned()),
+        ("nothing else that is odd", entry(|_| ())),
+    ]
+}
+
+/// Calls that were not served by the replica that is there.
+fn failed_calls(node: &GatewayNode) -> usize {
+    (0..CALLS).filter(|_| served_by(node) != OLD_REPLICA).count()
+}
+
+#[test]
+fn an_odd_entry_fails_no_call() {
+    let fleet = ConfigFleet::start(1);
+    let node = &fleet.nodes[0];
+    let mut harms = Vec::new();
+    for (number, (what, text)) in odd_entries().into_iter().enumerate() {
+        let key = format!("servers/odd-{number}");
+        fleet.store.put(&key, &text);
+        // An entry that names a replica is known of now.
+        std::thread::sleep(Duration::from_millis(300));
+        let failed = failed_calls(node);
+        if failed > 0 {
+            harms.push(format!("{what}: {failed} of {CALLS} calls failed"));
+        }
+        fleet.store.remove(&key);
+    }
+    assert!(harms.is_empty(), "{}", harms.join("\n"));
+}
+
+#[test]
+fn many_odd_entries_together_fail_no_call_and_bar_no_news() {
+    let mut fleet = ConfigFleet::start(3);
+    for (number, (_, text)) in odd_entries().into_iter().enumerate() {
+        fleet.store.put(&format!("servers/odd-{number}"), &text);
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let failed: Vec<usize> = fleet.nodes.iter().map(failed_calls).collect();
+    assert_eq!(failed, [0; 3], "calls that failed at each node");
+    fleet.publish(&draft(FIRST_VERSION + 1, NEW_SERVICE));
+    let taken = fleet.time_until(&[0, 1, 2], NEW_REPLICA, IN_FORCE_WITHIN);
+    assert!(taken.is_some(), "the configuration is not followed");
+    let later = StandInReplica::start(&fleet.store, "i-later", NEW_SERVICE, None, ReplicaMood::Well);
+    fleet.store.remove(&format!("servers/{NEW_REPLICA}"));
+    let taken = fleet.time_until(&[0, 1, 2], &later.id, FOLLOWED_WITHIN + IN_FORCE_WITHIN);
+    assert!(taken.is_some(), "the list is not followed");
+    fleet.nodes[2].kill();
+    fleet.nodes[2].spawn();
+    fleet.nodes[2].wait_ready();
+    assert!(fleet.nodes[2].log().contains("event=replica_entry_unreadable"));
+    for node in &mut fleet.nodes {
+        assert!(!node.log().contains("panicked"), "{}", node.log_path().display());
+        assert!(!node.has_left(), "a node ended");
+    }
+}
+
+#[test]
+fn entries_are_read_past_keys_that_need_escapes_and_over_more_pages_than_one() {
+    let store = StandInStore::start();
+    store.set_page_size(2);
+    publish_config(&store, 1);
+    for key in [
+        "servers/a&after=z",
+        "servers/b c",
+        "servers/b d",
+        "servers/b e",
+        "servers/c%2F",
+        "servers/d#e",
+        "servers/f\u{e9}",
+        "servers/g+h",
+    ] {
+        store.put(key, "nothing");
+    }
+    let replicas: Vec<StandInReplica> = (0..9)
+        .map(|number| {
+            let id = format!("i-{number}&x=%20");
+            StandInReplica::start(&store, &id, "desk", None, ReplicaMood::Well)
+        })
+        .collect();
+    let node = GatewayNode::start(&store, "vm-1", &[]);
+    node.wait_ready();
+    wait_until("all replicas are known", || {
+        node.metric("replicas", "state=\"listed\"") == replicas.len() as f64
+    });
+    let answer = node.ask(&request("GET", "shop.example", "/read", "q-1", "", ""));
+    assert_eq!(answer.status(), 200, "{answer:?}");
+}
+
+/// Figures that a replica may name for its load.
+const ODD_LOADS: [&str; 7] = [
+    "4294967295,4294967295,4294967295",
+    "99999999999999999999,1,4",
+    "-1,0,4",
+    "0,0,0",
+    "1,0,4,4294967295",
+    "1,0,4,0",
+    "NaN,,",
+];
+
+#[test]
+fn odd_figures_of_a_replica_fail_no_call() {
+    let fleet = ConfigFleet::start(1);
+    let node = &fleet.nodes[0];
+    let mut harms = Vec::new();
+    for load in ODD_LOADS {
+        fleet.replicas[0].set_load(load);
+        let failed = failed_calls(node);
+        if failed > 0 {
+            harms.push(format!("{load}: {failed} of {CALLS} calls failed"));
+        }
+    }
+    assert!(harms.is_empty(), "{}", harms.join("\n"));
+    assert!(!node.log().contains("panicked"), "{}", node.log_path().display());
+}
+
+#[test]
+fn an_odd_entry_under_a_replicas_own_name_lasts_until_the_replica_writes_again() {
+    let fleet = ConfigFleet::start(1);
+    let node = &fleet.nodes[0];
+    for text in [
+        entry(|entry| entry["born"] = json!(u64::MAX)),
+        entry(|entry| entry["slots"] = 0.into()),
+        "nothing".to_owned(),
+    ] {
+        fleet.store.put(&format!("servers/{OLD_REPLICA}"), &text);
+        std::thread::sleep(FOLLOWED_WITHIN);
+        fleet.replicas[0].publish(&fleet.store, OLD_SERVICE, None, "ready");
+        wait_until("the replica serves again", || served_by(node) == OLD_REPLICA);
+    }
+}
+
+/// The present, on the clock of entries.
+const NOW_EPOCH_MS: u64 = 1_796_000_000_000;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn contents_of_likely_parts_are_judged(
+        parts in proptest::collection::vec("(\\{|\\}|\\[|\\]|,|\"service\":|\"address\":|\"zone\":|\"slots\":|\"state\":|\"born\":|\"ready\"|\"10.0.0.1:80\"|\"a\"|1e999|-3|4294967296|null)", 0..30)
+    ) {
+        let text = parts.concat();
+        let _ = parse_replica("i-1", text.as_bytes(), NOW_EPOCH_MS);
+        let _ = parse_config(&text);
+    }
+
+    #[test]
+    fn an_entry_that_names_a_replica_has_figures_that_can_be_reckoned_with(
+        slots in any::<f64>(), born in any::<u64>(), port in any::<u16>(), zone in "\\PC{0,300}"
+    ) {
+        let entry = json!({
+            "service": "desk", "address": format!("10.0.0.1:{port}"), "zone": zone, "slots": slots, "state": "ready",
+            "born": born,
+        });
+        if let Ok(record) = parse_replica("i-1", entry.to_string().as_bytes(), NOW_EPOCH_MS) {
+            prop_assert!((1..=65_536).contains(&record.slots) && record.address.port() > 0);
+            prop_assert!(record.started_epoch_ms < NOW_EPOCH_MS * 2 && record.zone.len() <= 200);
+        }
+    }
+}
