Take a refusal for a request's own only where it certainly is

Report of other operators: a faulty replica writes an earlier refusal once more on a kept connection; callers are told that requests had not run which had, or such a request runs twice.

Here: a copy that has the id of the refused request was passed over already, on each connection. One without an id, on a connection that had carried other requests, was taken for the answer to the one under way.

Now 'not run' is taken from an answer with the request's id, or without any as the first answer on its connection. What else says so leaves the request in doubt: a run-once call then ends with 502, an idempotent one goes elsewhere, and the connection is closed. The spans in such a copy (Retry-After), and its silence on a limit, count for nothing either.

--- a/src/gateway/replica_state.rs
+++ b/src/gateway/replica_state.rs
@@ -16,6 +16,7 @@
     context: &GatewayContext,
     request: &UpstreamRequest<'_>,
     facts: &AnswerFacts,
+    is_own: bool,
     asked_at: Moment,
 ) {
     let record = request.replica;
@@ -23,7 +24,7 @@
     let is_other = instance.is_some_and(|id| id != &*record.id);
     // Bytes that nobody vouches for must not end a limit.
     let is_echoed = facts.request_id.as_deref() == Some(request.request_id);
-    let is_sound = is_echoed || facts.is_signed || facts.is_not_run || instance.is_some();
+    let is_sound = facts.is_signed || instance.is_some() || (is_own && (is_echoed || facts.is_not_run));
     let rate = match facts.rate_limit {
         _ if facts.is_misdirected || is_other => return,
         LimitStatement::Unreadable => return,
@@ -44,15 +45,15 @@
     context.control.tell(Event::LimitStated { record });
 }
 
-/// Takes what an answer says of the replica itself, whichever request it answers.
-pub fn note_replica(context: &GatewayContext, record: &ReplicaRecord, facts: &AnswerFacts) {
+/// Takes what an answer says of the replica itself. An answer to an earlier request may be a late one, whose spans are over.
+pub fn note_replica(context: &GatewayContext, record: &ReplicaRecord, facts: &AnswerFacts, is_own: bool) {
     if facts.is_misdirected {
         // Another replica answered, and speaks for itself.
         return;
     }
     context.unknown_statements.note(record, &facts.unknown_statements);
     let now = clock::now();
-    if let Some(span_ms) = facts.back_off_ms {
+    if let Some(span_ms) = facts.back_off_ms.filter(|_| is_own) {
         let span_ms = span_ms.min(LONGEST_BACK_OFF_MS);
         context.with_book(|book| book.note_back_off(record, now.after_ms(span_ms)));
         spdlog::warn!(
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -115,6 +115,8 @@
     pub head: ResponseHead,
     /// What the head says.
     pub facts: AnswerFacts,
+    /// Whether it certainly answers our request, and not one that the connection carried before.
+    pub is_own: bool,
     stream: HttpStream,
     decoder: BodyDecoder,
     may_keep: bool,
@@ -158,6 +160,7 @@
         ConnectionChoice::Proven => context.pool.take(&replica.id, PROVEN_MS),
         ConnectionChoice::Fresh => None,
     };
+    let is_fresh = kept.is_none();
     let stream = match kept {
         Some(stream) => stream,
         None => {
@@ -180,7 +183,7 @@
         context.metrics.note_limited_arrival(&replica.id);
     }
     let deadline = request.deadline;
-    until(deadline, send_and_read(context, stream, request))
+    until(deadline, send_and_read(context, stream, request, is_fresh))
         .await
         .ok_or(ExchangeError::Deadline)?
 }
@@ -231,6 +234,7 @@
     context: &GatewayContext,
     mut stream: HttpStream,
     mut request: UpstreamRequest<'_>,
+    is_fresh: bool,
 ) -> Result<UpstreamAnswer, ExchangeError> {
     let lost = |error: StreamError| ExchangeError::Lost {
         reason: error.to_string(),
@@ -254,16 +258,18 @@
     };
     for _ in 0..=MOST_STRAY_ANSWERS {
         let facts = context.protocol.read_answer(&head);
-        note_replica(context, request.replica, &facts);
+        let is_own = match facts.request_id.as_deref() {
+            _ if request.request_id.is_empty() => true,
+            Some(id) => id == request.request_id,
+            // A connection that carried others may bring an answer to one of them again.
+            None => is_fresh,
+        };
+        note_replica(context, request.replica, &facts, is_own);
         let framing = frame_response(&head, request.method).map_err(|error| lost(error.into()))?;
         let mut decoder = BodyDecoder::new(framing);
-        let is_stray = !request.request_id.is_empty()
-            && facts
-                .request_id
-                .as_deref()
-                .is_some_and(|id| id != request.request_id);
+        let is_stray = facts.request_id.is_some() && !is_own;
         if !is_stray {
-            note_limit(context, &request, &facts, asked_at);
+            note_limit(context, &request, &facts, is_own, asked_at);
             let may_keep = request.choice != ConnectionChoice::Fresh
                 && is_sent_whole
                 && head.keeps_connection()
@@ -271,6 +277,7 @@
             return Ok(UpstreamAnswer {
                 head,
                 facts,
+                is_own,
                 stream,
                 decoder,
                 may_keep,
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -21,15 +21,15 @@
     Unsound,
 }
 
-/// Judges an answer by its head.
+/// Judges an answer by its head. That a request was not run is taken only from an answer to that request.
 pub fn judge(answer: &UpstreamAnswer, request_id: &str) -> AnswerVerdict {
     let (facts, status) = (&answer.facts, answer.head.status);
-    let is_ours = request_id.is_empty() || facts.request_id.as_deref() == Some(request_id);
-    if facts.is_misdirected {
+    let is_echoed = request_id.is_empty() || facts.request_id.as_deref() == Some(request_id);
+    if facts.is_misdirected && answer.is_own {
         AnswerVerdict::Misdirected
-    } else if facts.is_not_run {
+    } else if facts.is_not_run && answer.is_own {
         AnswerVerdict::NotRun
-    } else if !is_ours || !facts.is_signed || PROMISING_STATUSES.contains(&status) {
+    } else if !is_echoed || !facts.is_signed || PROMISING_STATUSES.contains(&status) {
         AnswerVerdict::Unsound
     } else if status >= 500 {
         AnswerVerdict::OwnError
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -16,6 +16,7 @@
 mod node;
 mod odd_entries;
 mod query_of_death;
+mod repeated_refusals;
 mod replica;
 mod replica_words;
 mod request_limits;
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -49,6 +50,36 @@
     Endless(EndlessBytes),
     /// It breaks an answer off halfway.
     Truncates(TruncatedBody),
+    /// From the second request of a connection on it writes an earlier refusal again, and runs the request.
+    RepeatsRefusal(RefusalCopy),
+}
+
+/// How an earlier refusal is written again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCopy {
+    /// With the id of the request that was refused.
+    EarlierId,
+    /// Without an id.
+    NoId,
+    /// As that of a request for another replica, with its id.
+    MisdirectedEarlierId,
+    /// As that of a request for another replica, without an id.
+    MisdirectedNoId,
+    /// Without an id, and without an answer of its own behind it.
+    NoIdAlone,
+}
+
+impl RefusalCopy {
+    fn write(self, stream: &mut TcpStream) -> bool {
+        let id = ("X-Request-Id", "refused-before");
+        let not_run = ("X-Not-Executed", "1");
+        match self {
+            Self::EarlierId => write_answer(stream, 503, &[id, not_run], b""),
+            Self::NoId | Self::NoIdAlone => write_answer(stream, 503, &[not_run], b""),
+            Self::MisdirectedEarlierId => write_answer(stream, 421, &[id], b""),
+            Self::MisdirectedNoId => write_answer(stream, 421, &[], b""),
+        }
+    }
 }
 
 /// The header in which a replica names the requests a second that it takes from all machines together.
@@ -107,6 +138,8 @@
     has_unknown_line: Arc<Mutex<bool>>,
     /// What it says of its load.
     load: Arc<Mutex<String>>,
+    /// How often it wrote an earlier refusal again.
+    refusal_copies: Arc<AtomicUsize>,
     pub life: Arc<ReplicaLife>,
 }
 
@@ -140,6 +173,7 @@
             limit: Arc::default(),
             has_unknown_line: Arc::default(),
             load: Arc::new(Mutex::new("1,0,4".to_owned())),
+            refusal_copies: Arc::default(),
             life: Arc::new(ReplicaLife::new(address)),
         };
         replica.publish(store, service, phase, "ready");
@@ -255,6 +289,11 @@
         *self.has_unknown_line.lock().expect("no holder panics") = has_one;
     }
 
+    /// How often it wrote an earlier refusal again.
+    pub fn refusal_copies(&self) -> usize {
+        self.refusal_copies.load(Ordering::Relaxed)
+    }
+
     /// Says something else of its load from now on.
     pub fn set_load(&self, text: &str) {
         *self.load.lock().expect("no holder panics") = text.to_owned();
@@ -294,7 +333,9 @@
     }
 
     fn serve(&self, stream: &mut TcpStream) {
+        let mut requests = 0;
         while let Some(request) = read_request(stream) {
+            requests += 1;
             self.lock().push(request.clone());
             self.arrived_at
                 .lock()
@@ -310,13 +351,26 @@
                 self.life.end();
                 return;
             }
-            if !self.answer(stream, &request) {
+            if requests > 1 && !self.repeat_refusal(stream) {
+                return;
+            }
+            if !self.answer(stream, &request, requests > 1) {
                 return;
             }
         }
     }
 
-    fn answer(&self, stream: &mut TcpStream, request: &Message) -> bool {
+    /// Writes an earlier refusal again, where it does so.
+    fn repeat_refusal(&self, stream: &mut TcpStream) -> bool {
+        let mood = *self.mood.lock().expect("no holder panics");
+        let ReplicaMood::RepeatsRefusal(copy) = mood else {
+            return true;
+        };
+        self.refusal_copies.fetch_add(1, Ordering::Relaxed);
+        copy.write(stream)
+    }
+
+    fn answer(&self, stream: &mut TcpStream, request: &Message, is_repeated: bool) -> bool {
         let mood = *self.mood.lock().expect("no holder panics");
         let id = request.header("X-Request-Id").unwrap_or_default();
         if !matches!(
@@ -363,6 +417,7 @@
                 b"for another",
             ),
             ReplicaMood::Breaks => false,
+            ReplicaMood::RepeatsRefusal(RefusalCopy::NoIdAlone) if is_repeated => true,
             ReplicaMood::BacksOff => {
                 let span_s = BACK_OFF_S.to_string();
                 let lines = [
