Let only the rest of a stream follow where it broke off

Report of other operators: a stream broke off, the next replica answered with an error, and clients found its text in the middle of their stream, or the stream ended as if it were complete.

Here, on real nodes with three engines that break off after two events: answers with another status than 200 were cut, as they should be. An answer of 200 that was no rest stood in the caller's stream, which then looked complete, in 28 of 42 streams: a JSON body, a text without a type or said to be a stream, an event without an id, a head of another answer, the whole stream from its start, the rest with a gap.

Now an engine that goes on with a stream has to send what the first one said it sent (status, type), and events each with the id that is due: the next by the step of those before, or a later one where these were uneven. Anything else ends that attempt; what was not passed on is not, and the stream goes on elsewhere or is cut. A stream whose events had no ids is not begun anew.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod split;
 mod sse;
 mod statements;
+mod stream_order;
 mod trace;
 mod upstream;
 mod verdict;
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -12,7 +12,8 @@
 use super::prompt::{PromptStep, ReadyPrompt};
 use super::relay::AnswerWriter;
 use super::send::note_send;
-use super::sse::{EventCutter, count_events, last_event_id};
+use super::sse::{EventCutter, count_events};
+use super::stream_order::StreamOrder;
 use super::trace::RequestOutcome;
 use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest, exchange};
 use super::verdict::{AnswerVerdict, judge, verdict_word};
@@ -51,7 +52,8 @@
         unpermitted: 0,
         in_doubt: false,
         writer: None,
-        last_event: None,
+        content_type: None,
+        order: StreamOrder::default(),
         refusal: None,
     };
     let end = stream.run().await;
@@ -98,8 +100,10 @@
     in_doubt: bool,
     /// The answer, once its head has been chosen.
     writer: Option<AnswerWriter<'a>>,
-    /// The last event that the caller was sent.
-    last_event: Option<u64>,
+    /// What its head says that the answer is.
+    content_type: Option<String>,
+    /// The events that the caller was sent.
+    order: StreamOrder,
     /// Why no engines were granted.
     refusal: Option<RefusalNotice>,
 }
@@ -123,6 +127,7 @@
             && self.ended_prefills < MOST_ENDED_PREFILLS
             && self.unpermitted < MOST_UNPERMITTED
             && (!self.in_doubt || rule.kind.may_repeat())
+            && self.can_go_on()
             && !clock::now().reached(self.request.deadline);
         if !may_send {
             return None;
@@ -176,6 +181,11 @@
         Some(self.decode(place, prompt, permit).await)
     }
 
+    /// Whether another engine could be told where to go on.
+    fn can_go_on(&self) -> bool {
+        self.writer.is_none() || self.order.last().is_some()
+    }
+
     /// Takes an extra arrival from the budget; whether it is covered.
     pub(super) fn pay_extra(&mut self) -> bool {
         self.paid.pay(self.context, self.request)
@@ -206,7 +216,7 @@
             purpose,
             limit_ms: request.limit_ms(),
             body_bytes: request.body_bytes(),
-            last_event: self.last_event,
+            last_event: self.order.last(),
             keeps_connection: false,
         };
         let upstream_request = UpstreamRequest {
@@ -220,7 +230,7 @@
             choice: ConnectionChoice::Fresh,
             deadline: request.deadline,
         };
-        if let (Some(_), Some(last_event)) = (&self.writer, self.last_event) {
+        if let (Some(_), Some(last_event)) = (&self.writer, self.order.last()) {
             spdlog::info!(
                 "event=resumed request={} replica={} last_event={last_event}",
                 request.facts.id,
@@ -293,11 +303,6 @@
         verdict: AnswerVerdict,
         run: DecodeRun,
     ) -> StreamEnd {
-        if self.writer.is_some() && answer.head.status != 200 {
-            // The caller has begun to read a stream, which a failure can't go on.
-            place.note_decode(EngineEnd::Failed);
-            return StreamEnd::Broken;
-        }
         match verdict {
             AnswerVerdict::Final => {}
             AnswerVerdict::OwnError | AnswerVerdict::Unsound => {
@@ -314,6 +319,14 @@
                 return StreamEnd::NotRun;
             }
         }
+        // The caller has begun to read a stream; only the rest of it may follow.
+        let is_continued = self.writer.is_some();
+        if is_continued && !self.is_rest(&answer) {
+            return self.break_off(
+                &mut place,
+                &format!("status {} in place of the rest", answer.head.status),
+            );
+        }
         let mut cutter = EventCutter::default();
         loop {
             if clock::now().reached(self.request.deadline) {
@@ -322,6 +335,9 @@
             }
             let piece = match until(self.request.deadline, answer.read()).await {
                 Some(Ok(Some(piece))) => piece,
+                Some(Ok(None)) if is_continued && !cutter.rest().is_empty() => {
+                    return self.break_off(&mut place, "no event in place of the rest");
+                }
                 Some(Ok(None)) => {
                     self.request.trace.end(RequestOutcome::Served, answer.head.status);
                     let (events, span_ms) = self.request.trace.record().stream_span();
@@ -346,8 +362,12 @@
             if events.is_empty() {
                 continue;
             }
+            if !is_continued {
+                self.order.note(&events);
+            } else if !self.order.take_next(&events) {
+                return self.break_off(&mut place, "events that do not go on with those before");
+            }
             self.note_events(count_events(&events));
-            self.last_event = last_event_id(&events).or(self.last_event);
             if !self.writer(&answer).write(&events).await {
                 return StreamEnd::Done(AnswerEnd::Cut);
             }
@@ -360,7 +380,7 @@
             "event=stream_broken request={} replica={} last_event={} reason=\"{reason}\"",
             self.request.facts.id,
             place.decode.id,
-            self.last_event.unwrap_or_default()
+            self.order.last().unwrap_or_default()
         );
         place.note_decode(EngineEnd::Failed);
         StreamEnd::Broken
@@ -378,9 +398,17 @@
         }
     }
 
+    /// Whether an answer is of the kind that the caller has begun to read.
+    fn is_rest(&self, answer: &UpstreamAnswer) -> bool {
+        answer.head.status == 200 && content_type(answer) == self.content_type
+    }
+
     /// The answer's writer, begun with the head of the first replica that answered.
     fn writer(&mut self, answer: &UpstreamAnswer) -> &mut AnswerWriter<'a> {
         let (context, socket, request) = (self.context, self.socket, self.request);
+        if self.writer.is_none() {
+            self.content_type = content_type(answer);
+        }
         self.writer
             .get_or_insert_with(|| AnswerWriter::new(context, socket, request, &answer.head))
     }
@@ -422,3 +450,10 @@
         refuse(self.socket, request, &notice).await
     }
 }
+
+/// What an answer says that it is, without what is said beside that.
+fn content_type(answer: &UpstreamAnswer) -> Option<String> {
+    let text = answer.head.headers.text("content-type")?;
+    let kind = text.split(';').next().unwrap_or(text);
+    Some(kind.trim().to_ascii_lowercase())
+}
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -39,13 +39,6 @@
     (2..=bytes.len()).rev().find(|end| ends_at(*end))
 }
 
-/// The last event id in some whole events.
-pub fn last_event_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    std::str::from_utf8(values.next()?).ok()?.trim().parse().ok()
-}
-
 /// How many events there are in some whole events.
 pub fn count_events(events: &[u8]) -> u64 {
     let lines = events.split(|byte| *byte == b'\n');
--- /dev/null
+++ b/tests/platform/broken_streams.rs
@@ -0,0 +1,92 @@
+//! Streams that break off after some events, and replicas that go on with something else than the rest.
+
+use crate::node::{GatewayNode, publish_config};
+use crate::replica::{OddRest, ReplicaMood, STREAM_EVENTS, StandInReplica};
+use crate::store::StandInStore;
+use crate::wire::{Message, request};
+
+/// Streams of each case.
+const STREAMS: usize = 6;
+
+const ODD_RESTS: [OddRest; 12] = [
+    OddRest::Status(500),
+    OddRest::Status(502),
+    OddRest::Status(404),
+    OddRest::Status(204),
+    OddRest::Refusal,
+    OddRest::Json,
+    OddRest::UntypedText,
+    OddRest::TextAsStream,
+    OddRest::ErrorEvent,
+    OddRest::HeadInBody,
+    OddRest::FromTheStart,
+    OddRest::WithGap,
+];
+
+fn start(moods: &[ReplicaMood]) -> (StandInStore, GatewayNode, Vec<StandInReplica>) {
+    let store = StandInStore::start();
+    publish_config(&store, 1);
+    let prompts = ["i-p1", "i-p2"].map(|id| (id.to_owned(), "prefill", ReplicaMood::Well));
+    let answers = moods
+        .iter()
+        .enumerate()
+        .map(|(number, mood)| (format!("i-d{number}"), "decode", *mood));
+    let engines = prompts.into_iter().chain(answers);
+    let replicas: Vec<_> = engines
+        .map(|(id, phase, mood)| StandInReplica::start(&store, &id, "llm", Some(phase), mood))
+        .collect();
+    let node = GatewayNode::start(&store, "vm-1", &[]);
+    node.wait_ready();
+    (store, node, replicas)
+}
+
+fn stream(node: &GatewayNode, number: usize) -> Message {
+    let lines = "X-Token-Count: 300,40\r\n";
+    let id = format!("q-{number}");
+    node.ask(&request(
+        "POST",
+        "shop.example",
+        "/stream/resume",
+        &id,
+        lines,
+        &id,
+    ))
+}
+
+/// What is wrong with a stream as a caller got it: only whole events in their order, and a whole stream has all of them.
+fn find_harm(answer: &Message) -> Option<String> {
+    let text = answer.text();
+    let events = answer.event_ids();
+    let expected: String = (1..=events.len())
+        .map(|number| format!("id: {number}\ndata: token\n\n"))
+        .collect();
+    let is_short = answer.is_whole && events.len() as u64 != STREAM_EVENTS;
+    let is_refusal = answer.status() != 200 && events.is_empty();
+    (!is_refusal && (text != expected || is_short))
+        .then(|| format!("status {}, whole: {}, {text:?}", answer.status(), answer.is_whole))
+}
+
+#[test]
+fn nothing_of_an_error_stands_in_a_stream_that_broke_off_and_it_does_not_look_complete() {
+    let mut harms = Vec::new();
+    for odd in ODD_RESTS {
+        let mood = ReplicaMood::BreaksAndGoesOn(odd);
+        let (_store, node, _replicas) = start(&[mood; 3]);
+        for number in 0..STREAMS {
+            let harm = find_harm(&stream(&node, number));
+            harms.extend(harm.map(|harm| format!("{odd:?}: {harm}")));
+        }
+    }
+    assert!(harms.is_empty(), "{}", harms.join("\n"));
+}
+
+#[test]
+fn a_stream_that_broke_off_is_completed_by_an_engine_that_goes_on_with_it() {
+    let (_store, node, replicas) = start(&[ReplicaMood::BreaksStream, ReplicaMood::Well, ReplicaMood::Well]);
+    for number in 0..STREAMS {
+        let answer = stream(&node, number);
+        assert_eq!(find_harm(&answer), None);
+        assert!(answer.is_whole, "{answer:?}");
+    }
+    assert!(replicas[2].count() > 0, "one of its streams broke off");
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The product against stand-ins of the users' platform: its store, its replicas and their callers.
 
+mod broken_streams;
 mod calls;
 mod config_content;
 mod config_fleet;
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -52,6 +52,63 @@
     Truncates(TruncatedBody),
     /// From the second request of a connection on it writes an earlier refusal again, and runs the request.
     RepeatsRefusal(RefusalCopy),
+    /// It breaks streams off after two events, and goes on with those of others in an odd way.
+    BreaksAndGoesOn(OddRest),
+}
+
+/// What a replica sends in place of the rest of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OddRest {
+    /// An error with a text.
+    Status(u16),
+    /// A refusal.
+    Refusal,
+    /// A success with a JSON body.
+    Json,
+    /// A success with a text, which does not say what it is.
+    UntypedText,
+    /// A text that is said to be a stream.
+    TextAsStream,
+    /// An event without an id.
+    ErrorEvent,
+    /// The head of an answer within a stream.
+    HeadInBody,
+    /// The whole stream again.
+    FromTheStart,
+    /// The rest without its first event.
+    WithGap,
+}
+
+impl OddRest {
+    fn write(self, stream: &mut TcpStream, id: &str, next: u64) -> bool {
+        const ERROR: &[u8] = b"{\"error\":\"out of memory\"}";
+        let signed = [("X-Request-Id", id), ("X-Response-Signature", "s")];
+        let typed = |kind| [signed[0], signed[1], ("Content-Type", kind)];
+        let events = "text/event-stream";
+        let rest_from = |first: u64| -> String {
+            let numbers = first..=STREAM_EVENTS;
+            numbers
+                .map(|number| format!("id: {number}\ndata: token\n\n"))
+                .collect()
+        };
+        match self {
+            Self::Status(status) => write_answer(stream, status, &typed("application/json"), ERROR),
+            Self::Refusal => write_answer(stream, 503, &[("X-Request-Id", id), ("X-Not-Executed", "1")], b""),
+            Self::Json => write_answer(stream, 200, &typed("application/json"), ERROR),
+            Self::UntypedText => write_answer(stream, 200, &signed, b"out of memory"),
+            Self::TextAsStream => write_answer(stream, 200, &typed(events), ERROR),
+            Self::ErrorEvent => {
+                let event = [b"data: ", ERROR, b"\n\n"].concat();
+                write_answer(stream, 200, &typed(events), &event)
+            }
+            Self::HeadInBody => {
+                let head = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+                write_answer(stream, 200, &typed(events), head)
+            }
+            Self::FromTheStart => write_answer(stream, 200, &typed(events), rest_from(1).as_bytes()),
+            Self::WithGap => write_answer(stream, 200, &typed(events), rest_from(next + 1).as_bytes()),
+        }
+    }
 }
 
 /// How an earlier refusal is written again.
@@ -444,6 +501,9 @@
             _ if request.header("X-Kv-Source").is_some() || request.path().starts_with("/stream") => {
                 let sent_before = request.header("Last-Event-Id");
                 let first = sent_before.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) + 1;
+                if let (ReplicaMood::BreaksAndGoesOn(odd), true) = (mood, first > 1) {
+                    return odd.write(stream, id, first);
+                }
                 send_stream(stream, id, mood, first, limit.as_deref())
             }
             _ => {
@@ -490,7 +550,8 @@
     );
     let mut is_sent = stream.write_all(head.as_bytes()).is_ok();
     for number in first..=STREAM_EVENTS {
-        if mood == ReplicaMood::BreaksStream && number > 2 {
+        let breaks = matches!(mood, ReplicaMood::BreaksStream | ReplicaMood::BreaksAndGoesOn(_));
+        if breaks && number > 2 {
             return false;
         }
         if mood == ReplicaMood::Slow {
