--- a/src/command_line/commands.rs
+++ b/src/command_line/commands.rs
@@ -232,6 +232,7 @@
     print_lines("beliefs", &story.beliefs);
     print_lines("requests of its content", &story.suspicion);
     print_lines("limits of its service", &story.limits);
+    print_lines("configurations of its VM", &story.configuration.own);
     ExitStatus::Done
 }
 
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -19,6 +19,8 @@
     NoReplica,
     /// The VM had no configuration yet.
     NoConfiguration,
+    /// No route leads from its host and path, by the configuration that its VM had in force.
+    NoRoute,
     /// The request itself was refused.
     BadRequest,
     /// It was held back because replicas had died under it.
@@ -52,6 +54,7 @@
             Self::EnginesFull => "engines full",
             Self::NoReplica => "no replica",
             Self::NoConfiguration => "no configuration",
+            Self::NoRoute => "no such route",
             Self::BadRequest => "bad request",
             Self::HeldBack => "held back",
             Self::RateLimited => "limits of replicas",
@@ -76,6 +79,7 @@
     match story.last("ended") {
         Some(ended) => cause_of_end(story, ended),
         None => match story.last("refused") {
+            Some(refused) if refused.field("reason") == "no_route" => cause_of_no_route(story, refused),
             Some(refused) => cause_of_refusal(refused),
             None => cause_of_silence(logs, first),
         },
@@ -197,12 +201,25 @@
     (cause, format!("{sentence} {told}"))
 }
 
+/// A request for which its VM knew no route, with the configuration that the VM had in force.
+fn cause_of_no_route(story: &RequestStory<'_>, refused: &LogLine) -> (FailureCause, String) {
+    let sentence = format!(
+        "{} refused it with code {} (no_route) about {}. {}",
+        refused.vm,
+        refused.field("code"),
+        refused.field("detail"),
+        story.configuration.describe(refused)
+    );
+    (FailureCause::NoRoute, sentence)
+}
+
 fn cause_of_refusal(refused: &LogLine) -> (FailureCause, String) {
     let reason = refused.field("reason");
     let cause = match reason {
         "queue_timeout" | "queue_full" | "deadline_too_near" => FailureCause::EnginesFull,
         "no_upstream" => FailureCause::NoReplica,
         "no_register" => FailureCause::NoConfiguration,
+        "no_route" => FailureCause::NoRoute,
         "quarantined" => FailureCause::HeldBack,
         "rate_limited" => FailureCause::RateLimited,
         "upstream_failed" | "outcome_unknown" => FailureCause::ReplicaBroke,
--- /dev/null
+++ b/src/explain/configuration.rs
@@ -0,0 +1,88 @@
+//! Which configuration a request met: what its VM had in force, and what others had by then.
+
+use super::LogLine;
+
+/// The events on configurations.
+pub const CONFIGURATION_EVENTS: [&str; 6] = [
+    "register_accepted",
+    "register_refused",
+    "register_passed_over",
+    "register_unreadable",
+    "config_source_lost",
+    "config_source_regained",
+];
+
+/// How long after a request a line on a configuration still tells something of it, in seconds.
+const AFTER_S: f64 = 6.0;
+
+/// Lines on configurations around a request that a VM refused.
+#[derive(Debug, Default)]
+pub struct MetConfiguration<'a> {
+    /// The VM's own: from the one that it had in force on, and a little beyond the request.
+    pub own: Vec<&'a LogLine>,
+    /// The first line of another VM that had accepted a later one before the request.
+    pub later: Option<&'a LogLine>,
+}
+
+impl<'a> MetConfiguration<'a> {
+    /// Picks them out of all lines on configurations.
+    pub fn of(refused: &LogLine, lines: impl Iterator<Item = &'a LogLine>) -> Self {
+        let mut lines: Vec<&LogLine> = lines.filter(|line| line.time <= refused.time + AFTER_S).collect();
+        lines.sort_by(|left, right| left.time.total_cmp(&right.time));
+        let in_force = refused.number("revision");
+        let is_acceptance = |line: &LogLine| line.event == "register_accepted";
+        let own: Vec<&LogLine> = lines
+            .iter()
+            .filter(|line| line.vm == refused.vm)
+            .copied()
+            .collect();
+        let from = own
+            .iter()
+            .rposition(|line| is_acceptance(line) && line.time <= refused.time)
+            .unwrap_or_default();
+        let mut others = lines
+            .iter()
+            .filter(|line| line.vm != refused.vm && line.time <= refused.time);
+        let later = others.find(|line| is_acceptance(line) && line.number("revision") > in_force);
+        Self {
+            own: own[from..].to_vec(),
+            later: later.copied(),
+        }
+    }
+
+    /// What they tell, in a sentence or some.
+    pub fn describe(&self, refused: &LogLine) -> String {
+        let in_force = refused.number("revision");
+        let mut told = match self
+            .own
+            .first()
+            .filter(|line| line.number("revision") == in_force)
+        {
+            Some(line) => format!(
+                "Configuration {in_force} was in force there since {:.3}.",
+                line.time
+            ),
+            None => format!("Configuration {in_force} was in force there."),
+        };
+        if let Some(later) = self.later {
+            told.push_str(&format!(
+                " {} had accepted {} at {:.3}, {:.3} s before.",
+                later.vm,
+                later.number("revision"),
+                later.time,
+                refused.time - later.time
+            ));
+        }
+        let refusals = self.own.iter().filter(|line| line.event == "register_refused");
+        for line in refusals.filter(|line| line.time <= refused.time) {
+            told.push_str(&format!(
+                " {} had refused {} at {:.3}: {}.",
+                refused.vm,
+                line.number("revision"),
+                line.time,
+                line.field("first")
+            ));
+        }
+        told
+    }
+}
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -1,12 +1,14 @@
 //! Explains from logs alone what became of a request, and counts failures by cause.
 
 mod cause;
+mod configuration;
 mod line;
 mod plot;
 mod story;
 mod tally;
 
 pub use cause::{FailureCause, find_cause};
+pub use configuration::MetConfiguration;
 pub use line::LogLine;
 pub use plot::{PlotError, draw_plot};
 pub use story::{LogSet, RequestStory};
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -1,6 +1,7 @@
 //! The lines of one request, in order, with the beliefs that decided it.
 
-use super::LogLine;
+use super::configuration::CONFIGURATION_EVENTS;
+use super::{LogLine, MetConfiguration};
 use crate::prelude::*;
 
 /// How long before and after a request's lines a belief is told with them, in seconds: a replica's entry lapses, and a
@@ -19,6 +20,8 @@
     by_fingerprint: FastMap<String, Vec<usize>>,
     /// Lines on limits that replicas name.
     limits: Vec<usize>,
+    /// Lines on configurations.
+    configurations: Vec<usize>,
 }
 
 impl LogSet {
@@ -39,6 +42,9 @@
             if LIMIT_EVENTS.contains(&line.event.as_str()) {
                 self.limits.push(index);
             }
+            if CONFIGURATION_EVENTS.contains(&line.event.as_str()) {
+                self.configurations.push(index);
+            }
             self.lines.push(line);
         }
     }
@@ -76,11 +82,25 @@
         let beliefs = self.beliefs_around(&steps);
         let suspicion = self.suspicion_of(&steps);
         let limits = self.limits_of(&steps);
+        let configuration = self.configuration_of(&steps);
         RequestStory {
             steps,
             beliefs,
             suspicion,
             limits,
+            configuration,
+        }
+    }
+
+    /// The configuration by which a request got no route.
+    fn configuration_of(&self, steps: &[&LogLine]) -> MetConfiguration<'_> {
+        let refused = steps.iter().rev().find(|step| step.event == "refused");
+        match refused.filter(|refused| refused.field("reason") == "no_route") {
+            Some(refused) => {
+                let lines = self.configurations.iter().map(|index| &self.lines[*index]);
+                MetConfiguration::of(refused, lines)
+            }
+            None => MetConfiguration::default(),
         }
     }
 
@@ -200,6 +220,8 @@
     pub suspicion: Vec<&'a LogLine>,
     /// Limits of its service's replicas that were in force as it was refused.
     pub limits: Vec<&'a LogLine>,
+    /// The configuration by which it got no route.
+    pub configuration: MetConfiguration<'a>,
 }
 
 impl RequestStory<'_> {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -60,6 +60,14 @@
                 refusal("rate_limited", 2009)
             ),
         ),
+        (
+            "no route by an old configuration",
+            "vm-1 time=90.000 level=warn event=register_accepted revision=3 previous=2 written=8 source=Service unconfirmed_ms=0\n\
+             vm-2 time=95.000 level=warn event=register_accepted revision=4 previous=3 written=9 source=Service unconfirmed_ms=900\n\
+             vm-1 time=95.001 level=warn event=register_refused revision=4 in_force=3 source=Service faults=2 first=\"route[1] a: no host\"\n\
+             vm-1 time=100.000 level=error event=refused request=R route=- code=1016 reason=no_route detail=\"/new/\" retry_after_ms=0 revision=3\n"
+                .to_owned(),
+        ),
         (
             "silent in the middle",
             ended("caller_gone", "first_ms=60 events=5 idle_ms=3000"),
