Let the owner of engines follow later content of a revision

It compares stamps now. By reading; no test, since only the same revision with other engine traits shows it.

--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -73,7 +73,7 @@
 #[derive(Debug)]
 pub struct GroupLedger {
     group: EngineGroup,
-    synced_revision: Revision,
+    synced_register: RegisterStamp,
     synced_replicas: Arc<FastMap<ReplicaId, ReplicaFacts>>,
     decode: FastMap<Arc<str>, DecodeReplica>,
     prefill: FastMap<Arc<str>, PrefillReplica>,
@@ -96,7 +96,7 @@
     pub fn new(group: &EngineGroup) -> Self {
         Self {
             group: group.clone(),
-            synced_revision: 0,
+            synced_register: RegisterStamp::default(),
             synced_replicas: Arc::default(),
             decode: FastMap::default(),
             prefill: FastMap::default(),
@@ -133,10 +133,10 @@
             self.rates.retain(|id| board.rate_limits.contains_key(id));
         }
         let is_same_list = Arc::ptr_eq(&self.synced_replicas, &board.replicas);
-        if self.synced_revision == board.register.revision && is_same_list {
+        if self.synced_register == board.register.stamp() && is_same_list {
             return;
         }
-        self.synced_revision = board.register.revision;
+        self.synced_register = board.register.stamp();
         self.synced_replicas = board.replicas.clone();
         let engines = board.engines(&self.group.model);
         let groups = group_count(&engines, group_size);
