Read the list of replicas where the store has changed and nobody told how

Callers (rule DRAIN): at VMs that were undisturbed, a draining replica still got requests 2.3 s after the store had its word where the six VMs that read the list were stopped at that moment, and after 4.3 s where their ways to the store had fallen silent; 2 s are allowed.

Each VM hears the store's state with each answer of its own watch on the configuration, every 1.1 to 1.6 s. Where neither the list nor the configuration that it has explains that state 100 ms later, it reads the changes of the list itself and tells its neighbors.

The follower, the configuration and the list now have files of their own.

--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -65,6 +65,12 @@
     now.reached(Moment(PEERS_FIRST_MS + spread_ms))
 }
 
+/// Whether the store has changed in a way that this node has not heard of: neither the list of replicas nor the configuration that it
+/// has is of the store's state, or of a later one. Those who read the list for others may be stopped, or unheard.
+pub fn is_list_behind(list_revision: u64, config_written: u64, store_revision: u64) -> bool {
+    list_revision > 0 && store_revision > list_revision.max(config_written)
+}
+
 /// When a process that knows nothing yet reads the store itself. Seeds do so first, since all ask them; the others take
 /// turns, so that the store does not answer a whole fleet at once.
 fn blank_read_at(board: &Blackboard, readers_ahead: usize) -> Moment {
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -75,6 +75,7 @@
     "limit_ended", Belief, ["replica", "replica_start", "service", "age_ms", "seen_by", "source"], "A replica names no limit any more.";
     "limit_named", Belief, ["replica", "replica_start", "service", "rate", "age_ms", "seen_by", "source"], "A replica names a limit on the requests a second that it takes from all VMs together.";
     "limits_handed_over", Belief, ["key", "vm"], "This VM gives no more permits for a service, or a group of engines; another one owns it now.";
+    "list_checked", Belief, ["list_revision", "store_revision", "changes"], "The store had changed and nobody told how; this VM read the changes of the replica list itself.";
     "log_dropped", Belief, ["lines"], "Lines were dropped since the last such line.";
     "not_granted", Failure, ["request", "place", "code", "queue_ms", "detail", "retry_after_ms"], "The owner of a service's engines refused a generation, at once or after a wait.";
     "order_given", Belief, ["engine", "role", "fencing_token", "outcome"], "An engine answered an order, or did not.";
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,11 +4,13 @@
 
 mod amount;
 mod config;
+mod config_watch;
 mod protocol;
 mod replica_entry;
+mod replica_watch;
 mod settings_file;
 mod store;
-mod store_watch;
+mod store_follower;
 
 use std::sync::Arc;
 
@@ -16,11 +18,12 @@
 use crate::settings::GatewaySettings;
 
 pub use config::parse_config;
+pub use config_watch::watch_config;
 pub use protocol::PlatformProtocol;
 pub use replica_entry::parse_replica;
+pub use replica_watch::watch_replicas;
 pub use settings_file::{SETTINGS_VARIABLE, SettingsError, read_settings};
 pub use store::{StoreClient, StoreError};
-pub use store_watch::{watch_config, watch_replicas};
 
 /// What the platform brings to a gateway.
 pub fn adapter() -> GatewayAdapter {
--- /dev/null
+++ b/src/platform/replica_watch.rs
@@ -0,0 +1,149 @@
+//! Reads the list of replicas in the store, for others too or where nobody else told of a change, and tells the control thread.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::replica_entry::{REPLICA_PREFIX, parse_replica};
+use super::store::{StoreClient, StoreError, StoreItem};
+use super::store_follower::{FollowedReading, StoreFollower, WatchPace, WatchSubject};
+use crate::blackboard::ReplicaRecord;
+use crate::clock;
+use crate::controllers::discovery::ReplicaUpdate;
+use crate::controllers::readers::is_list_behind;
+use crate::event_log::{to_phrase, to_word};
+use crate::prelude::*;
+use crate::runtime::ControlHandle;
+
+/// How the list of replicas is watched.
+const LIST_PACE: WatchPace = WatchPace {
+    wait_range_ms: (2_500, 5_000),
+    answer_limit_ms: 1_500,
+};
+
+/// How long news of the list take from those who read it to all others.
+const NEWS_TAKE: Duration = Duration::from_millis(100);
+
+/// The wait of a call that is to bring what there is, in milliseconds.
+const AT_ONCE_MS: u64 = 1;
+
+/// Reads changes of the list of replicas that the store has and that nobody told of in time.
+pub struct ListCheck {
+    client: StoreClient,
+    control: ControlHandle,
+    /// The store's state up to which the list was read here.
+    checked_to: u64,
+}
+
+impl ListCheck {
+    /// A check that has read nothing yet.
+    pub fn new(address: SocketAddr, control: ControlHandle) -> Self {
+        Self {
+            client: StoreClient::new(address, LIST_PACE.answer_limit_ms),
+            control,
+            checked_to: 0,
+        }
+    }
+
+    /// Whether nothing that is known here explains the store's state.
+    fn is_due(&self, store_revision: u64) -> bool {
+        let snapshot = self.control.snapshot();
+        let is_behind = is_list_behind(snapshot.list_revision, snapshot.config_written, store_revision);
+        is_behind && !snapshot.reads_store && store_revision > self.checked_to
+    }
+
+    /// Reads the changes where the store's state is not explained after the time that news take.
+    pub async fn run(&mut self, store_revision: u64) {
+        if !self.is_due(store_revision) {
+            return;
+        }
+        async_std::task::sleep(NEWS_TAKE).await;
+        if !self.is_due(store_revision) {
+            return;
+        }
+        let known = self.control.snapshot().list_revision;
+        match self.read(known).await {
+            Ok(reading) => {
+                self.checked_to = reading.store_revision;
+                spdlog::info!(
+                    "event=list_checked list_revision={known} store_revision={store_revision} changes={}",
+                    reading.items.len()
+                );
+                tell_replicas(&reading, &self.control);
+            }
+            Err(error) => spdlog::info!("event=store_read_failed prefix={REPLICA_PREFIX} reason=\"{error}\""),
+        }
+    }
+
+    async fn read(&mut self, known: u64) -> Result<FollowedReading, StoreError> {
+        let (reading, is_whole) = match self.client.watch(REPLICA_PREFIX, known, AT_ONCE_MS).await {
+            Err(StoreError::HistoryGone) => (self.client.read_range(REPLICA_PREFIX).await?, true),
+            watched => (watched?, false),
+        };
+        Ok(FollowedReading::new(reading, known, is_whole))
+    }
+}
+
+/// Follows the replicas for as long as the process lives.
+pub async fn watch_replicas(address: SocketAddr, control: ControlHandle) {
+    let subject = WatchSubject {
+        prefix: REPLICA_PREFIX,
+        pace: LIST_PACE,
+        is_due: |snapshot| snapshot.reads_store,
+        to_event: |is_reachable| Event::ListReachable { is_reachable },
+    };
+    let mut follower = StoreFollower::new(address, subject, control.clone());
+    loop {
+        // What peers told is as good as what was read.
+        let known = control.snapshot().list_revision;
+        let reading = follower.next((known > 0).then_some(known)).await;
+        tell_replicas(&reading, &control);
+    }
+}
+
+fn tell_replicas(reading: &FollowedReading, control: &ControlHandle) {
+    if reading.is_whole || !reading.items.is_empty() {
+        control.tell(Event::ReplicasRead {
+            update: to_update(reading),
+            store_revision: reading.store_revision,
+        });
+    }
+}
+
+fn to_update(reading: &FollowedReading) -> ReplicaUpdate {
+    let mut latest: FastMap<&str, &StoreItem> = FastMap::default();
+    for item in &reading.items {
+        latest.insert(&item.key, item);
+    }
+    let mut update = ReplicaUpdate {
+        revision: reading.revision,
+        since: reading.since,
+        is_whole: reading.is_whole,
+        present: Vec::new(),
+        removed: Vec::new(),
+    };
+    for (key, item) in latest {
+        let id = key.strip_prefix(REPLICA_PREFIX).unwrap_or(key);
+        let record = item.value.as_deref().and_then(|value| read_entry(id, value));
+        match record {
+            Some(record) => update.present.push(record),
+            // An entry that can't be read names no replica any more, like one that was removed.
+            None => update.removed.push(id.into()),
+        }
+    }
+    update
+}
+
+fn read_entry(id: &str, value: &[u8]) -> Option<ReplicaRecord> {
+    match parse_replica(id, value, clock::epoch_ms()) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            spdlog::warn!(
+                "event=replica_entry_unreadable replica={} bytes={} reason=\"{}\"",
+                to_word(id),
+                value.len(),
+                to_phrase(&error.to_string())
+            );
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/store_follower.rs
@@ -0,0 +1,158 @@
+//! Follows the items under one prefix of the store: reads all of them once, then watches.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::store::{StoreClient, StoreError, StoreItem, StoreReading};
+use crate::clock;
+use crate::prelude::*;
+use crate::runtime::{ControlHandle, Snapshot};
+use crate::source::Backoff;
+
+/// The state of a list that has never had an entry, so that it is told from one that was never read.
+const FIRST_REVISION: u64 = 1;
+
+/// How often a VM that does not read looks whether it should.
+const ROLE_EVERY: Duration = Duration::from_millis(200);
+
+/// How long to wait after changes before the next watch, in milliseconds, so that one call brings the changes that follow
+/// closely.
+const GATHER_MS: u64 = 250;
+
+/// Items, or their changes, and between which states they tell all.
+pub struct FollowedReading {
+    pub items: Vec<StoreItem>,
+    pub is_whole: bool,
+    /// The state from which on changes are told; zero for a whole reading.
+    pub since: u64,
+    /// The state up to which all is told: that of the last change, which is the same for all that read it.
+    pub revision: u64,
+    /// The store's own state as it answered.
+    pub store_revision: u64,
+}
+
+impl FollowedReading {
+    /// A whole reading, or the changes since a state.
+    pub fn new(reading: StoreReading, since: u64, is_whole: bool) -> Self {
+        // The store's own state moves on with items of other prefixes too; that of the last change is the same for all.
+        let last_change = reading.items.iter().map(|item| item.revision).max();
+        Self {
+            revision: last_change.unwrap_or(FIRST_REVISION.max(since)),
+            items: reading.items,
+            is_whole,
+            since: if is_whole { 0 } else { since },
+            store_revision: reading.revision,
+        }
+    }
+}
+
+/// How long the calls of a watch take.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchPace {
+    /// The shortest and the longest wait, in milliseconds. A watch that was silently lost shows only at its end.
+    pub wait_range_ms: (u64, u64),
+    /// How long the store may take beyond the wait that a call asks for, in milliseconds: it answers in some milliseconds,
+    /// and sixty times slower when it is troubled.
+    pub answer_limit_ms: u64,
+}
+
+/// What is followed.
+pub struct WatchSubject {
+    pub prefix: &'static str,
+    pub pace: WatchPace,
+    /// Whether this VM is to follow it now.
+    pub is_due: fn(&Snapshot) -> bool,
+    /// What the control thread is told of whether it can be read.
+    pub to_event: fn(bool) -> Event,
+}
+
+/// Follows the items under one prefix, for as long as this VM is one of those that read.
+pub struct StoreFollower {
+    client: StoreClient,
+    subject: WatchSubject,
+    control: ControlHandle,
+    backoff: Backoff,
+    /// The state from which to watch on; `None` while all has to be read anew.
+    cursor: Option<u64>,
+    /// The state of the last change that was read.
+    content: u64,
+    /// Whether this VM was one of those that read when it last looked.
+    is_reading: bool,
+    /// When the next watch may begin.
+    gather_until: Moment,
+}
+
+impl StoreFollower {
+    /// A follower that has read nothing yet.
+    pub fn new(address: SocketAddr, subject: WatchSubject, control: ControlHandle) -> Self {
+        Self {
+            client: StoreClient::new(address, subject.pace.answer_limit_ms),
+            subject,
+            control,
+            backoff: Backoff::new(),
+            cursor: None,
+            content: 0,
+            is_reading: false,
+            gather_until: Moment::default(),
+        }
+    }
+
+    /// Waits for the next reading. A VM that begins to read goes on from the state that its peers told, if that is known.
+    pub async fn next(&mut self, known: Option<u64>) -> FollowedReading {
+        async_std::task::sleep(clock::now().remaining(self.gather_until)).await;
+        loop {
+            if !(self.subject.is_due)(&self.control.snapshot()) {
+                self.is_reading = false;
+                async_std::task::sleep(ROLE_EVERY).await;
+                continue;
+            }
+            if !std::mem::replace(&mut self.is_reading, true) {
+                self.cursor = known;
+                self.content = known.unwrap_or_default();
+            }
+            match self.read().await {
+                Ok(reading) => {
+                    self.backoff.reset();
+                    self.control.tell((self.subject.to_event)(true));
+                    if !reading.items.is_empty() && !reading.is_whole {
+                        self.gather_until = clock::now().after_ms(GATHER_MS);
+                    }
+                    return reading;
+                }
+                Err(StoreError::HistoryGone) => {
+                    spdlog::info!("event=store_history_gone prefix={}", self.subject.prefix);
+                    self.cursor = None;
+                }
+                Err(error) => {
+                    spdlog::info!(
+                        "event=store_read_failed prefix={} reason=\"{error}\"",
+                        self.subject.prefix
+                    );
+                    self.control.tell((self.subject.to_event)(false));
+                    self.backoff.pause().await;
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<FollowedReading, StoreError> {
+        let since = self.content;
+        let (reading, is_whole) = match self.cursor {
+            None => (self.client.read_range(self.subject.prefix).await?, true),
+            Some(cursor) => {
+                let (shortest_ms, longest_ms) = self.subject.pace.wait_range_ms;
+                let wait_ms = rand::rng().random_range(shortest_ms..=longest_ms);
+                (
+                    self.client.watch(self.subject.prefix, cursor, wait_ms).await?,
+                    false,
+                )
+            }
+        };
+        self.cursor = Some(reading.revision);
+        let reading = FollowedReading::new(reading, since, is_whole);
+        self.content = reading.revision.max(since);
+        Ok(reading)
+    }
+}
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -17,6 +17,8 @@
 pub struct Snapshot {
     /// The revision in force.
     pub revision: Revision,
+    /// The store's state as the configuration in force was written.
+    pub config_written: u64,
     /// Since when this VM can't read the configuration itself; `None` while it can.
     pub config_unread_since: Option<Moment>,
     /// Since when that one is in force here.
@@ -64,6 +66,7 @@
         let refused = board.register.refused.as_ref();
         Self {
             revision: board.register.revision,
+            config_written: board.register.written,
             config_unread_since: board.register.unread_since,
             accepted_at: board.register.accepted_at,
             newest_offered: board.register.newest_offered,
--- /dev/null
+++ b/tests/platform/list_spread.rs
@@ -0,0 +1,63 @@
+//! By when news of the list of replicas are heeded on nodes that are undisturbed, whatever becomes of those who read it.
+
+use std::time::{Duration, Instant};
+
+use stand_ins::proxy::RouteMode;
+
+use crate::config_fleet::{ConfigFleet, OLD_REPLICA, OLD_SERVICE, served_by};
+use crate::node::wait_until;
+use crate::replica::{ReplicaMood, StandInReplica};
+
+/// Nodes of these tests, and how many of them read the list for others.
+const NODES: usize = 12;
+const READERS: usize = 6;
+
+/// By when after the store has its word a leaving replica gets nothing new.
+const DRAINED_WITHIN: Duration = Duration::from_millis(2_000);
+
+/// How long a test waits beyond that.
+const PATIENCE: Duration = Duration::from_millis(6_000);
+
+/// How long after the store had its word a draining replica still got requests from nodes that are undisturbed.
+fn time_beside(disturb: impl Fn(&mut ConfigFleet, usize)) -> Duration {
+    let mut fleet = ConfigFleet::start(NODES);
+    let other = StandInReplica::start(&fleet.store, "i-other", OLD_SERVICE, None, ReplicaMood::Well);
+    wait_until("all know the other replica, and who reads", || {
+        let reads = fleet.nodes.iter().map(|node| node.metric("reads_store", ""));
+        reads.sum::<f64>() == READERS as f64
+            && fleet
+                .nodes
+                .iter()
+                .all(|node| node.metric("replicas", "state=\"listed\"") == 3.0)
+    });
+    let (readers, others): (Vec<usize>, Vec<usize>) =
+        (0..NODES).partition(|index| fleet.nodes[*index].metric("reads_store", "") == 1.0);
+    readers.iter().for_each(|index| disturb(&mut fleet, *index));
+    fleet.replicas[0].publish(&fleet.store, OLD_SERVICE, None, "draining");
+    let began = Instant::now();
+    let mut latest = Duration::ZERO;
+    while began.elapsed() < DRAINED_WITHIN + PATIENCE {
+        for index in &others {
+            let sent_at = began.elapsed();
+            if served_by(&fleet.nodes[*index]) == OLD_REPLICA {
+                latest = sent_at;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    drop(other);
+    println!("requests until {latest:?} after the store had its word");
+    latest
+}
+
+#[test]
+fn a_draining_replica_gets_nothing_new_in_time_while_those_who_read_the_list_are_stopped() {
+    let latest = time_beside(|fleet, index| fleet.nodes[index].signal("STOP"));
+    assert!(latest <= DRAINED_WITHIN, "{latest:?}");
+}
+
+#[test]
+fn a_draining_replica_gets_nothing_new_in_time_while_those_who_read_the_list_lost_the_store() {
+    let latest = time_beside(|fleet, index| fleet.ways[index].set_mode(RouteMode::Partition, 0));
+    assert!(latest <= DRAINED_WITHIN, "{latest:?}");
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod generations;
 mod life;
 mod limited_fleet;
+mod list_spread;
 mod node;
 mod odd_entries;
 mod query_of_death;
