Refuse names of more than one line, and take those with spaces

A route's or service's name with a line break ended the line of the log that named it, so that a configuration could write any event; found by reading the checks of entries against those of configurations.

--- a/src/platform/replica_entry.rs
+++ b/src/platform/replica_entry.rs
@@ -30,7 +30,7 @@
         /// What is wrong with it.
         source: serde_json::Error,
     },
-    /// A name is empty where it must not be, too long, or can't stand in a header.
+    /// A name is empty where it must not be, too long, or can't stand in one line.
     #[snafu(display("the {what} is no name"))]
     Name {
         /// Whose name.
@@ -127,7 +127,7 @@
 /// Names stand in headers and in lines of the log.
 fn check_name(what: &'static str, name: &str) -> Result<(), EntryError> {
     let fits = (1..=MOST_NAME_BYTES).contains(&name.len());
-    if fits && name.bytes().all(|byte| byte.is_ascii_graphic()) {
+    if fits && !name.chars().any(char::is_control) {
         Ok(())
     } else {
         Err(EntryError::Name { what })
--- a/src/register/route_check.rs
+++ b/src/register/route_check.rs
@@ -84,8 +84,8 @@
     let mut named: FastMap<&str, &ServiceRule> = FastMap::default();
     for (index, service) in services.iter().enumerate() {
         let place = format!("service[{index}] {}", service.name);
-        if service.name.is_empty() {
-            let reason = "the name must not be empty".to_owned();
+        if service.name.is_empty() || has_line_break(&service.name) {
+            let reason = "the name must be one line that is not empty".to_owned();
             found.note(ResultCode::RegisterBadValue, place.clone(), reason);
         }
         if service
@@ -112,6 +112,10 @@
     found: &mut EntryFaults,
 ) {
     let mut note = |code, reason: String| found.note(code, place.to_owned(), reason);
+    if has_line_break(&rule.name) {
+        let reason = "the name must be one line";
+        note(ResultCode::RegisterBadValue, reason.to_owned());
+    }
     if rule.host.is_empty() {
         note(
             ResultCode::RegisterBadValue,
@@ -155,6 +159,11 @@
     }
 }
 
+/// Names stand in headers and in lines of the log.
+fn has_line_break(name: &str) -> bool {
+    name.chars().any(char::is_control)
+}
+
 /// Limits of zero would refuse every request.
 fn check_limits(limits: &CallerLimits, found: &mut EntryFaults) {
     let figures = [
--- a/tests/platform/config_content.rs
+++ b/tests/platform/config_content.rs
@@ -105,6 +105,12 @@
                 document["services"][2]["engine"]["kvTokens"] = 0.into()
             }),
         ),
+        (
+            "a route whose name ends a line of the log",
+            with(916, |document| {
+                moved_route(document)["name"] = "moved\nevent=ended request=q outcome=served".into();
+            }),
+        ),
         (
             "two different services of one name",
             with(915, |document| {
