--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -34,6 +34,10 @@
 /// The most replicas that a permit is asked for at once.
 const MOST_CANDIDATES: usize = 16;
 
+/// The rejections among the latest answers of a replica from which on it is taken to reject the next request, too, in
+/// thousandths.
+const REJECTS_SHARE: u64 = 500;
+
 /// What is wanted of a replica.
 #[derive(Clone, Debug)]
 pub struct DispatchAsk<'a> {
@@ -322,6 +326,15 @@
         }
     }
 
+    /// Whether each replica of a plain service that may be asked rejected most of what it was sent lately, so that waiting for one of
+    /// them is of no use.
+    pub fn rejects_all(&self, service: &str, now: Moment) -> bool {
+        let standings = self.standings.values();
+        let mut of_service =
+            standings.filter(|standing| &*standing.record.service == service && !standing.is_stopped(now));
+        of_service.all(|standing| standing.rejected_share >= REJECTS_SHARE)
+    }
+
     /// How long the fastest replica of a plain service takes for an answer, in milliseconds, as far as is known.
     pub fn answer_ms(&self, service: &str) -> u64 {
         let standings = self.standings.values();
--- a/src/controllers/dispatch/standing.rs
+++ b/src/controllers/dispatch/standing.rs
@@ -66,6 +66,8 @@
     pub paused_until: Moment,
     /// Own errors among the latest answers, in thousandths, smoothed.
     pub error_share: u64,
+    /// Rejections among the latest answers, in thousandths, smoothed.
+    pub rejected_share: u64,
 }
 
 impl ReplicaStanding {
@@ -81,6 +83,7 @@
             failures: 0,
             paused_until: Moment::default(),
             error_share: 0,
+            rejected_share: 0,
         }
     }
 
@@ -121,6 +124,13 @@
 
     /// Notes how a send ended; after a failure, until when the replica is passed over.
     pub fn note_outcome(&mut self, outcome: SendOutcome, now: Moment) -> Option<Moment> {
+        match outcome {
+            SendOutcome::Refused => self.rejected_share = smooth(self.rejected_share, 1_000),
+            SendOutcome::Served(_) | SendOutcome::Errored => {
+                self.rejected_share = smooth(self.rejected_share, 0)
+            }
+            SendOutcome::Failed | SendOutcome::Abandoned(_) => {}
+        }
         match outcome {
             SendOutcome::Served(elapsed_ms) => {
                 self.failures = 0;
--- a/src/gateway/rate_permit.rs
+++ b/src/gateway/rate_permit.rs
@@ -76,14 +76,23 @@
     }
 }
 
-/// By when a call has to go to be answered within its latency objective; one that is late already waits a little, too.
+/// By when a call has to go to be answered within its latency objective. One that is late already waits a little, and so does one
+/// whose replicas reject most of what they are sent: its turn would most likely bring another rejection.
 fn start_by(context: &GatewayContext, request: &CallerRequest) -> Moment {
+    let now = clock::now();
     let objective_ms = request.rule.latency_objective_ms;
-    let answer_ms = context.with_book(|book| book.answer_ms(&request.service));
-    let start_by = request
-        .received_at
-        .after_ms(objective_ms.saturating_sub(answer_ms));
-    let least = clock::now().after_ms(LEAST_PATIENCE_MS);
+    let (answer_ms, rejects_all) = context.with_book(|book| {
+        let service = &request.service;
+        (book.answer_ms(service), book.rejects_all(service, now))
+    });
+    let least = now.after_ms(LEAST_PATIENCE_MS);
+    let start_by = if rejects_all {
+        least
+    } else {
+        request
+            .received_at
+            .after_ms(objective_ms.saturating_sub(answer_ms))
+    };
     start_by.max(least).min(request.deadline)
 }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,6 +18,7 @@
 mod node;
 mod odd_entries;
 mod query_of_death;
+mod refusal_times;
 mod repeated_refusals;
 mod replica;
 mod replica_words;
