Try replicas again that were slow once, and those that were never asked

Callers: a plain replica whose answer took long once got nothing more while the others had room, however long that was ago; one that joined got nothing while the others took less than 20 ms. Calls of a crest then waited for fewer replicas than there were.

Ruled out from the code: lost or doubled news of a limit, and a late forgetting.

Cause: a call goes to the replica with the least expected time, and that time is only corrected by answers. Now it halves with each 32 calls to others of the service, a replica that nobody has asked included, and the answer after that counts whole. By calls and not by time, so that the part that goes to one which stays slow does not grow with the number of VMs.

--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::returns::{ReturnAsk, ReturnPlanner};
+use super::standing::UNKNOWN_ANSWER_MS;
 use super::{ReplicaStanding, SendOutcome};
 use crate::blackboard::{
     ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole, RequestRate, SharedRateLimits,
@@ -16,9 +17,6 @@
 /// What another zone costs a plain call, in milliseconds of waiting: its way there and back, and its price.
 const FAR_CALL_MS: u64 = 12;
 
-/// The time of a plain call at a replica of which nothing is known, in milliseconds.
-const UNKNOWN_ANSWER_MS: u64 = 20;
-
 /// What another zone costs a generation, in prompt tokens.
 const FAR_TOKENS: u64 = 150;
 
@@ -98,6 +96,8 @@
     /// Until when no permit is to be had for a replica that names a limit.
     no_permit_until: FastMap<ReplicaId, Moment>,
     returns: FastMap<Arc<str>, ReturnPlanner>,
+    /// How often a replica of each service was chosen.
+    choices: FastMap<Arc<str>, u64>,
     random: SmallRng,
 }
 
@@ -111,6 +111,7 @@
             limits: Arc::default(),
             no_permit_until: FastMap::default(),
             returns: FastMap::default(),
+            choices: FastMap::default(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -300,6 +301,10 @@
         evidence
     }
 
+    fn choices_of(&self, service: &str) -> u64 {
+        self.choices.get(service).copied().unwrap_or_default()
+    }
+
     fn cost(&self, standing: &ReplicaStanding, now: Moment) -> u64 {
         let is_far = standing.record.zone != self.zone;
         let pace = standing
@@ -309,10 +314,8 @@
             ReplicaRole::Plain => {
                 let slots = u64::from(standing.record.slots.max(1));
                 let ahead = u64::from(standing.expected_requests(now));
-                let answer_ms = match standing.answer_ms {
-                    0 => UNKNOWN_ANSWER_MS,
-                    known => known,
-                };
+                let choices = self.choices_of(&standing.record.service);
+                let answer_ms = standing.expected_answer_ms(choices);
                 // What does not fit into the slots waits for one of them.
                 let waiting = (ahead + 1).saturating_sub(slots);
                 let far_ms = if is_far { FAR_CALL_MS } else { 0 };
@@ -350,6 +353,9 @@
         if let Some(standing) = self.standings.get_mut(id) {
             standing.in_flight += 1;
             standing.pending_tokens += u64::from(tokens);
+            let choices = self.choices.entry(standing.record.service.clone()).or_default();
+            *choices += 1;
+            standing.note_choice(*choices);
         }
     }
 
--- a/src/controllers/dispatch/standing.rs
+++ b/src/controllers/dispatch/standing.rs
@@ -14,6 +14,15 @@
 /// The longest pause after failures, in milliseconds. A replica that comes back is found again within it.
 const LONGEST_PAUSE_MS: u64 = 3_200;
 
+/// The time of a plain call at a replica of which nothing is known, in milliseconds.
+pub const UNKNOWN_ANSWER_MS: u64 = 20;
+
+/// Choices of other replicas after which the time that one takes for an answer counts half.
+const CHOICES_A_HALVING: u64 = 32;
+
+/// The most such halvings.
+const MOST_HALVINGS: u64 = 16;
+
 /// Parts of a smoothed figure that the newest value replaces one of.
 const SMOOTHING: u64 = 4;
 
@@ -60,6 +69,10 @@
     load: Option<(ReplicaLoad, Moment)>,
     /// A smoothed time that it takes for an answer, in milliseconds; zero while unknown.
     pub answer_ms: u64,
+    /// The choice among the replicas of its service by which it was last sent something.
+    last_choice: u64,
+    /// Whether the time for an answer had faded then, so that the next answer's counts whole.
+    is_faded: bool,
     /// Failures since the last success.
     failures: u32,
     /// Until when it is passed over where others are left.
@@ -80,6 +93,8 @@
             pending_tokens: 0,
             load: None,
             answer_ms: 0,
+            last_choice: 0,
+            is_faded: false,
             failures: 0,
             paused_until: Moment::default(),
             error_share: 0,
@@ -102,6 +117,27 @@
         self.stop_at.is_some_and(|at| now.reached(at))
     }
 
+    /// How long it probably takes for an answer, in milliseconds, after so many choices among the replicas of its service. The time
+    /// fades while others are chosen, so that a replica which was slow once, or never asked, is tried.
+    pub fn expected_answer_ms(&self, choices: u64) -> u64 {
+        let answer_ms = match self.answer_ms {
+            0 => UNKNOWN_ANSWER_MS,
+            known => known,
+        };
+        (answer_ms >> self.halvings(choices)).max(1)
+    }
+
+    fn halvings(&self, choices: u64) -> u64 {
+        let passed_over = choices.saturating_sub(self.last_choice);
+        (passed_over / CHOICES_A_HALVING).min(MOST_HALVINGS)
+    }
+
+    /// Notes the choice by which it is sent something.
+    pub fn note_choice(&mut self, choice: u64) {
+        self.is_faded |= self.halvings(choice) > 0;
+        self.last_choice = choice;
+    }
+
     /// Notes a load that the replica reported.
     pub fn note_load(&mut self, load: ReplicaLoad, now: Moment) {
         self.load = Some((load, now.after_ms(LOAD_COUNTS_MS)));
@@ -135,7 +171,9 @@
             SendOutcome::Served(elapsed_ms) => {
                 self.failures = 0;
                 self.paused_until = Moment::default();
-                self.answer_ms = smooth(self.answer_ms, elapsed_ms.max(1));
+                let known_ms = if self.is_faded { 0 } else { self.answer_ms };
+                self.is_faded = false;
+                self.answer_ms = smooth(known_ms, elapsed_ms.max(1));
                 self.error_share = smooth(self.error_share, 0);
             }
             SendOutcome::Errored => {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod list_spread;
 mod node;
 mod odd_entries;
+mod placement;
 mod query_of_death;
 mod refusal_times;
 mod repeated_refusals;
