Wait longer for news of the configuration where many VMs are alive

Cause: each VM replaced its watch often enough to notice alone that it had fallen silent. Now six watches end in a second over all VMs, so one notices soon and its peers hear of it; a VM that can't rely on this, since its links to most neighbors fell silent together or its process was stopped, replaces its watch within 250 ms. After a change all but the readers of the list wait a second before they watch again.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -178,6 +178,8 @@
     pub list_lost_at: Option<Moment>,
     /// When this node, or a VM that it heard of, has last read the store.
     pub store_heard_at: Moment,
+    /// When this node's links to most of its neighbors last fell silent together, so that its other connections may be silent, too.
+    pub links_silent_at: Option<Moment>,
     /// The store's state as this process itself last read it; zero while it has not.
     pub store_revision: u64,
     /// Whether this VM orders engines to the other pool.
@@ -215,6 +217,7 @@
             list_revision: 0,
             list_lost_at: None,
             store_heard_at: Moment::default(),
+            links_silent_at: None,
             store_revision: 0,
             gives_orders: false,
             is_seed: false,
--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -1,6 +1,7 @@
 //! Which VMs read the platform's store. The list of replicas is read by a few, on behalf of all, since each call is counted and
 //! each change would otherwise cost a call of every VM. The configuration is watched by every VM: what a VM has to be sure of
-//! in time can't rest on others.
+//! in time can't rest on others. The watches end one after the other, so that some VM notices soon where they went silent, and
+//! tells the rest.
 
 use super::rendezvous::weight;
 use crate::prelude::*;
@@ -56,6 +57,18 @@
 /// The time over which nodes that begin together begin to watch, in milliseconds. Until then they go by what peers told them.
 const WATCH_SPREAD_MS: u64 = 1_500;
 
+/// Watches on the configuration that end in a second without news, over all VMs.
+const FLEET_ENDS_A_SECOND: u64 = 6;
+
+/// The shortest and the longest wait of a watch on the configuration, in milliseconds.
+const WATCH_RANGE_MS: (u64, u64) = (1_350, 25_000);
+
+/// How long a watch on the configuration waits where so many VMs are alive, in milliseconds; a fifth less or more, by lot.
+pub fn watch_wait_ms(live_vms: usize) -> u64 {
+    let (shortest_ms, longest_ms) = WATCH_RANGE_MS;
+    (live_vms as u64 * 1_000 / FLEET_ENDS_A_SECOND).clamp(shortest_ms, longest_ms)
+}
+
 /// Whether this node should watch the configuration. One that knows none reads it by the same turns as the list.
 pub fn watches_config(board: &Blackboard, now: Moment) -> bool {
     if board.register.revision == 0 {
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -5,6 +5,7 @@
 
 use super::RegisterSource;
 use super::message::PeerMessage;
+use super::readers::watch_wait_ms;
 use crate::blackboard::{Fingerprint, OfferFate, RefusedRevision, hash_parts};
 use crate::event_log::to_phrase;
 use crate::prelude::*;
@@ -19,8 +20,8 @@
 /// Peers that are remembered as having a wanted revision.
 const SOURCE_LIMIT: usize = 4;
 
-/// How long a reading of this node counts as up to date, in milliseconds: a wait for news and the time of an answer.
-const READ_KEEPS_MS: u64 = 2_600;
+/// How much longer than a usual wait for news a reading of this node counts as up to date, in milliseconds.
+const READ_MARGIN_MS: u64 = 2_000;
 
 /// How long a node that reads the service itself waits for its own reading before it asks a peer that has a later revision, in
 /// milliseconds: the store tells all at about the same time.
@@ -123,7 +124,7 @@
     fn offer(&mut self, stamp: RegisterStamp, text: &Arc<str>, source: &RegisterSource, turn: &mut Turn<'_>) {
         let revision = stamp.revision;
         let facts = &mut turn.board.register;
-        // The service had confirmed the one before until then, so this one is not older than that.
+        // The service or a peer had confirmed the one before until then, so this one is not older than that.
         let unconfirmed_ms = facts.fresh_until.until_ms(turn.now.after_ms(CONFIRMATION_MS));
         if *source == RegisterSource::Service && revision >= facts.revision {
             facts.fresh_until = turn.now.after_ms(CONFIRMATION_MS);
@@ -262,9 +263,10 @@
 
     /// Notes whether this node can read the service itself.
     fn set_reachable(&self, is_reachable: bool, turn: &mut Turn<'_>) {
+        let keeps_ms = watch_wait_ms(turn.board.live_view(turn.now).vms.len()) + READ_MARGIN_MS;
         let facts = &mut turn.board.register;
         if is_reachable {
-            facts.read_until = turn.now.after_ms(READ_KEEPS_MS);
+            facts.read_until = turn.now.after_ms(keeps_ms);
             let Some(since) = facts.unread_since.take() else {
                 return;
             };
--- a/src/platform/config_watch.rs
+++ b/src/platform/config_watch.rs
@@ -7,16 +7,29 @@
 use super::replica_watch::ListCheck;
 use super::store_follower::{StoreFollower, WatchPace, WatchSubject};
 use crate::controllers::RegisterSource;
+use crate::controllers::readers::watch_wait_ms;
 use crate::prelude::*;
 use crate::runtime::ControlHandle;
 
 /// Where the operator writes the configuration.
 const CONFIG_KEY: &str = "op/config";
 
-/// How the configuration is watched: a connection that went silent is replaced, and what it did not bring is read, within the
-/// three seconds after which a VM has to be up to date again.
+/// How long a VM that reads the list for others waits after a change before its next watch, in milliseconds.
+const READER_GATHER_MS: u64 = 250;
+
+/// How long the rest wait after a change before their next watch, in milliseconds. They hear of what follows from the readers.
+const GATHER_MS: u64 = 1_000;
+
+/// How the configuration is watched.
 const CONFIG_PACE: WatchPace = WatchPace {
-    wait_range_ms: (1_100, 1_600),
+    wait_ms: |snapshot| watch_wait_ms(snapshot.live_vms.len()),
+    gather_ms: |snapshot| {
+        if snapshot.reads_store {
+            READER_GATHER_MS
+        } else {
+            GATHER_MS
+        }
+    },
     answer_limit_ms: 1_000,
 };
 
--- a/src/platform/replica_watch.rs
+++ b/src/platform/replica_watch.rs
@@ -14,9 +14,16 @@
 use crate::prelude::*;
 use crate::runtime::ControlHandle;
 
+/// How long a watch of the list waits for news, in milliseconds.
+const LIST_WAIT_MS: u64 = 3_750;
+
+/// How long to wait after a change of the list before the next watch, in milliseconds.
+const LIST_GATHER_MS: u64 = 250;
+
 /// How the list of replicas is watched.
 const LIST_PACE: WatchPace = WatchPace {
-    wait_range_ms: (2_500, 5_000),
+    wait_ms: |_| LIST_WAIT_MS,
+    gather_ms: |_| LIST_GATHER_MS,
     answer_limit_ms: 1_500,
 };
 
--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::{Either, select};
 use rand::Rng;
 
 use super::store::{StoreClient, StoreError, StoreItem, StoreReading};
@@ -17,9 +18,11 @@
 /// How often a VM that does not read looks whether it should.
 const ROLE_EVERY: Duration = Duration::from_millis(200);
 
-/// How long to wait after changes before the next watch, in milliseconds, so that one call brings the changes that follow
-/// closely.
-const GATHER_MS: u64 = 250;
+/// How often a VM looks whether the connection of its watch may have gone silent.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// The part of a wait by which one may be shorter or longer, in percent, so that those of VMs which begin together part.
+const WAIT_SPREAD_PERCENT: u64 = 20;
 
 /// Items, or their changes, and between which states they tell all.
 pub struct FollowedReading {
@@ -51,8 +54,11 @@
 /// How long the calls of a watch take.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchPace {
-    /// The shortest and the longest wait, in milliseconds. A watch that was silently lost shows only at its end.
-    pub wait_range_ms: (u64, u64),
+    /// How long a watch waits, in milliseconds. One that was silently lost shows at its end, or by other signs.
+    pub wait_ms: fn(&Snapshot) -> u64,
+    /// How long to wait after changes before the next watch, in milliseconds, so that one call brings the changes that follow
+    /// closely.
+    pub gather_ms: fn(&Snapshot) -> u64,
     /// How long the store may take beyond the wait that a call asks for, in milliseconds: it answers in some milliseconds,
     /// and sixty times slower when it is troubled.
     pub answer_limit_ms: u64,
@@ -117,7 +123,8 @@
                     self.backoff.reset();
                     self.control.tell((self.subject.to_event)(true));
                     if !reading.items.is_empty() && !reading.is_whole {
-                        self.gather_until = clock::now().after_ms(GATHER_MS);
+                        let gather_ms = (self.subject.pace.gather_ms)(&self.control.snapshot());
+                        self.gather_until = clock::now().after_ms(gather_ms);
                     }
                     return reading;
                 }
@@ -141,18 +148,35 @@
         let since = self.content;
         let (reading, is_whole) = match self.cursor {
             None => (self.client.read_range(self.subject.prefix).await?, true),
-            Some(cursor) => {
-                let (shortest_ms, longest_ms) = self.subject.pace.wait_range_ms;
-                let wait_ms = rand::rng().random_range(shortest_ms..=longest_ms);
-                (
-                    self.client.watch(self.subject.prefix, cursor, wait_ms).await?,
-                    false,
-                )
-            }
+            Some(cursor) => (self.watch(cursor).await?, false),
         };
         self.cursor = Some(reading.revision);
         let reading = FollowedReading::new(reading, since, is_whole);
         self.content = reading.revision.max(since);
         Ok(reading)
     }
+
+    /// Watches, over a new connection where the one in use may have gone silent.
+    async fn watch(&mut self, cursor: u64) -> Result<StoreReading, StoreError> {
+        let usual_ms = (self.subject.pace.wait_ms)(&self.control.snapshot());
+        let spread_ms = usual_ms * WAIT_SPREAD_PERCENT / 100;
+        let wait_ms = rand::rng().random_range(usual_ms - spread_ms..=usual_ms + spread_ms);
+        loop {
+            let began_at = clock::now();
+            let watching = std::pin::pin!(self.client.watch(self.subject.prefix, cursor, wait_ms));
+            let doubting = std::pin::pin!(wait_for_doubt(&self.control, began_at));
+            match select(watching, doubting).await {
+                Either::Left((watched, _)) => return watched,
+                // What is dropped here takes its connection with it.
+                Either::Right(((), _)) => {}
+            }
+        }
+    }
+}
+
+/// Ends once a connection that was open at a moment may have gone silent since.
+async fn wait_for_doubt(control: &ControlHandle, opened_at: Moment) {
+    while !control.may_be_silent_since(opened_at) {
+        async_std::task::sleep(LOOK_EVERY).await;
+    }
 }
--- a/src/runtime/catch_up.rs
+++ b/src/runtime/catch_up.rs
@@ -44,6 +44,12 @@
         is_stop.then_some(passed_ms)
     }
 
+    /// When the process last ran again after a stop; the beginning where it never was stopped.
+    pub fn ran_again_at(&self) -> Moment {
+        let wait_until = self.wait_until.load(Ordering::SeqCst);
+        Moment(wait_until.saturating_sub(CATCH_UP_MS))
+    }
+
     /// Until when requests wait; `None` where the process has caught up.
     pub fn wait_until(&self, now: Moment) -> Option<Moment> {
         let latest = Moment(self.latest_turn.load(Ordering::SeqCst));
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -154,6 +154,13 @@
         }
     }
 
+    /// Whether connections that were open at a moment may have gone silent since: this process was stopped, or its links to most
+    /// of its neighbors fell silent together.
+    pub fn may_be_silent_since(&self, opened_at: Moment) -> bool {
+        let silent_at = self.snapshot().links_silent_at;
+        silent_at.is_some_and(|at| at > opened_at) || self.catch_up.ran_again_at() > opened_at
+    }
+
     /// Whether this process has read what its peers told it, as far as it knows.
     pub fn has_caught_up(&self) -> bool {
         self.catch_up.wait_until(clock::now()).is_none()
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -43,6 +43,8 @@
     pub reads_store: bool,
     /// Whether this VM should watch the configuration there.
     pub watches_config: bool,
+    /// When this VM's links to most of its neighbors last fell silent together.
+    pub links_silent_at: Option<Moment>,
     /// What this process says of itself on a new link.
     pub introduction: VmIntroduction,
     /// All VMs that are taken for alive, this one too.
@@ -79,6 +81,7 @@
             list_lost_at: board.list_lost_at,
             reads_store: reads_store(board, now),
             watches_config: watches_config(board, now),
+            links_silent_at: board.links_silent_at,
             introduction: board.introduction(),
             live_vms: view.vms.clone(),
             known_vms: board.vms.len() + 1,
