Try slow replicas more rarely the longer they stay slow

Now a replica is tried after 32 choices of others, and after twice as many, 1,024 at most, each time that it was no faster than half of what was known; one that was is taken at its new time.

--- a/src/controllers/dispatch/standing.rs
+++ b/src/controllers/dispatch/standing.rs
@@ -17,11 +17,11 @@
 /// The time of a plain call at a replica of which nothing is known, in milliseconds.
 pub const UNKNOWN_ANSWER_MS: u64 = 20;
 
-/// Choices of other replicas after which the time that one takes for an answer counts half.
-const CHOICES_A_HALVING: u64 = 32;
+/// Choices of others after which a replica is tried, whatever is known of it; twice as many after each try that was slow again.
+const FIRST_TRY_AFTER: u64 = 32;
 
-/// The most such halvings.
-const MOST_HALVINGS: u64 = 16;
+/// The most choices of others before the next try.
+const LAST_TRY_AFTER: u64 = 1_024;
 
 /// Parts of a smoothed figure that the newest value replaces one of.
 const SMOOTHING: u64 = 4;
@@ -71,8 +71,10 @@
     pub answer_ms: u64,
     /// The choice among the replicas of its service by which it was last sent something.
     last_choice: u64,
-    /// Whether the time for an answer had faded then, so that the next answer's counts whole.
-    is_faded: bool,
+    /// Choices of others after which it is tried.
+    try_after: u64,
+    /// Whether what it was sent last was such a try.
+    is_tried: bool,
     /// Failures since the last success.
     failures: u32,
     /// Until when it is passed over where others are left.
@@ -94,7 +96,8 @@
             load: None,
             answer_ms: 0,
             last_choice: 0,
-            is_faded: false,
+            try_after: FIRST_TRY_AFTER,
+            is_tried: false,
             failures: 0,
             paused_until: Moment::default(),
             error_share: 0,
@@ -117,27 +120,39 @@
         self.stop_at.is_some_and(|at| now.reached(at))
     }
 
-    /// How long it probably takes for an answer, in milliseconds, after so many choices among the replicas of its service. The time
-    /// fades while others are chosen, so that a replica which was slow once, or never asked, is tried.
+    /// How long it probably takes for an answer, in milliseconds, after so many choices among the replicas of its service; one that
+    /// is due to be tried goes first.
     pub fn expected_answer_ms(&self, choices: u64) -> u64 {
-        let answer_ms = match self.answer_ms {
+        match self.answer_ms {
+            _ if self.is_due(choices) => 1,
             0 => UNKNOWN_ANSWER_MS,
             known => known,
-        };
-        (answer_ms >> self.halvings(choices)).max(1)
+        }
     }
 
-    fn halvings(&self, choices: u64) -> u64 {
-        let passed_over = choices.saturating_sub(self.last_choice);
-        (passed_over / CHOICES_A_HALVING).min(MOST_HALVINGS)
+    fn is_due(&self, choices: u64) -> bool {
+        choices.saturating_sub(self.last_choice) >= self.try_after
     }
 
     /// Notes the choice by which it is sent something.
     pub fn note_choice(&mut self, choice: u64) {
-        self.is_faded |= self.halvings(choice) > 0;
+        self.is_tried |= self.is_due(choice);
         self.last_choice = choice;
     }
 
+    /// Notes how long a try took: one that took less than half of what was known replaces it.
+    fn note_try(&mut self, elapsed_ms: u64) {
+        if !std::mem::take(&mut self.is_tried) {
+            return;
+        }
+        if self.answer_ms == 0 || elapsed_ms * 2 < self.answer_ms {
+            self.try_after = FIRST_TRY_AFTER;
+            self.answer_ms = 0;
+        } else {
+            self.try_after = (self.try_after * 2).min(LAST_TRY_AFTER);
+        }
+    }
+
     /// Notes a load that the replica reported.
     pub fn note_load(&mut self, load: ReplicaLoad, now: Moment) {
         self.load = Some((load, now.after_ms(LOAD_COUNTS_MS)));
@@ -171,16 +186,18 @@
             SendOutcome::Served(elapsed_ms) => {
                 self.failures = 0;
                 self.paused_until = Moment::default();
-                let known_ms = if self.is_faded { 0 } else { self.answer_ms };
-                self.is_faded = false;
-                self.answer_ms = smooth(known_ms, elapsed_ms.max(1));
+                self.note_try(elapsed_ms);
+                self.answer_ms = smooth(self.answer_ms, elapsed_ms.max(1));
                 self.error_share = smooth(self.error_share, 0);
             }
             SendOutcome::Errored => {
                 self.failures = 0;
                 self.error_share = smooth(self.error_share, 1_000);
             }
-            SendOutcome::Abandoned(elapsed_ms) => self.answer_ms = self.answer_ms.max(elapsed_ms),
+            SendOutcome::Abandoned(elapsed_ms) => {
+                self.answer_ms = self.answer_ms.max(elapsed_ms);
+                self.note_try(elapsed_ms);
+            }
             SendOutcome::Refused => {}
             SendOutcome::Failed => {
                 let span_ms = (FIRST_PAUSE_MS << self.failures.min(8)).min(LONGEST_PAUSE_MS);
