Spread the waits of watches evenly, so that those which begin together part

Cause: all VMs begin a watch after a change, and each waited 0.8 to 1.2 of the same time, so that the first of them ended after 1.6 s at 12 VMs, and would after 14 s at 110, where one was to notice within about a second that something was missed. Now a wait lies anywhere between 1.35 s and twice the mean less that, so the first of many ends soon after 1.35 s.

--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -60,13 +60,15 @@
 /// Watches on the configuration that end in a second without news, over all VMs.
 const FLEET_ENDS_A_SECOND: u64 = 6;
 
-/// The shortest and the longest wait of a watch on the configuration, in milliseconds.
+/// The shortest wait of a watch on the configuration, and the longest mean one, in milliseconds.
 const WATCH_RANGE_MS: (u64, u64) = (1_350, 25_000);
 
-/// How long a watch on the configuration waits where so many VMs are alive, in milliseconds; a fifth less or more, by lot.
-pub fn watch_wait_ms(live_vms: usize) -> u64 {
+/// The shortest and the longest wait of a watch on the configuration where so many VMs are alive, in milliseconds. They are far
+/// apart, since all VMs begin a watch after each change.
+pub fn watch_range_ms(live_vms: usize) -> (u64, u64) {
     let (shortest_ms, longest_ms) = WATCH_RANGE_MS;
-    (live_vms as u64 * 1_000 / FLEET_ENDS_A_SECOND).clamp(shortest_ms, longest_ms)
+    let mean_ms = (live_vms as u64 * 1_000 / FLEET_ENDS_A_SECOND).clamp(shortest_ms, longest_ms);
+    (shortest_ms, 2 * mean_ms - shortest_ms)
 }
 
 /// Whether this node should watch the configuration. One that knows none reads it by the same turns as the list.
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -5,7 +5,7 @@
 
 use super::RegisterSource;
 use super::message::PeerMessage;
-use super::readers::watch_wait_ms;
+use super::readers::watch_range_ms;
 use crate::blackboard::{Fingerprint, OfferFate, RefusedRevision, hash_parts};
 use crate::event_log::to_phrase;
 use crate::prelude::*;
@@ -20,7 +20,7 @@
 /// Peers that are remembered as having a wanted revision.
 const SOURCE_LIMIT: usize = 4;
 
-/// How much longer than a usual wait for news a reading of this node counts as up to date, in milliseconds.
+/// How much longer than the longest wait for news a reading of this node counts as up to date, in milliseconds.
 const READ_MARGIN_MS: u64 = 2_000;
 
 /// How long a node that reads the service itself waits for its own reading before it asks a peer that has a later revision, in
@@ -263,7 +263,8 @@
 
     /// Notes whether this node can read the service itself.
     fn set_reachable(&self, is_reachable: bool, turn: &mut Turn<'_>) {
-        let keeps_ms = watch_wait_ms(turn.board.live_view(turn.now).vms.len()) + READ_MARGIN_MS;
+        let (_, longest_ms) = watch_range_ms(turn.board.live_view(turn.now).vms.len());
+        let keeps_ms = longest_ms + READ_MARGIN_MS;
         let facts = &mut turn.board.register;
         if is_reachable {
             facts.read_until = turn.now.after_ms(keeps_ms);
--- a/src/platform/config_watch.rs
+++ b/src/platform/config_watch.rs
@@ -7,7 +7,7 @@
 use super::replica_watch::ListCheck;
 use super::store_follower::{StoreFollower, WatchPace, WatchSubject};
 use crate::controllers::RegisterSource;
-use crate::controllers::readers::watch_wait_ms;
+use crate::controllers::readers::watch_range_ms;
 use crate::prelude::*;
 use crate::runtime::ControlHandle;
 
@@ -22,7 +22,7 @@
 
 /// How the configuration is watched.
 const CONFIG_PACE: WatchPace = WatchPace {
-    wait_ms: |snapshot| watch_wait_ms(snapshot.live_vms.len()),
+    wait_range_ms: |snapshot| watch_range_ms(snapshot.live_vms.len()),
     gather_ms: |snapshot| {
         if snapshot.reads_store {
             READER_GATHER_MS
--- a/src/platform/replica_watch.rs
+++ b/src/platform/replica_watch.rs
@@ -14,15 +14,15 @@
 use crate::prelude::*;
 use crate::runtime::ControlHandle;
 
-/// How long a watch of the list waits for news, in milliseconds.
-const LIST_WAIT_MS: u64 = 3_750;
+/// The shortest and the longest wait of a watch of the list, in milliseconds.
+const LIST_WAIT_MS: (u64, u64) = (3_000, 4_500);
 
 /// How long to wait after a change of the list before the next watch, in milliseconds.
 const LIST_GATHER_MS: u64 = 250;
 
 /// How the list of replicas is watched.
 const LIST_PACE: WatchPace = WatchPace {
-    wait_ms: |_| LIST_WAIT_MS,
+    wait_range_ms: |_| LIST_WAIT_MS,
     gather_ms: |_| LIST_GATHER_MS,
     answer_limit_ms: 1_500,
 };
--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -21,9 +21,6 @@
 /// How often a VM looks whether the connection of its watch may have gone silent.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
-/// The part of a wait by which one may be shorter or longer, in percent, so that those of VMs which begin together part.
-const WAIT_SPREAD_PERCENT: u64 = 20;
-
 /// Items, or their changes, and between which states they tell all.
 pub struct FollowedReading {
     pub items: Vec<StoreItem>,
@@ -54,8 +51,8 @@
 /// How long the calls of a watch take.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchPace {
-    /// How long a watch waits, in milliseconds. One that was silently lost shows at its end, or by other signs.
-    pub wait_ms: fn(&Snapshot) -> u64,
+    /// The shortest and the longest wait, in milliseconds. A watch that was silently lost shows at its end, or by other signs.
+    pub wait_range_ms: fn(&Snapshot) -> (u64, u64),
     /// How long to wait after changes before the next watch, in milliseconds, so that one call brings the changes that follow
     /// closely.
     pub gather_ms: fn(&Snapshot) -> u64,
@@ -158,9 +155,8 @@
 
     /// Watches, over a new connection where the one in use may have gone silent.
     async fn watch(&mut self, cursor: u64) -> Result<StoreReading, StoreError> {
-        let usual_ms = (self.subject.pace.wait_ms)(&self.control.snapshot());
-        let spread_ms = usual_ms * WAIT_SPREAD_PERCENT / 100;
-        let wait_ms = rand::rng().random_range(usual_ms - spread_ms..=usual_ms + spread_ms);
+        let (shortest_ms, longest_ms) = (self.subject.pace.wait_range_ms)(&self.control.snapshot());
+        let wait_ms = rand::rng().random_range(shortest_ms..=longest_ms);
         loop {
             let began_at = clock::now();
             let watching = std::pin::pin!(self.client.watch(self.subject.prefix, cursor, wait_ms));
