--- a/tests/back_off.rs
+++ b/tests/back_off.rs
@@ -1,51 +1,20 @@
 //! Replicas that want nothing from this node for a while, and replicas that say that they leave: the decisions alone.
 
-use std::net::SocketAddr;
+mod plain_desk;
+
 use std::sync::Arc;
 
-use dotterelspan::blackboard::{Blackboard, OwnIdentity, ReplicaFacts, ReplicaRecord, ReplicaRole};
+use dotterelspan::blackboard::{Blackboard, OwnIdentity, ReplicaRecord, ReplicaRole};
 use dotterelspan::clock::Moment;
 use dotterelspan::controllers::discovery::{DiscoveryController, ReplicaUpdate};
-use dotterelspan::controllers::dispatch::{DispatchAsk, DispatchBook, DispatchChoice};
+use dotterelspan::controllers::dispatch::DispatchChoice;
 use dotterelspan::controllers::{ControlCore, Event};
-
-const ASK: DispatchAsk<'static> = DispatchAsk {
-    service: "desk",
-    role: ReplicaRole::Plain,
-    avoid: &[],
-};
-
-fn record(id: &str, started_epoch_ms: u64) -> ReplicaRecord {
-    ReplicaRecord {
-        id: id.into(),
-        started_epoch_ms,
-        service: "desk".into(),
-        role: ReplicaRole::Plain,
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        zone: "a".into(),
-        slots: 4,
-        is_draining: false,
-    }
-}
-
-fn facts(id: &str, started_epoch_ms: u64) -> ReplicaFacts {
-    ReplicaFacts {
-        record: Arc::new(record(id, started_epoch_ms)),
-        stop_at: None,
-        is_listed: true,
-    }
-}
-
-fn book(replicas: &[ReplicaFacts]) -> DispatchBook {
-    let mut book = DispatchBook::new("a".into(), 1);
-    book.replace(replicas.iter(), Moment(0));
-    book
-}
+use plain_desk::{ASK, book, facts, record};
 
 #[test]
 fn a_replica_is_left_alone_until_its_back_off_ends() {
     let replicas = [facts("i-1", 1), facts("i-2", 1)];
-    let mut book = book(&replicas);
+    let mut book = book(&replicas, Moment(0));
     book.note_back_off(&replicas[0].record, Moment(1_000));
     // A shorter one that comes later takes nothing back.
     book.note_back_off(&replicas[0].record, Moment(500));
@@ -66,7 +35,7 @@
 #[test]
 fn a_back_off_outlasts_a_gap_in_the_list_and_not_a_restart() {
     let replicas = [facts("i-1", 1)];
-    let mut book = book(&replicas);
+    let mut book = book(&replicas, Moment(0));
     book.note_back_off(&replicas[0].record, Moment(1_000));
     book.replace([].iter(), Moment(100));
     book.replace(replicas.iter(), Moment(200));
@@ -81,7 +50,7 @@
     let mut leaving = facts("i-1", 1);
     leaving.stop_at = Some(Moment(500));
     let replicas = [leaving, facts("i-2", 1), facts("i-3", 1)];
-    let mut book = book(&replicas);
+    let mut book = book(&replicas, Moment(0));
     assert!(book.withheld("desk", Moment(499)).is_empty());
     book.note_back_off(&replicas[1].record, Moment(2_000));
     let mut withheld = book.withheld("desk", Moment(500));
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,17 +1,11 @@
 //! Which replica of a plain service a call goes to, as its answers take longer or shorter: the decisions alone.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+mod plain_desk;
 
-use dotterelspan::blackboard::{ReplicaFacts, ReplicaId, ReplicaRecord, ReplicaRole};
+use dotterelspan::blackboard::ReplicaId;
 use dotterelspan::clock::Moment;
-use dotterelspan::controllers::dispatch::{DispatchAsk, DispatchBook, DispatchChoice, SendOutcome};
-
-const ASK: DispatchAsk<'static> = DispatchAsk {
-    service: "desk",
-    role: ReplicaRole::Plain,
-    avoid: &[],
-};
+use dotterelspan::controllers::dispatch::{DispatchBook, DispatchChoice, SendOutcome};
+use plain_desk::{ASK, book, facts};
 
 /// A usual answer, and one that is slow.
 const USUAL_MS: u64 = 10;
@@ -26,24 +20,8 @@
 /// The most calls of those that may go to one that stays slow: one in 50.
 const MOST_SLOW: usize = CALLS / 50;
 
-fn book() -> DispatchBook {
-    let facts = ["i-1", "i-2", "i-3"].map(|id| ReplicaFacts {
-        record: Arc::new(ReplicaRecord {
-            id: id.into(),
-            started_epoch_ms: 1,
-            service: "desk".into(),
-            role: ReplicaRole::Plain,
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            zone: "a".into(),
-            slots: 4,
-            is_draining: false,
-        }),
-        stop_at: None,
-        is_listed: true,
-    });
-    let mut book = DispatchBook::new("a".into(), 1);
-    book.replace(facts.iter(), Moment(0));
-    book
+fn desk_book() -> DispatchBook {
+    book(&["i-1", "i-2", "i-3"].map(|id| facts(id, 1)), Moment(0))
 }
 
 /// Makes calls one after the other and says which replica each went to; `answer_ms` says how long one takes.
@@ -62,7 +40,7 @@
 
 #[test]
 fn a_replica_that_was_slow_once_is_tried_again() {
-    let mut book = book();
+    let mut book = desk_book();
     book.begin(&"i-1".into(), 0);
     book.finish(&"i-1".into(), 0, SendOutcome::Served(SLOW_MS), Moment(0));
     let chosen = call(&mut book, |_| USUAL_MS);
@@ -74,7 +52,7 @@
 
 #[test]
 fn a_replica_that_stays_slow_gets_few_calls() {
-    let mut book = book();
+    let mut book = desk_book();
     let chosen = call(&mut book, |id| if id == "i-1" { SLOW_MS } else { USUAL_MS });
     let slow = chosen.iter().filter(|id| &***id == "i-1").count();
     assert!((1..=MOST_SLOW).contains(&slow), "{slow}");
--- /dev/null
+++ b/tests/plain_desk/mod.rs
@@ -0,0 +1,41 @@
+//! Replicas of a plain service and the book that chooses among them, for tests of the decisions alone.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dotterelspan::blackboard::{ReplicaFacts, ReplicaRecord, ReplicaRole};
+use dotterelspan::clock::Moment;
+use dotterelspan::controllers::dispatch::{DispatchAsk, DispatchBook};
+
+pub const ASK: DispatchAsk<'static> = DispatchAsk {
+    service: "desk",
+    role: ReplicaRole::Plain,
+    avoid: &[],
+};
+
+pub fn record(id: &str, started_epoch_ms: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.into(),
+        started_epoch_ms,
+        service: "desk".into(),
+        role: ReplicaRole::Plain,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "a".into(),
+        slots: 4,
+        is_draining: false,
+    }
+}
+
+pub fn facts(id: &str, started_epoch_ms: u64) -> ReplicaFacts {
+    ReplicaFacts {
+        record: Arc::new(record(id, started_epoch_ms)),
+        stop_at: None,
+        is_listed: true,
+    }
+}
+
+pub fn book(replicas: &[ReplicaFacts], now: Moment) -> DispatchBook {
+    let mut book = DispatchBook::new("a".into(), 1);
+    book.replace(replicas.iter(), now);
+    book
+}
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -1,17 +1,17 @@
 //! Limits that replicas name: which statement counts, what an owner lets go, where calls go, and when callers come back. The
 //! decisions alone, on a clock of their own.
 
-use std::net::SocketAddr;
+mod plain_desk;
+
 use std::sync::Arc;
 
-use dotterelspan::blackboard::{
-    RateLimit, RateLimitMap, ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole, RequestRate,
-};
+use dotterelspan::blackboard::{RateLimit, RateLimitMap, ReplicaFacts, ReplicaId, ReplicaLoad, RequestRate};
 use dotterelspan::controllers::dispatch::{
-    DispatchAsk, DispatchBook, DispatchChoice, ReturnAsk, ReturnPlanner, SendOutcome,
+    DispatchBook, DispatchChoice, ReturnAsk, ReturnPlanner, SendOutcome,
 };
 use dotterelspan::controllers::rate_limits::{LimitChange, LimitRecord, LimitTable, OwnerView, RateDesk};
 use dotterelspan::prelude::*;
+use plain_desk::{ASK, book, facts};
 use proptest::prelude::*;
 
 /// An owner that sees all other VMs.
@@ -258,33 +258,8 @@
     assert_eq!(desk.rate(&new, LATER), rate(100.0));
 }
 
-fn facts(id: &str) -> ReplicaFacts {
-    let record = ReplicaRecord {
-        id: id.into(),
-        started_epoch_ms: 1,
-        service: "desk".into(),
-        role: ReplicaRole::Plain,
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        zone: "a".into(),
-        slots: 4,
-        is_draining: false,
-    };
-    ReplicaFacts {
-        record: Arc::new(record),
-        stop_at: None,
-        is_listed: true,
-    }
-}
-
-const ASK: DispatchAsk<'static> = DispatchAsk {
-    service: "desk",
-    role: ReplicaRole::Plain,
-    avoid: &[],
-};
-
-fn book(replicas: &[ReplicaFacts], limits: &[(&str, f64)]) -> DispatchBook {
-    let mut book = DispatchBook::new("a".into(), 1);
-    book.replace(replicas.iter(), LATER);
+fn limited_book(replicas: &[ReplicaFacts], limits: &[(&str, f64)]) -> DispatchBook {
+    let mut book = book(replicas, LATER);
     let limits: RateLimitMap = limits
         .iter()
         .map(|(id, per_second)| (ReplicaId::from(*id), limit(*per_second, LATER)))
@@ -305,8 +280,8 @@
 
 #[test]
 fn replicas_without_a_limit_go_first_while_they_have_slots_free() {
-    let replicas = [facts("i-1"), facts("i-2")];
-    let mut book = book(&replicas, &[("i-1", 5.0)]);
+    let replicas = [facts("i-1", 1), facts("i-2", 1)];
+    let mut book = limited_book(&replicas, &[("i-1", 5.0)]);
     let free = DispatchChoice::Free(replicas[1].record.clone());
     fill(&mut book, "i-2", 3);
     assert_eq!(book.choose(&ASK, LATER), Some(free.clone()));
@@ -320,8 +295,8 @@
 
 #[test]
 fn a_replica_that_names_a_limit_goes_before_one_that_is_much_slower() {
-    let replicas = [facts("i-1"), facts("i-2")];
-    let mut book = book(&replicas, &[("i-1", 5.0)]);
+    let replicas = [facts("i-1", 1), facts("i-2", 1)];
+    let mut book = limited_book(&replicas, &[("i-1", 5.0)]);
     for (id, answer_ms) in [("i-1", 20), ("i-2", 50)] {
         book.finish(&id.into(), 0, SendOutcome::Served(answer_ms), LATER);
     }
@@ -340,8 +315,8 @@
 
 #[test]
 fn a_replica_that_takes_nothing_is_not_asked_for() {
-    let replicas = [facts("i-1")];
-    let mut book = book(&replicas, &[("i-1", 0.0)]);
+    let replicas = [facts("i-1", 1)];
+    let mut book = limited_book(&replicas, &[("i-1", 0.0)]);
     assert_eq!(book.choose(&ASK, LATER), None);
     let asker = ReturnAsk {
         request_id: "q-1",
