Use the field's terms in comments of streams, readings and drains

Also tells the time for which a look waits from the longest that a hop takes to close: both had the same words and different values. Comments only.

--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -15,7 +15,7 @@
 /// How long a look at a replica may take, in milliseconds: a round trip between zones, a few times.
 const LOOK_LIMIT_MS: u64 = 40;
 
-/// How long a hop takes to close a connection for which it has no other end, in milliseconds.
+/// How long a look waits for its connection to be closed, in milliseconds.
 const CLOSE_LIMIT_MS: u64 = 5;
 
 /// A send of which the connection was lost.
--- a/src/gateway/stream_order.rs
+++ b/src/gateway/stream_order.rs
@@ -1,4 +1,4 @@
-//! The ids of a stream's events: what a replica may send that goes on with a stream which another one began.
+//! The ids of a stream's events: which events a replica may send that resumes a stream of another one.
 
 /// The events that a caller was sent.
 #[derive(Debug, Default)]
@@ -26,8 +26,8 @@
         }
     }
 
-    /// Takes whole events of a replica that goes on with the stream. Takes none, and says so, where one of them has no id or is
-    /// not the one that is due.
+    /// Takes whole events of a replica that resumes the stream. Takes none, and returns false, where one of them has no id or an id
+    /// out of sequence.
     pub fn take_next(&mut self, events: &[u8]) -> bool {
         let mut last = self.last;
         for id in event_ids(events) {
--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -21,20 +21,20 @@
 /// How often a VM looks whether the connection of its watch may have gone silent.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
-/// Items, or their changes, and between which states they tell all.
+/// All items, or the changes between two revisions.
 pub struct FollowedReading {
     pub items: Vec<StoreItem>,
     pub is_whole: bool,
-    /// The state from which on changes are told; zero for a whole reading.
+    /// The revision that the changes follow; zero for a full read.
     pub since: u64,
-    /// The state up to which all is told: that of the last change, which is the same for all that read it.
+    /// The revision of the last change, which is the same for all that read it.
     pub revision: u64,
-    /// The store's own state as it answered.
+    /// The store's own revision as it answered.
     pub store_revision: u64,
 }
 
 impl FollowedReading {
-    /// A whole reading, or the changes since a state.
+    /// A full read, or the changes since a revision.
     pub fn new(reading: StoreReading, since: u64, is_whole: bool) -> Self {
         // The store's own state moves on with items of other prefixes too; that of the last change is the same for all.
         let last_change = reading.items.iter().map(|item| item.revision).max();
--- a/tests/platform/list_spread.rs
+++ b/tests/platform/list_spread.rs
@@ -12,7 +12,7 @@
 const NODES: usize = 12;
 const READERS: usize = 6;
 
-/// By when after the store has its word a leaving replica gets nothing new.
+/// By when after the write of its entry a draining replica gets no new requests.
 const DRAINED_WITHIN: Duration = Duration::from_millis(2_000);
 
 /// How long a test waits beyond that.
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -354,7 +354,7 @@
         self.refusal_copies.load(Ordering::Relaxed)
     }
 
-    /// Says something else of its load from now on.
+    /// Reports another load in later answers.
     pub fn set_load(&self, text: &str) {
         *self.load.lock().expect("no holder panics") = text.to_owned();
     }
