Decide once which connections are watched, and do less in each choice and probe

No behavior changes. Calls and engines had the same condition for a watched connection twice; a choice among replicas looked up the count of choices for each of them; an outcome was matched twice; each probe turn made the view of live VMs also where no link was silent; and names of routes and of replicas were checked for one line in two places.

--- a/src/controllers/dispatch/book.rs
+++ b/src/controllers/dispatch/book.rs
@@ -243,6 +243,7 @@
         let mut free: Option<(ChoiceRank, Arc<ReplicaRecord>)> = None;
         let mut limited: Vec<(ChoiceRank, ReplicaId)> = Vec::new();
         let has_limits = self.has_limits(ask.service);
+        let choices = self.choices.get(ask.service).copied().unwrap_or_default();
         for standing in self.standings.values() {
             let record = &standing.record;
             let is_fit = &*record.service == ask.service
@@ -257,7 +258,7 @@
             let mut rank = ChoiceRank {
                 reserve: u8::from(is_paused) + 2 * u8::from(standing.stop_at.is_some()),
                 is_second: has_limits && standing.expected_requests(now) >= record.slots,
-                cost: self.cost(standing, now),
+                cost: self.cost(standing, choices, now),
                 draw: self.random.random(),
             };
             match self.limit(record) {
@@ -301,11 +302,8 @@
         evidence
     }
 
-    fn choices_of(&self, service: &str) -> u64 {
-        self.choices.get(service).copied().unwrap_or_default()
-    }
-
-    fn cost(&self, standing: &ReplicaStanding, now: Moment) -> u64 {
+    /// What a request costs at a replica, after so many choices among those of its service.
+    fn cost(&self, standing: &ReplicaStanding, choices: u64, now: Moment) -> u64 {
         let is_far = standing.record.zone != self.zone;
         let pace = standing
             .load(now)
@@ -314,7 +312,6 @@
             ReplicaRole::Plain => {
                 let slots = u64::from(standing.record.slots.max(1));
                 let ahead = u64::from(standing.expected_requests(now));
-                let choices = self.choices_of(&standing.record.service);
                 let answer_ms = standing.expected_answer_ms(choices);
                 // What does not fit into the slots waits for one of them.
                 let waiting = (ahead + 1).saturating_sub(slots);
--- a/src/controllers/dispatch/standing.rs
+++ b/src/controllers/dispatch/standing.rs
@@ -175,13 +175,6 @@
 
     /// Notes how a send ended; after a failure, until when the replica is passed over.
     pub fn note_outcome(&mut self, outcome: SendOutcome, now: Moment) -> Option<Moment> {
-        match outcome {
-            SendOutcome::Refused => self.rejected_share = smooth(self.rejected_share, 1_000),
-            SendOutcome::Served(_) | SendOutcome::Errored => {
-                self.rejected_share = smooth(self.rejected_share, 0)
-            }
-            SendOutcome::Failed | SendOutcome::Abandoned(_) => {}
-        }
         match outcome {
             SendOutcome::Served(elapsed_ms) => {
                 self.failures = 0;
@@ -189,16 +182,18 @@
                 self.note_try(elapsed_ms);
                 self.answer_ms = smooth(self.answer_ms, elapsed_ms.max(1));
                 self.error_share = smooth(self.error_share, 0);
+                self.rejected_share = smooth(self.rejected_share, 0);
             }
             SendOutcome::Errored => {
                 self.failures = 0;
                 self.error_share = smooth(self.error_share, 1_000);
+                self.rejected_share = smooth(self.rejected_share, 0);
             }
             SendOutcome::Abandoned(elapsed_ms) => {
                 self.answer_ms = self.answer_ms.max(elapsed_ms);
                 self.note_try(elapsed_ms);
             }
-            SendOutcome::Refused => {}
+            SendOutcome::Refused => self.rejected_share = smooth(self.rejected_share, 1_000),
             SendOutcome::Failed => {
                 let span_ms = (FIRST_PAUSE_MS << self.failures.min(8)).min(LONGEST_PAUSE_MS);
                 self.failures += 1;
--- a/src/controllers/membership/mod.rs
+++ b/src/controllers/membership/mod.rs
@@ -263,8 +263,8 @@
             .filter(|(_, sent_at)| turn.now.reached(sent_at.after_ms(SILENCE_LIMIT_MS)))
             .map(|(name, _)| name.clone())
             .collect();
-        let neighbors = turn.board.live_view(turn.now).neighbors.len();
-        if !silent.is_empty() && silent.len() * 2 >= neighbors {
+        let is_most = |turn: &Turn<'_>| silent.len() * 2 >= turn.board.live_view(turn.now).neighbors.len();
+        if !silent.is_empty() && is_most(turn) {
             turn.board.links_silent_at = Some(turn.now);
         }
         for name in silent {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -7,7 +7,7 @@
 use super::loss::{LostSend, RunStage, report_loss};
 use super::rate_permit::exchange_permitted;
 use super::relay::note_broken;
-use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest};
+use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest, needs_watch};
 use super::verdict::{AnswerVerdict, judge, verdict_word};
 use super::{GatewayContext, SendOrder, SendPurpose};
 use crate::blackboard::ReplicaId;
@@ -56,12 +56,9 @@
         permit,
         rate_permit,
     } = leave;
-    let is_unproven = context
-        .unproven_losses
-        .contains(request.fingerprint, clock::now());
     let choice = match request.rule.kind {
         // What ends with a new connection ends with its request, and not before.
-        _ if permit.is_careful() || is_unproven => ConnectionChoice::Watched,
+        _ if needs_watch(context, request, &permit) => ConnectionChoice::Watched,
         RouteKind::Idempotent => ConnectionChoice::Kept,
         RouteKind::RunOnce | RouteKind::Stream { .. } => ConnectionChoice::Proven,
     };
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -172,16 +172,19 @@
     }
 }
 
-/// A connection for one request to an engine: watched where the request is suspected, or was lost where nobody may have been.
+/// Whether the connection of a request is to be watched: the request is suspected, or was lost where nobody may have been.
+pub fn needs_watch(context: &GatewayContext, request: &CallerRequest, permit: &RunPermit) -> bool {
+    let losses = &context.unproven_losses;
+    permit.is_careful() || losses.contains(request.fingerprint, clock::now())
+}
+
+/// A connection for one request to an engine.
 pub fn single_connection(
     context: &GatewayContext,
     request: &CallerRequest,
     permit: &RunPermit,
 ) -> ConnectionChoice {
-    let is_unproven = context
-        .unproven_losses
-        .contains(request.fingerprint, clock::now());
-    if permit.is_careful() || is_unproven {
+    if needs_watch(context, request, permit) {
         ConnectionChoice::Watched
     } else {
         ConnectionChoice::Fresh
--- a/src/platform/replica_entry.rs
+++ b/src/platform/replica_entry.rs
@@ -7,6 +7,7 @@
 
 use super::amount::{Amount, VersionNumber};
 use crate::blackboard::{ReplicaRecord, ReplicaRole};
+use crate::register::is_one_line;
 
 /// Where replicas write in the store.
 pub(super) const REPLICA_PREFIX: &str = "servers/";
@@ -124,10 +125,9 @@
     })
 }
 
-/// Names stand in headers and in lines of the log.
 fn check_name(what: &'static str, name: &str) -> Result<(), EntryError> {
     let fits = (1..=MOST_NAME_BYTES).contains(&name.len());
-    if fits && !name.chars().any(char::is_control) {
+    if fits && is_one_line(name) {
         Ok(())
     } else {
         Err(EntryError::Name { what })
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -6,6 +6,7 @@
 mod routes;
 
 pub use check::{FaultReport, parse_register};
+pub use route_check::is_one_line;
 pub use routes::{CallerLimits, EngineTraits, RouteKind, RouteRule, RouteShare, RouteTable, ServiceRule};
 
 use std::sync::Arc;
--- a/src/register/route_check.rs
+++ b/src/register/route_check.rs
@@ -84,7 +84,7 @@
     let mut named: FastMap<&str, &ServiceRule> = FastMap::default();
     for (index, service) in services.iter().enumerate() {
         let place = format!("service[{index}] {}", service.name);
-        if service.name.is_empty() || has_line_break(&service.name) {
+        if service.name.is_empty() || !is_one_line(&service.name) {
             let reason = "the name must be one line that is not empty".to_owned();
             found.note(ResultCode::RegisterBadValue, place.clone(), reason);
         }
@@ -112,7 +112,7 @@
     found: &mut EntryFaults,
 ) {
     let mut note = |code, reason: String| found.note(code, place.to_owned(), reason);
-    if has_line_break(&rule.name) {
+    if !is_one_line(&rule.name) {
         let reason = "the name must be one line";
         note(ResultCode::RegisterBadValue, reason.to_owned());
     }
@@ -159,9 +159,9 @@
     }
 }
 
-/// Names stand in headers and in lines of the log.
-fn has_line_break(name: &str) -> bool {
-    name.chars().any(char::is_control)
+/// Whether a name can stand in headers and in lines of the log.
+pub fn is_one_line(name: &str) -> bool {
+    !name.chars().any(char::is_control)
 }
 
 /// Limits of zero would refuse every request.
