Log the parts of prompts and how far a lost answer had come

The logs could not tell the hypotheses apart: nothing showed that unlike requests share a part (X-Prompt-Prefix was read by nothing), nor whether a run that was lost had begun to answer.

routed lists hashes of the parts that other requests may share, at most six; request_lost has output_ms, the time since the first of the answer. Parts are hashed with their model and decoded in the adapter; the last one, which belongs to the session, is left out. No decision reads them yet.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -1,6 +1,7 @@
 //! The blackboard: this node's shared, typed state, which every controller reads and writes.
 
 mod engine;
+mod feature;
 mod fingerprint;
 mod offer_tally;
 mod rate_limit;
@@ -9,6 +10,7 @@
 mod vms;
 
 pub use engine::EngineView;
+pub use feature::{FeatureKind, FeatureSet, RequestFeature};
 pub use fingerprint::{Fingerprint, hash_parts};
 pub use offer_tally::{OfferOutcome, OfferTally};
 pub use rate_limit::{RateLimit, RateLimitMap, RequestRate, SharedRateLimits, find_limit};
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
 use super::split::serve_stream;
 use super::trace::{RequestOutcome, RequestTrace};
 use super::{GatewayContext, RequestFacts};
-use crate::blackboard::{Fingerprint, hash_parts};
+use crate::blackboard::{FeatureSet, RequestFeature, hash_parts};
 use crate::clock;
 use crate::http::RequestHead;
 use crate::prelude::*;
@@ -26,6 +26,9 @@
 /// Retry-After of a VM that has no configuration yet, in milliseconds: several times the duration of a start.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 900;
 
+/// The most parts of a prompt that a log line lists, as lines are cut at a length of some hundred bytes.
+const MAX_LOGGED_PARTS: usize = 6;
+
 /// How much earlier a leaving VM accepts its last stream than its last call, in milliseconds: the duration of
 /// a long stream.
 const STREAM_HEADROOM_MS: u64 = 3_000;
@@ -40,8 +43,9 @@
     pub has_body: bool,
     /// The platform's facts, read from the head.
     pub facts: RequestFacts,
-    /// Hash of method, host, target, credentials and body; repeats of a request have the same fingerprint.
-    pub fingerprint: Fingerprint,
+    /// What other requests may have in common with this one: its content, which is a hash of method, host,
+    /// target, credentials and body, and the shared parts of its prompt.
+    pub features: FeatureSet,
     /// Revision of the configuration that the request was routed by.
     pub revision: Revision,
     /// Rule of the route that matched.
@@ -114,7 +118,7 @@
     let has_body = body.is_some();
     let body = body.unwrap_or_default();
     let request = CallerRequest {
-        fingerprint: fingerprint(&head, &facts, &body),
+        features: find_features(&head, &facts, &body, &service),
         has_body,
         body,
         head,
@@ -128,10 +132,11 @@
         trace,
     };
     spdlog::info!(
-        "event=routed request={} fingerprint={:016x} route={} kind={} service={} limit_ms={} attempts={} revision={} \
-         revision_age_ms={}",
+        "event=routed request={} fingerprint={:016x} parts={} route={} kind={} service={} limit_ms={} attempts={} \
+         revision={} revision_age_ms={}",
         request.facts.id,
-        request.fingerprint,
+        request.features.content(),
+        format_parts(&request.features),
         request.rule.name,
         request.rule.kind.as_str(),
         request.service,
@@ -147,15 +152,36 @@
     }
 }
 
-fn fingerprint(head: &RequestHead, facts: &RequestFacts, body: &[u8]) -> Fingerprint {
+fn find_features(head: &RequestHead, facts: &RequestFacts, body: &[u8], service: &str) -> FeatureSet {
     let host = head.host().unwrap_or_default();
-    hash_parts(&[
+    let content = hash_parts(&[
         head.method.as_bytes(),
         host.as_bytes(),
         head.target.as_bytes(),
         &facts.credentials,
         body,
-    ])
+    ]);
+    let model = match facts.model.as_str() {
+        "" => service,
+        model => model,
+    };
+    let parts = facts.shared_parts.iter();
+    FeatureSet::new(content, parts.map(|id| RequestFeature::part(model, id.as_bytes())))
+}
+
+/// Formats the parts of a prompt for the log.
+fn format_parts(features: &FeatureSet) -> String {
+    let parts: Vec<String> = features
+        .parts()
+        .iter()
+        .take(MAX_LOGGED_PARTS)
+        .map(|part| format!("{:016x}", part.hash))
+        .collect();
+    if parts.is_empty() {
+        "-".to_owned()
+    } else {
+        parts.join(",")
+    }
 }
 
 fn find_route(
--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -62,12 +62,13 @@
     lost_send: LostSend<'_>,
 ) -> UpstreamOutcome {
     let lost_at = clock::now();
-    let (id, fingerprint) = (request.facts.id.clone(), request.fingerprint);
+    let (id, fingerprint) = (request.facts.id.clone(), request.features.content());
     let (context, replica, reporter) = (
         context.clone(),
         lost_send.replica.clone(),
         lost_send.permit.loss_reporter(),
     );
+    let output_ms = lost_send.permit.output_ms(lost_at);
     let LostSend {
         stage,
         began_at,
@@ -87,10 +88,11 @@
         };
         spdlog::error!(
             "event=request_lost request={id} fingerprint={fingerprint:016x} stage={} replica={} replica_start={} \
-             run_ms={run_ms} proven={is_proven} fate={outcome:?}",
+             run_ms={run_ms} output_ms={} proven={is_proven} fate={outcome:?}",
             stage.as_str(),
             replica.id,
-            replica.started_epoch_ms
+            replica.started_epoch_ms,
+            output_ms.map_or_else(|| "-".to_owned(), |output_ms| output_ms.to_string())
         );
         if outcome == UpstreamOutcome::Unreached {
             context.unproven_losses.record(fingerprint, lost_at);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -22,6 +22,11 @@
     pub expected_tokens: Option<u32>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Name of the model; empty if the caller named none.
+    pub model: String,
+    /// Ids of the parts that the prompt consists of, in order, without the last one, which belongs to the
+    /// request or its session.
+    pub shared_parts: Vec<String>,
     /// The caller's credentials as sent; empty if there are none. They are part of the fingerprint.
     pub credentials: Vec<u8>,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -141,6 +141,7 @@
     while !clock::now().reached(request.deadline) {
         match until(request.deadline, answer.read()).await {
             Some(Ok(Some(piece))) => {
+                permit.record_output();
                 if !writer.write(&piece).await {
                     return writer.truncated_outcome();
                 }
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -135,7 +135,7 @@
         if !may_send {
             return None;
         }
-        let (control, fingerprint) = (&self.context.control, self.request.fingerprint);
+        let (control, fingerprint) = (&self.context.control, self.request.features.content());
         let permit = match RunPermit::acquire(control, fingerprint, self.request.deadline).await {
             Ok(permit) => permit,
             Err(notice) => {
@@ -393,6 +393,7 @@
                 return self
                     .record_broken_stream(&mut placement, "events that do not go on with those before");
             }
+            run.permit.record_output();
             self.trace_events(count_events(&events));
             if !self.writer(&answer).write(&events).await {
                 return AttemptOutcome::Done(AnswerOutcome::Cut);
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -20,6 +20,9 @@
 const TOKEN_COUNTS: &str = "X-Token-Count";
 /// The caller's estimate of the number of tokens to be generated.
 const EXPECTED_TOKENS: &str = "X-Length-Hint";
+const MODEL: &str = "X-Model-Name";
+/// The parts of the prompt as id:tokens, separated by commas; the last belongs to the request or its session.
+const PROMPT_PARTS: &str = "X-Prompt-Prefix";
 const LAST_EVENT: &str = "Last-Event-Id";
 const CREDENTIALS: &str = "Authorization";
 /// The id of the replica that the request is meant for; another replica answers 421.
@@ -97,6 +100,8 @@
             output_tokens: counts.next().unwrap_or_default(),
             expected_tokens: head.headers.number(EXPECTED_TOKENS).map(|count| count as u32),
             last_event: head.headers.number(LAST_EVENT),
+            model: head.headers.text(MODEL).unwrap_or_default().to_owned(),
+            shared_parts: read_shared_parts(head.headers.text(PROMPT_PARTS).unwrap_or_default()),
             credentials: head.headers.get(CREDENTIALS).unwrap_or_default().to_vec(),
         }
     }
@@ -213,6 +218,17 @@
     }
 }
 
+/// The ids of all parts but the last.
+fn read_shared_parts(text: &str) -> Vec<String> {
+    let mut ids: Vec<String> = text
+        .split(',')
+        .map(|part| part.split(':').next().unwrap_or(part).trim().to_ascii_lowercase())
+        .collect();
+    ids.pop();
+    ids.retain(|id| !id.is_empty());
+    ids
+}
+
 fn read_limit(head: &ResponseHead) -> ReportedLimit {
     let mut lines = head.headers.all(RATE_LIMIT);
     match (lines.next(), lines.next()) {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -9,6 +9,7 @@
 mod placement_guard;
 mod rate_permit;
 mod run_permit;
+mod run_progress;
 mod signals;
 mod snapshot;
 
--- a/src/runtime/run_permit.rs
+++ b/src/runtime/run_permit.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::ControlHandle;
+use super::run_progress::RunProgress;
 use crate::blackboard::Fingerprint;
 use crate::clock;
 use crate::controllers::Reply;
@@ -33,6 +34,7 @@
     crash_count: u32,
     /// Number of the trial run; `None` if the request is not suspected.
     trial: Option<TrialNumber>,
+    progress: RunProgress,
 }
 
 impl RunPermit {
@@ -85,9 +87,20 @@
             fingerprint,
             crash_count: 0,
             trial: None,
+            progress: RunProgress::default(),
         }
     }
 
+    /// Records that a part of the run's answer arrived.
+    pub fn record_output(&self) {
+        self.progress.record_output(clock::now());
+    }
+
+    /// Time since the first output of the run, in milliseconds; `None` before it.
+    pub fn output_ms(&self, now: Moment) -> Option<u64> {
+        self.progress.output_ms(now)
+    }
+
     /// Whether this is a trial run of a suspected request, which must not run twice at a time.
     pub fn is_trial(&self) -> bool {
         self.trial.is_some()
