--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -166,7 +166,10 @@
         model => model,
     };
     let parts = facts.shared_parts.iter();
-    FeatureSet::new(content, parts.map(|id| RequestFeature::part(model, id.as_bytes())))
+    FeatureSet::new(
+        content,
+        parts.map(|id| RequestFeature::part(model, id.as_bytes())),
+    )
 }
 
 /// Formats the parts of a prompt for the log.
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -10,6 +10,7 @@
 
 use crate::faults::{EndlessBytes, TruncatedBody, send_endless, send_truncated};
 use crate::life::ReplicaProcess;
+use crate::prompt_parts::has_deadly_part;
 use crate::store::StandInStore;
 use crate::wire::{Message, read_request, write_answer};
 
@@ -46,6 +47,8 @@
     BreaksSlowStream,
     /// It takes this many microseconds per token to prefill a prompt.
     PacedPrompts(u64),
+    /// It sends one event of a stream every so many milliseconds.
+    PacedEvents(u64),
     /// It sends bytes endlessly.
     Endless(EndlessBytes),
     /// It truncates its responses.
@@ -192,6 +195,8 @@
     runs: Arc<Mutex<Vec<String>>>,
     /// Arrival times of requests whose body contains [`CRASH_MARKER`].
     crashing_arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// Arrival times and ids of requests with a deadly part in their prompts.
+    deadly_part_arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
     /// Arrival times of all requests.
     arrived_at: Arc<Mutex<Vec<Instant>>>,
     /// The rate limit that it reports in its responses, and when it first did.
@@ -231,6 +236,7 @@
             requests: Arc::default(),
             runs: Arc::default(),
             crashing_arrivals: Arc::default(),
+            deadly_part_arrivals: Arc::default(),
             arrived_at: Arc::default(),
             limit: Arc::default(),
             has_unknown_attribute: Arc::default(),
@@ -348,6 +354,14 @@
         self.crashing_arrivals.lock().expect("no holder panics").clone()
     }
 
+    /// Arrival times and ids of requests with a deadly part in their prompts.
+    pub fn deadly_part_arrivals(&self) -> Vec<(Instant, String)> {
+        self.deadly_part_arrivals
+            .lock()
+            .expect("no holder panics")
+            .clone()
+    }
+
     /// Adds an attribute header that the product does not know to later responses, or removes it.
     pub fn set_unknown_attribute(&self, has_one: bool) {
         *self.has_unknown_attribute.lock().expect("no holder panics") = has_one;
@@ -417,6 +431,9 @@
                 self.process.crash();
                 return;
             }
+            if has_deadly_part(&request) && self.crash_as_answer_begins(stream, &request) {
+                return;
+            }
             if requests > 1 && !self.repeat_refusal(stream) {
                 return;
             }
@@ -426,6 +443,25 @@
         }
     }
 
+    /// Crashes as it begins to answer a request with a deadly part; false for a prompt, which it only runs.
+    fn crash_as_answer_begins(&self, stream: &mut TcpStream, request: &Message) -> bool {
+        let id = request.header("X-Request-Id").unwrap_or_default();
+        let mut arrivals = self.deadly_part_arrivals.lock().expect("no holder panics");
+        arrivals.push((Instant::now(), id.to_owned()));
+        drop(arrivals);
+        if request.header("X-Serving-Phase") == Some("prefill") {
+            return false;
+        }
+        self.runs.lock().expect("no holder panics").push(id.to_owned());
+        if request.path().starts_with("/stream") {
+            // The caller is gone if the write fails, which does not save the replica.
+            let _ = stream.write_all(stream_head(id, "").as_bytes());
+        }
+        std::thread::sleep(CRASH_DELAY);
+        self.process.crash();
+        true
+    }
+
     /// Repeats an earlier refusal if that is its behavior. Returns whether the connection is still usable.
     fn repeat_refusal(&self, stream: &mut TcpStream) -> bool {
         let behavior = *self.behavior.lock().expect("no holder panics");
@@ -548,6 +584,13 @@
     }
 }
 
+/// Formats the head of a stream in chunks; `lines` are additional header lines, each ended by CRLF.
+fn stream_head(id: &str, lines: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\n{lines}Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
 fn send_stream(
     stream: &mut TcpStream,
     id: &str,
@@ -560,9 +603,7 @@
         _ => "",
     };
     let limit = limit.map_or_else(String::new, |text| format!("{LIMIT_HEADER}: {text}\r\n"));
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\n{leaving}{limit}Transfer-Encoding: chunked\r\n\r\n"
-    );
+    let head = stream_head(id, &format!("{leaving}{limit}"));
     let mut is_sent = stream.write_all(head.as_bytes()).is_ok();
     for number in first..=STREAM_EVENTS {
         let breaks = matches!(
@@ -575,6 +616,9 @@
         if behavior == ReplicaBehavior::Slow {
             std::thread::sleep(Duration::from_millis(150));
         }
+        if let ReplicaBehavior::PacedEvents(pause_ms) = behavior {
+            std::thread::sleep(Duration::from_millis(pause_ms));
+        }
         if behavior == ReplicaBehavior::BreaksSlowStream && number > 3 {
             return false;
         }
