Probe a replica again where the first probe was reset

Cause: a process that exits may close its connections before its port. The probe that follows a lost connection then gets a connection and a reset, which is what a replica with too many connections does too, so the loss stayed open.

Change: a probe that was reset or timed out is repeated once, 20 ms later. A process that has exited refuses then. Ruled out: counting a reset as an exit, since sound replicas reset connections beyond their limit.

KEEP_NODE_LOGS keeps the logs of tests that pass.

--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -1,6 +1,7 @@
 //! Requests lost with the connection to their replica: probes the replica and reports what happened to it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::GatewayContext;
 use super::exchange::CallerRequest;
@@ -15,6 +16,10 @@
 /// Connect timeout of a probe, in milliseconds: a few round trips between zones.
 const PROBE_TIMEOUT_MS: u64 = 40;
 
+/// Time until a second probe after one that showed neither an exit nor a running process, in milliseconds. A
+/// process that is exiting may close its connections before its port, and reset those that come in between.
+const PROBE_RETRY_MS: u64 = 20;
+
 /// How long a probe watches its connection for a close, in milliseconds.
 const CLOSE_WATCH_MS: u64 = 5;
 
@@ -122,9 +127,20 @@
     Unclear,
 }
 
+/// Probes whether a replica's process is running, a second time if the first probe was inconclusive.
+async fn probe_replica(replica: &ReplicaRecord, now: Moment) -> ProbeResult {
+    match probe_once(replica, now).await {
+        ProbeResult::Unclear => {
+            async_std::task::sleep(Duration::from_millis(PROBE_RETRY_MS)).await;
+            probe_once(replica, clock::now()).await
+        }
+        result => result,
+    }
+}
+
 /// Probes whether a replica's process is running. If it has exited, connections are refused, or accepted and
 /// closed by a proxy in front of it. A replica that has too many connections resets further ones instead.
-async fn probe_replica(replica: &ReplicaRecord, now: Moment) -> ProbeResult {
+async fn probe_once(replica: &ReplicaRecord, now: Moment) -> ProbeResult {
     let mut stream = match HttpStream::connect(replica.address, now.after_ms(PROBE_TIMEOUT_MS)).await {
         Ok(stream) => stream,
         Err(error) if error.is_connection_refused() => return ProbeResult::Refused,
--- a/tests/platform/life.rs
+++ b/tests/platform/life.rs
@@ -13,6 +13,9 @@
 /// Time from a crash of the process to its restart.
 pub const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 
+/// How much later than its connections a process may close its port.
+const PORT_CLOSE_DELAY: Duration = Duration::from_millis(3);
+
 /// One replica's process across its restarts.
 pub struct ReplicaProcess {
     address: SocketAddr,
@@ -22,6 +25,7 @@
     connections: Mutex<FastMap<u64, TcpStream>>,
     next_connection: AtomicU64,
     crash_times: Mutex<Vec<Instant>>,
+    closes_port_last: AtomicBool,
 }
 
 impl ReplicaProcess {
@@ -33,6 +37,7 @@
             connections: Mutex::default(),
             next_connection: AtomicU64::default(),
             crash_times: Mutex::default(),
+            closes_port_last: AtomicBool::new(false),
         }
     }
 
@@ -50,6 +55,11 @@
         self.crash_times.lock().expect("no holder panics")
     }
 
+    /// Makes the process close its connections a little before its port when it crashes.
+    pub fn close_port_last(&self) {
+        self.closes_port_last.store(true, Ordering::SeqCst);
+    }
+
     /// Crashes the process; the accepting thread notices at once.
     pub fn crash(&self) {
         if !self.is_down.swap(true, Ordering::SeqCst) {
@@ -80,6 +90,9 @@
             self.lock_connections().insert(number, copy);
             serve(stream, number);
         }
+        if self.closes_port_last.load(Ordering::SeqCst) {
+            std::thread::sleep(PORT_CLOSE_DELAY);
+        }
         drop(listener);
         for (_, stream) in self.lock_connections().drain() {
             // Fails if the other end has closed the connection.
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -210,7 +210,8 @@
 impl Drop for GatewayNode {
     fn drop(&mut self) {
         self.kill();
-        if !std::thread::panicking() {
+        let keeps_logs = std::env::var_os("KEEP_NODE_LOGS").is_some();
+        if !std::thread::panicking() && !keeps_logs {
             let _ = std::fs::remove_dir_all(&self.folder);
         }
     }
--- a/tests/platform/query_of_death.rs
+++ b/tests/platform/query_of_death.rs
@@ -35,6 +35,9 @@
 /// Time until a crashed replica has restarted.
 const RESTART_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time in which a node writes the lines on a request that has ended, a fraction of [`RESTART_TIME`].
+const LOG_DELAY: Duration = Duration::from_millis(400);
+
 /// Time of silence after which peers consider a node dead.
 const CONSIDERED_DEAD_AFTER: Duration = Duration::from_millis(6_500);
 
@@ -528,3 +531,15 @@
         assert!(text.contains(word), "{word}: {text}");
     }
 }
+
+#[test]
+fn a_crash_is_known_at_once_although_the_port_closes_after_the_connections() {
+    let fleet = Fleet::start();
+    fleet.desks.iter().for_each(|desk| desk.process.close_port_last());
+    // Each call may be sent to three replicas, of which the second quarantines it.
+    let status = send_deadly(&fleet.nodes[0], "/read", "d-0");
+    std::thread::sleep(LOG_DELAY);
+    let log = fleet.nodes[0].log();
+    assert_eq!(status, 502, "{log}");
+    assert!(log.contains("event=request_quarantined"), "{log}");
+}
