--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use criterion::Criterion;
+use dotterelspan::blackboard::FeatureSet;
 use dotterelspan::blackboard::{
     OwnIdentity, RateLimit, ReplicaFacts, ReplicaRecord, ReplicaRole, RequestRate,
 };
@@ -143,7 +144,7 @@
         model: "m0".into(),
         zone: "zone-0".into(),
         priority: 1,
-        fingerprint: number,
+        features: FeatureSet::new(number, []),
         prompt_tokens: 8_000,
         max_tokens: 200,
         expected_tokens: 100,
--- a/src/blackboard/feature.rs
+++ b/src/blackboard/feature.rs
@@ -9,6 +9,9 @@
 /// The most parts of a prompt that are told apart; later ones are ignored.
 const MAX_PARTS: usize = 64;
 
+/// The most features that a log line lists, as lines are cut at a length of some hundred bytes.
+const MAX_LOGGED: usize = 6;
+
 /// Kind of a feature.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum FeatureKind {
@@ -55,9 +58,13 @@
     }
 }
 
+/// As refusals name it: the hash, after the word for a part.
 impl fmt::Display for RequestFeature {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{} {:016x}", self.kind.as_str(), self.hash)
+        match self.kind {
+            FeatureKind::Part => write!(formatter, "part {:016x}", self.hash),
+            FeatureKind::Content => write!(formatter, "{:016x}", self.hash),
+        }
     }
 }
 
@@ -95,3 +102,16 @@
         self.0.contains(&feature)
     }
 }
+
+/// Formats the hashes of features for the log; a dash if there are none.
+pub fn join_hashes(features: impl Iterator<Item = RequestFeature>) -> String {
+    let hashes: Vec<String> = features
+        .take(MAX_LOGGED)
+        .map(|feature| format!("{:016x}", feature.hash))
+        .collect();
+    if hashes.is_empty() {
+        "-".to_owned()
+    } else {
+        hashes.join(",")
+    }
+}
--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -10,12 +10,12 @@
 mod vms;
 
 pub use engine::EngineView;
-pub use feature::{FeatureKind, FeatureSet, RequestFeature};
+pub use feature::{FeatureKind, FeatureSet, RequestFeature, join_hashes};
 pub use fingerprint::{Fingerprint, hash_parts};
 pub use offer_tally::{OfferOutcome, OfferTally};
 pub use rate_limit::{RateLimit, RateLimitMap, RequestRate, SharedRateLimits, find_limit};
 pub use replica::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
-pub use suspicion::{Suspicion, SuspicionMap};
+pub use suspicion::{RunRestriction, Suspicion, SuspicionMap, TrialScope};
 pub use vms::{LiveView, VmTable};
 
 use std::sync::Arc;
@@ -197,7 +197,7 @@
     pub is_seed: bool,
     /// Number of other seeds in the settings, through which this VM finds the rest.
     pub other_seed_count: usize,
-    /// Requests suspected of crashing upstreams; replaced by another map on each change.
+    /// Features of requests suspected of crashing upstreams; replaced by another map on each change.
     pub suspicions: Arc<SuspicionMap>,
     /// Hash of the suspicions, compared with that of peers to find differences.
     pub case_digest: u64,
@@ -272,16 +272,11 @@
         !upstream.leaving && !self.is_down(&upstream.name, now)
     }
 
-    /// Until when a request is quarantined; `None` if it is not.
-    pub fn quarantined_until(&self, fingerprint: Fingerprint, now: Moment) -> Option<Moment> {
-        let suspicion = self.suspicions.get(&fingerprint)?;
+    /// Until when a feature is quarantined; `None` if it is not.
+    pub fn quarantined_until(&self, feature: RequestFeature, now: Moment) -> Option<Moment> {
+        let suspicion = self.suspicions.get(feature)?;
         suspicion
             .is_quarantined(now)
             .then_some(suspicion.quarantined_until)
     }
-
-    /// Whether a request is suspected of crashing upstreams.
-    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
-        self.suspicions.contains_key(&fingerprint)
-    }
 }
--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -9,7 +9,7 @@
 use super::rate_limits::{LimitReport, PermitGrant, PermitRequest};
 use super::services::{ServiceRequest, ServiceResult};
 use super::slots::{EngineOutcome, PlacementRequest, PlacementResult, RequestId};
-use crate::blackboard::{Fingerprint, Incarnation, ReplicaId};
+use crate::blackboard::{Incarnation, ReplicaId, RequestFeature, TrialScope};
 use crate::prelude::*;
 
 /// The sender of an offered register.
@@ -172,26 +172,26 @@
         /// The run, its upstream and what a probe of the upstream showed.
         loss: RunLoss,
     },
-    /// A request suspected of crashing upstreams needs permission for a trial run.
+    /// A request with a feature suspected of crashing upstreams needs permission for a trial run.
     TrialWanted {
         /// The task that waits for the reply.
         ticket: ReplyTicket,
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
+        /// The suspected feature.
+        scope: TrialScope,
         /// The deadline of the request.
         deadline: Moment,
     },
     /// A trial run ended, or was abandoned before it began.
     TrialDone {
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
+        /// The suspected feature.
+        feature: RequestFeature,
         /// The number of the run, unique on this node.
         number: TrialNumber,
     },
-    /// A request ran to completion.
-    RequestCompleted {
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
+    /// A request passed the point at which its features could have crashed the upstream.
+    RequestPassed {
+        /// These features of the request.
+        features: Arc<[RequestFeature]>,
     },
     /// A caller asks for an idempotency key.
     KeyWanted {
@@ -306,7 +306,7 @@
     RequestLost = "request_lost",
     TrialWanted = "trial_wanted",
     TrialDone = "trial_done",
-    RequestCompleted = "request_completed",
+    RequestPassed = "request_completed",
     KeyWanted = "key_wanted",
     KeyClaimed = "key_claimed",
     KeyFinished = "key_finished",
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -9,7 +9,7 @@
 use super::slots::{
     EngineGroup, EngineOutcome, EnginePermits, HeldSlot, PlacementRequest, PlacementResult, RequestId,
 };
-use crate::blackboard::{Fingerprint, Incarnation, OwnIdentity, ReplicaId};
+use crate::blackboard::{Incarnation, OwnIdentity, ReplicaId, RequestFeature, TrialScope};
 use crate::prelude::*;
 
 /// A process's description of itself, sent when a link opens and forwarded to other VMs.
@@ -284,28 +284,27 @@
         result: PlacementResult,
     },
     /// An upstream crashed while it ran a request.
-    CrashReported {
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
-        /// The report of the crash.
-        report: CrashReport,
-    },
-    /// Complete runs have cleared a request of suspicion.
+    CrashReported(CrashReport),
+    /// Passes have cleared a feature of suspicion.
     Cleared {
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
-        /// The highest crash count among the reports that the request is cleared of.
+        /// The feature.
+        feature: RequestFeature,
+        /// The highest crash count among the reports that it is cleared of.
         crash_count: u32,
     },
-    /// A suspected request ran to completion; sent to the owner of its trial runs.
-    RunCompleted {
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
+    /// Requests with a suspected feature ran without a crash; sent to the owner of its trial runs.
+    RunsPassed {
+        /// The feature.
+        feature: RequestFeature,
+        /// Number of runs.
+        count: u32,
+        /// The feature's crash count in a row that the sender knows.
+        crash_count: u32,
     },
-    /// Requests permission for a trial run of a suspected request.
+    /// Requests permission for a trial run of a suspected feature.
     TrialRequest {
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
+        /// The suspected feature.
+        scope: TrialScope,
         /// The sender's number for the run.
         number: TrialNumber,
         /// The time left until the request's deadline, in milliseconds.
@@ -318,10 +317,10 @@
         /// Whether the run may begin.
         verdict: TrialVerdict,
     },
-    /// The sender's trial run of a suspected request ended.
+    /// The sender's trial run of a suspected feature ended.
     TrialDone {
-        /// A hash of the request's content.
-        fingerprint: Fingerprint,
+        /// The suspected feature.
+        feature: RequestFeature,
         /// The sender's number for the run.
         number: TrialNumber,
     },
--- a/src/controllers/quarantine/losses.rs
+++ b/src/controllers/quarantine/losses.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::blackboard::Fingerprint;
+use super::CrashSuspect;
 use crate::prelude::*;
 
 /// What a probe of an upstream showed after a request to it was lost.
@@ -23,8 +23,9 @@
 /// A run that was lost with the connection to its upstream.
 #[derive(Clone, Debug)]
 pub struct RunLoss {
-    /// Fingerprint of the request's content.
-    pub fingerprint: Fingerprint,
+    /// The features of the request that may have caused the loss, with the crashes in a row that this node knew
+    /// of when it sent the request.
+    pub known_counts: Arc<[CrashSuspect]>,
     /// The upstream's name.
     pub upstream: Arc<str>,
     /// Identifies the upstream process: its start in milliseconds since the epoch as the list has it, or for
@@ -34,8 +35,6 @@
     pub began_at: Moment,
     /// When the connection was lost.
     pub lost_at: Moment,
-    /// The request's crash count in a row that this node knew when it sent the request.
-    pub known_crash_count: u32,
     /// What a probe of the upstream showed after the loss.
     pub outcome: UpstreamOutcome,
 }
--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -1,31 +1,35 @@
-//! Queries of death: a request suspected of crashing upstreams is limited to trial runs, and then quarantined
-//! for a while.
+//! Queries of death: requests with a feature that is suspected of crashing upstreams are limited to trial
+//! runs, and then quarantined for a while. A feature is what such requests have in common: all of their
+//! content, or a part of their prompts.
 //!
-//! Each crash of an upstream that was running a request gives a crash report. Reports are gossiped along the
-//! ring of VMs, kept by all of them and sent to new processes, so that a quarantine outlives the node that
-//! saw the crashes. The crash count of a report is one more than the count that was known when the run began:
-//! runs of one request that are lost together, such as identical reads when a rack loses power, count as one
-//! crash. From the first crash on, the whole fleet runs the request only once at a time; from a count of two
-//! on, it is quarantined.
+//! Each crash of an upstream that was running a request gives a crash report on the features of the request.
+//! Reports are gossiped along the ring of VMs, kept by all of them and sent to new processes, so that a
+//! quarantine outlives the node that saw the crashes. The crash count of a feature is one more than the count
+//! that was known when the run began: runs that are lost together, such as identical reads when a rack loses
+//! power, count as one crash. From the first crash on, the whole fleet runs requests with the feature only
+//! once at a time; from a count of two on, it is quarantined. Requests that pass clear their features, so a
+//! feature that most requests share is cleared at once.
 
 mod case;
 mod losses;
+mod passes;
 mod sharing;
 mod trials;
 
 use std::sync::Arc;
 
 use case::CrashCase;
-pub use case::CrashReport;
+pub use case::{CrashReport, CrashSuspect};
 use losses::OpenLosses;
 pub use losses::{RunLoss, UpstreamOutcome};
+use passes::PassMemory;
 pub use sharing::CaseRecord;
 use sharing::{MAX_CASES_PER_MESSAGE, case_hash};
 use trials::{TrialIssuer, trial_owner};
 
 use super::comparison::DigestComparison;
 use super::message::PeerMessage;
-use crate::blackboard::{Fingerprint, ReplicaId, Suspicion};
+use crate::blackboard::{FeatureKind, ReplicaId, RequestFeature, Suspicion, join_hashes};
 use crate::controllers::Reply;
 use crate::prelude::*;
 
@@ -35,26 +39,31 @@
 /// How long a crashed upstream is not selected, in milliseconds.
 const CRASH_COOLDOWN_MS: u64 = 2_000;
 
+/// How long requests with a feature run without restriction after the first crash if this node completed such
+/// requests shortly before, in milliseconds: the time in which the nodes exchange what they completed.
+const TOLERANCE_MS: u64 = 300;
+
 /// The most crash cases that are kept. Only the crash of an upstream creates a case, so a flood of harmless
 /// requests creates none.
 const MAX_CASES: usize = 4_096;
 
-/// The most lost runs that are kept per request for comparison with later ones.
+/// The most lost runs that are kept per content for comparison with later ones.
 const MAX_OWN_LOSSES: usize = 16;
 
 /// The least time between the losses of two overlapping runs of one request for them to count as separate
 /// crashes, in milliseconds: several times the delay with which tasks and the system notice a crash.
 const MIN_SEPARATION_MS: u64 = 20;
 
-/// Keeps the crash cases of all requests and the board's suspicions.
+/// Keeps the crash cases of all features and the board's suspicions.
 #[derive(Debug, Default)]
 pub struct QuarantineController {
-    cases: FastMap<Fingerprint, CrashCase>,
+    cases: FastMap<RequestFeature, CrashCase>,
     losses: OpenLosses,
+    passes: PassMemory,
     trials: TrialIssuer,
     comparison: DigestComparison<u64>,
-    /// Runs of this node whose upstreams crashed, for comparison with later ones.
-    own_losses: FastMap<Fingerprint, Vec<OwnLoss>>,
+    /// Runs of this node whose upstreams crashed, by content, for comparison with later ones.
+    own_losses: FastMap<RequestFeature, Vec<OwnLoss>>,
     /// When the first case expires; `None` while there is none.
     next_expiry: Option<Moment>,
 }
@@ -65,6 +74,8 @@
     began_at: Moment,
     lost_at: Moment,
     crash_count: u32,
+    /// Whether other runs of the content passed shortly before.
+    had_passes: bool,
 }
 
 impl OwnLoss {
@@ -102,57 +113,135 @@
 
     /// Records that an upstream crashed under a run of this node.
     fn record_own_crash(&mut self, loss: &RunLoss, context: &mut ControlContext<'_>) {
-        let earlier = self.own_losses.entry(loss.fingerprint).or_default();
-        let separate = earlier.iter().filter(|earlier| earlier.is_separate_from(loss));
+        let suspects = loss.known_counts.iter().map(|known| CrashSuspect {
+            feature: known.feature,
+            crash_count: match known.feature.kind {
+                FeatureKind::Content => self.count_crashes_of_content(*known, loss),
+                FeatureKind::Part => known.crash_count + 1,
+            },
+        });
+        let report = CrashReport {
+            upstream: loss.upstream.clone(),
+            incarnation: loss.incarnation,
+            suspects: suspects.collect(),
+            ended_at: loss.lost_at,
+            seen_by: context.board.own.name.clone(),
+        };
+        if !self.record_report(&report, "own", context) {
+            return;
+        }
+        // The owners of the trial runs must learn of the crash before they learn that this run is over.
+        let owners = report.suspects.iter();
+        let owners: FastSet<VmName> = owners.map(|known| trial_owner(known.feature, context)).collect();
+        for owner in owners {
+            context.send_to(&owner, PeerMessage::CrashReported(report.clone()));
+        }
+    }
+
+    /// Crashes in a row of a content with this loss. Overlapping runs of this node that were lost before and
+    /// separately count, too. Where other runs of the content pass, though, runs that are lost one after the
+    /// other may still have been ended by one common cause.
+    fn count_crashes_of_content(&mut self, known: CrashSuspect, loss: &RunLoss) -> u32 {
+        let earlier = self.own_losses.entry(known.feature).or_default();
+        let had_passes =
+            self.passes.contains(known.feature) || earlier.iter().any(|earlier| earlier.had_passes);
+        let separate = earlier
+            .iter()
+            .filter(|earlier| !had_passes && earlier.is_separate_from(loss));
         let highest = separate
             .map(|earlier| earlier.crash_count)
             .max()
             .unwrap_or_default();
-        let crash_count = loss.known_crash_count.max(highest) + 1;
+        let crash_count = known.crash_count.max(highest) + 1;
         if earlier.len() < MAX_OWN_LOSSES {
             earlier.push(OwnLoss {
                 began_at: loss.began_at,
                 lost_at: loss.lost_at,
                 crash_count,
+                had_passes,
             });
         }
-        let report = CrashReport {
-            upstream: loss.upstream.clone(),
-            incarnation: loss.incarnation,
-            crash_count,
-            ended_at: loss.lost_at,
-            seen_by: context.board.own.name.clone(),
-        };
-        if self.record_report(loss.fingerprint, &report, "own", context) {
-            // The owner of the trial runs must learn of the crash before it learns that this run is over.
-            let owner = trial_owner(loss.fingerprint, context);
-            let fingerprint = loss.fingerprint;
-            context.send_to(&owner, PeerMessage::CrashReported { fingerprint, report });
-        }
+        crash_count
     }
 
-    /// Records a crash report and gossips it if it was unknown; returns whether it was.
+    /// Records a crash report and gossips it if it was unknown of any of its suspects; returns whether it was.
     fn record_report(
         &mut self,
-        fingerprint: Fingerprint,
         report: &CrashReport,
         source: &str,
         context: &mut ControlContext<'_>,
     ) -> bool {
-        if !self.cases.contains_key(&fingerprint) {
+        let features = report.suspects.iter().map(|suspect| suspect.feature);
+        self.record_suspects(features, report, source, context)
+    }
+
+    /// Records a crash report in the cases of some of its suspects, and gossips it if it was unknown of any of
+    /// them; returns whether it was.
+    fn record_suspects(
+        &mut self,
+        features: impl Iterator<Item = RequestFeature>,
+        report: &CrashReport,
+        source: &str,
+        context: &mut ControlContext<'_>,
+    ) -> bool {
+        let new: Vec<RequestFeature> = features
+            .filter(|feature| self.record_suspect(*feature, report, context))
+            .collect();
+        if new.is_empty() {
+            return false;
+        }
+        self.spread_report(report, source, context);
+        // Follows the report, so that peers know of the crash before they learn that a feature is cleared of it.
+        for feature in new {
+            self.report_earlier_passes(feature, context);
+        }
+        true
+    }
+
+    /// Records a crash report in the case of one feature; returns whether it was unknown.
+    fn record_suspect(
+        &mut self,
+        feature: RequestFeature,
+        report: &CrashReport,
+        context: &mut ControlContext<'_>,
+    ) -> bool {
+        if !self.cases.contains_key(&feature) {
             self.evict_if_full(context);
         }
-        let case = self.cases.entry(fingerprint).or_default();
+        let case = self
+            .cases
+            .entry(feature)
+            .or_insert_with(|| CrashCase::new(feature));
         if !case.record_report(report) {
             return false;
         }
+        if self.passes.contains(feature) && case.crash_count() == 1 {
+            case.tolerate_until(context.now.after_ms(TOLERANCE_MS));
+        }
+        self.publish_suspicion(feature, context);
+        true
+    }
+
+    /// Reports the passes of a feature from before its first crash. If a feature crashes upstreams again and
+    /// nothing passed in between, it may have become harmful since, and earlier passes say nothing.
+    fn report_earlier_passes(&mut self, feature: RequestFeature, context: &mut ControlContext<'_>) {
+        let count = self.passes.take(feature, context.now);
+        let suspicion = context.board.suspicions.get(feature);
+        if count > 0 && suspicion.is_some_and(|suspicion| suspicion.crash_count == 1) {
+            self.report_passes(feature, count, context);
+        }
+    }
+
+    /// Logs and gossips a new crash report, and stops selecting the crashed upstream for a while.
+    fn spread_report(&mut self, report: &CrashReport, source: &str, context: &mut ControlContext<'_>) {
+        let crash_count = report.max_count();
         // The first crash under a request usually has another cause, so only the VM that saw it logs it.
-        if report.crash_count > 1 || report.seen_by == context.board.own.name {
+        if crash_count > 1 || report.seen_by == context.board.own.name {
             context.log(format!(
-                "event=request_struck fingerprint={fingerprint:016x} upstream={} incarnation={} strikes={} age_ms={} seen_by={} source={source}",
+                "event=request_struck {} upstream={} incarnation={} strikes={crash_count} age_ms={} seen_by={} source={source}",
+                format_suspects(report),
                 report.upstream,
                 report.incarnation,
-                report.crash_count,
                 report.ended_at.until_ms(context.now),
                 report.seen_by
             ));
@@ -162,12 +251,7 @@
         if !context.now.reached(down_until) {
             context.board.upstream_mut(&report.upstream).down_until = Some(down_until);
         }
-        self.publish_suspicion(fingerprint, context);
-        context.send_to_neighbors(&PeerMessage::CrashReported {
-            fingerprint,
-            report: report.clone(),
-        });
-        true
+        context.send_to_neighbors(&PeerMessage::CrashReported(report.clone()));
     }
 
     /// Evicts a case if the limit is reached: cleared ones first, then those with the lowest crash count.
@@ -175,7 +259,7 @@
         if self.cases.len() < MAX_CASES {
             return;
         }
-        let eviction_order = |(_, case): &(&Fingerprint, &CrashCase)| {
+        let eviction_order = |(_, case): &(&RequestFeature, &CrashCase)| {
             let crash_count = if case.is_cleared() { 0 } else { case.crash_count() };
             (crash_count, case.expires_at())
         };
@@ -183,97 +267,123 @@
             .cases
             .iter()
             .min_by_key(eviction_order)
-            .map(|(fingerprint, _)| *fingerprint);
-        if let Some(fingerprint) = first {
-            self.remove_case(fingerprint, context);
+            .map(|(feature, _)| *feature);
+        if let Some(feature) = first {
+            self.remove_case(feature, context);
         }
     }
 
-    fn remove_case(&mut self, fingerprint: Fingerprint, context: &mut ControlContext<'_>) {
-        self.cases.remove(&fingerprint);
-        self.own_losses.remove(&fingerprint);
-        self.publish_suspicion(fingerprint, context);
+    fn remove_case(&mut self, feature: RequestFeature, context: &mut ControlContext<'_>) {
+        self.cases.remove(&feature);
+        self.own_losses.remove(&feature);
+        self.publish_suspicion(feature, context);
     }
 
-    /// Updates the board's suspicion of a request, its digest and the next expiry.
-    fn publish_suspicion(&mut self, fingerprint: Fingerprint, context: &mut ControlContext<'_>) {
-        let case = self.cases.get(&fingerprint);
+    /// Updates the board's suspicion of a feature, its digest and the next expiry.
+    fn publish_suspicion(&mut self, feature: RequestFeature, context: &mut ControlContext<'_>) {
+        let case = self.cases.get(&feature);
         let suspicion = case.and_then(CrashCase::suspicion);
-        let known = context.board.suspicions.get(&fingerprint).copied();
+        let known = context.board.suspicions.get(feature).cloned();
         if let Some(expires_at) = case.map(CrashCase::expires_at) {
             self.next_expiry = Some(self.next_expiry.map_or(expires_at, |next| next.min(expires_at)));
         }
         if suspicion == known {
             return;
         }
-        let suspicions = Arc::make_mut(&mut context.board.suspicions);
-        match suspicion {
-            Some(suspicion) => suspicions.insert(fingerprint, suspicion),
-            None => suspicions.remove(&fingerprint),
-        };
-        for crash_count in [known, suspicion]
-            .into_iter()
-            .flatten()
-            .map(|shown| shown.crash_count)
-        {
+        Arc::make_mut(&mut context.board.suspicions).set(feature, suspicion.clone());
+        for shown in [&known, &suspicion].into_iter().flatten() {
             // The digest is an XOR, so the same hash removes the earlier suspicion.
-            context.board.case_digest ^= case_hash(fingerprint, crash_count);
+            context.board.case_digest ^= case_hash(feature, shown.crash_count);
         }
+        let known_until = known.map_or(Moment::default(), |known| known.quarantined_until);
         if let Some(Suspicion {
             crash_count,
             quarantined_until,
+            ..
         }) = suspicion
             && !context.now.reached(quarantined_until)
+            && quarantined_until != known_until
         {
             context.log(format!(
-                "event=request_quarantined fingerprint={fingerprint:016x} strikes={crash_count} hold_ms={}",
+                "event=request_quarantined fingerprint={:016x} kind={} strikes={crash_count} hold_ms={}",
+                feature.hash,
+                feature.kind.as_str(),
                 context.now.until_ms(quarantined_until)
             ));
         }
         context.publish();
     }
 
-    /// Reports a complete run of a suspected request to the owner of its trial runs, which counts them.
-    fn report_complete_run(&mut self, fingerprint: Fingerprint, context: &mut ControlContext<'_>) {
-        let owner = trial_owner(fingerprint, context);
+    /// Handles that a request with these features ran without a crash.
+    fn handle_passed(&mut self, features: &[RequestFeature], context: &mut ControlContext<'_>) {
+        for feature in features {
+            if context.board.suspicions.get(*feature).is_some() {
+                self.report_passes(*feature, 1, context);
+            } else {
+                self.passes.record(*feature, context.now);
+            }
+        }
+    }
+
+    /// Reports passes of a suspected feature to the owner of its trial runs, which counts them.
+    fn report_passes(&mut self, feature: RequestFeature, count: u32, context: &mut ControlContext<'_>) {
+        let suspicion = context.board.suspicions.get(feature);
+        let crash_count = suspicion.map_or(0, |suspicion| suspicion.crash_count);
+        let owner = trial_owner(feature, context);
         if owner != context.board.own.name {
-            context.send_to(&owner, PeerMessage::RunCompleted { fingerprint });
+            let message = PeerMessage::RunsPassed {
+                feature,
+                count,
+                crash_count,
+            };
+            context.send_to(&owner, message);
             return;
         }
-        self.count_complete_run(fingerprint, context);
+        self.count_passes(&owner, feature, count, crash_count, context);
     }
 
-    fn count_complete_run(&mut self, fingerprint: Fingerprint, context: &mut ControlContext<'_>) {
-        let Some(case) = self.cases.get_mut(&fingerprint) else {
+    /// Counts passes that a node reported when it knew of this crash count.
+    fn count_passes(
+        &mut self,
+        from: &VmName,
+        feature: RequestFeature,
+        count: u32,
+        crash_count: u32,
+        context: &mut ControlContext<'_>,
+    ) {
+        let Some(case) = self.cases.get_mut(&feature) else {
             return;
         };
-        if case.record_complete_run() {
-            let crash_count = case.crash_count();
-            self.clear(fingerprint, crash_count, "own", context);
+        let own_count = case.crash_count();
+        if case.is_cleared() {
+            // The message to that node, or its neighbors, was lost.
+            let crash_count = own_count;
+            context.send_to(from, PeerMessage::Cleared { feature, crash_count });
+        } else if own_count <= crash_count && case.record_passes(count) {
+            self.clear(feature, own_count, "own", context);
         }
     }
 
-    /// Clears a request with at most this crash count, and gossips that if it was not cleared already.
+    /// Clears a feature with at most this crash count, and gossips that if it was not cleared already.
     fn clear(
         &mut self,
-        fingerprint: Fingerprint,
+        feature: RequestFeature,
         crash_count: u32,
         source: &str,
         context: &mut ControlContext<'_>,
     ) {
-        let case = self.cases.get_mut(&fingerprint);
+        let case = self.cases.get_mut(&feature);
         if !case.is_some_and(|case| case.clear(crash_count)) {
             return;
         }
-        self.own_losses.remove(&fingerprint);
+        self.own_losses.remove(&feature);
         context.log(format!(
-            "event=request_cleared fingerprint={fingerprint:016x} strikes={crash_count} source={source}"
+            "event=request_cleared fingerprint={:016x} kind={} strikes={crash_count} source={source}",
+            feature.hash,
+            feature.kind.as_str()
         ));
-        self.publish_suspicion(fingerprint, context);
-        context.send_to_neighbors(&PeerMessage::Cleared {
-            fingerprint,
-            crash_count,
-        });
+        self.publish_suspicion(feature, context);
+        context.send_to_neighbors(&PeerMessage::Cleared { feature, crash_count });
     }
 
     /// Counts open losses as crashes where the list shows a newer process of the upstream or at its address.
@@ -317,10 +427,10 @@
         let records: Vec<CaseRecord> = self
             .cases
             .iter()
-            .map(|(fingerprint, case)| CaseRecord {
-                fingerprint: *fingerprint,
+            .map(|(feature, case)| CaseRecord {
+                feature: *feature,
                 is_cleared: case.is_cleared(),
-                reports: case.reports().to_vec(),
+                reports: case.reports().cloned().collect(),
             })
             .collect();
         for part in records.chunks(MAX_CASES_PER_MESSAGE) {
@@ -330,14 +440,15 @@
 
     fn merge_cases(&mut self, from: &VmName, records: &[CaseRecord], context: &mut ControlContext<'_>) {
         for record in records {
-            let fingerprint = record.fingerprint;
+            let feature = record.feature;
             if record.is_cleared {
-                let crash_count = record.reports.iter().map(|report| report.crash_count).max();
-                self.clear(fingerprint, crash_count.unwrap_or_default(), from, context);
+                let counts = record.reports.iter().map(|report| report.count_of(feature));
+                self.clear(feature, counts.max().unwrap_or_default(), from, context);
                 continue;
             }
             for report in &record.reports {
-                self.record_report(fingerprint, report, from, context);
+                // The sender may have cleared the report's other features.
+                self.record_suspects(std::iter::once(feature), report, from, context);
             }
         }
     }
@@ -351,36 +462,37 @@
             .cases
             .iter()
             .filter(|(_, case)| context.now.reached(case.expires_at()));
-        let expired: Vec<Fingerprint> = expired.map(|(fingerprint, _)| *fingerprint).collect();
+        let expired: Vec<RequestFeature> = expired.map(|(feature, _)| *feature).collect();
         self.next_expiry = None;
-        for fingerprint in expired {
-            self.remove_case(fingerprint, context);
+        for feature in expired {
+            self.remove_case(feature, context);
         }
         self.next_expiry = self.cases.values().map(CrashCase::expires_at).min();
     }
 
     fn handle_message(&mut self, from: &VmName, message: &PeerMessage, context: &mut ControlContext<'_>) {
         match message {
-            PeerMessage::CrashReported { fingerprint, report } => {
-                self.record_report(*fingerprint, report, from, context);
+            PeerMessage::CrashReported(report) => {
+                self.record_report(report, from, context);
+            }
+            PeerMessage::Cleared { feature, crash_count } => {
+                self.clear(*feature, *crash_count, from, context)
             }
-            PeerMessage::Cleared {
-                fingerprint,
+            PeerMessage::RunsPassed {
+                feature,
+                count,
                 crash_count,
-            } => self.clear(*fingerprint, *crash_count, from, context),
-            PeerMessage::RunCompleted { fingerprint } => self.count_complete_run(*fingerprint, context),
+            } => self.count_passes(from, *feature, *count, *crash_count, context),
             PeerMessage::TrialRequest {
-                fingerprint,
+                scope,
                 number,
                 remaining_ms,
-            } => self
-                .trials
-                .answer(from, *fingerprint, *number, *remaining_ms, context),
+            } => self.trials.answer(from, *scope, *number, *remaining_ms, context),
             PeerMessage::TrialAnswer { number, verdict } => {
                 self.trials.handle_answer(from, *number, *verdict, context);
             }
-            PeerMessage::TrialDone { fingerprint, number } => {
-                self.trials.handle_done(from, *fingerprint, *number);
+            PeerMessage::TrialDone { feature, number } => {
+                self.trials.handle_done(from, *feature, *number);
             }
             PeerMessage::Heartbeat { case_digest, .. } => self.compare_digest(from, *case_digest, context),
             PeerMessage::CasesWanted => self.send_cases(from, context),
@@ -391,6 +503,19 @@
     }
 }
 
+/// Formats the suspects of a report for the log: the content, and the parts if there are any.
+fn format_suspects(report: &CrashReport) -> String {
+    let hashes_of = |kind: FeatureKind| {
+        let suspects = report.suspects.iter().map(|suspect| suspect.feature);
+        join_hashes(suspects.filter(|feature| feature.kind == kind))
+    };
+    format!(
+        "fingerprint={} parts={}",
+        hashes_of(FeatureKind::Content),
+        hashes_of(FeatureKind::Part)
+    )
+}
+
 /// Whether an upstream is known and not about to leave.
 fn is_staying(upstream: &Arc<str>, board: &Blackboard) -> bool {
     match board.register.register.upstream(upstream) {
@@ -404,7 +529,7 @@
         &[
             EventKind::Tick,
             EventKind::RequestLost,
-            EventKind::RequestCompleted,
+            EventKind::RequestPassed,
             EventKind::TrialWanted,
             EventKind::TrialDone,
             EventKind::ReplicaReplaced,
@@ -423,13 +548,13 @@
                 self.handle_loss(loss, context);
                 context.reply(*ticket, Reply::Recorded);
             }
-            Event::RequestCompleted { fingerprint } => self.report_complete_run(*fingerprint, context),
+            Event::RequestPassed { features } => self.handle_passed(features, context),
             Event::TrialWanted {
                 ticket,
-                fingerprint,
+                scope,
                 deadline,
-            } => self.trials.request_run(*ticket, *fingerprint, *deadline, context),
-            Event::TrialDone { fingerprint, number } => self.trials.finish(*fingerprint, *number, context),
+            } => self.trials.request_run(*ticket, *scope, *deadline, context),
+            Event::TrialDone { feature, number } => self.trials.finish(*feature, *number, context),
             Event::ReplicaReplaced { replica } => self.handle_replaced(replica, context),
             Event::ReplicasRead { .. } => self.resolve_losses(context),
             Event::PeerMessage { from, message, .. } => self.handle_message(from, message, context),
--- a/src/controllers/quarantine/trials.rs
+++ b/src/controllers/quarantine/trials.rs
@@ -1,11 +1,11 @@
-//! Trial runs: one run of a suspected request is allowed at a time in the whole fleet.
+//! Trial runs: one run with a suspected feature is allowed at a time in the whole fleet.
 //!
-//! The live VM that ranks first for the request (rendezvous hashing) is the owner of its trial runs: it
+//! The live VM that ranks first for the feature (rendezvous hashing) is the owner of its trial runs: it
 //! grants one, and the next one once that is over. A VM that gets no answer from the owner decides alone, so
 //! that no request waits for a dead VM.
 
 use super::TrialNumber;
-use crate::blackboard::Fingerprint;
+use crate::blackboard::{RequestFeature, TrialScope};
 use crate::controllers::Reply;
 use crate::controllers::message::{PeerMessage, TrialVerdict};
 use crate::controllers::rendezvous;
@@ -40,7 +40,7 @@
 /// A request of this node that waits for a trial run.
 #[derive(Debug)]
 struct WaitingTrial {
-    fingerprint: Fingerprint,
+    scope: TrialScope,
     /// The request's own deadline.
     deadline: Moment,
     wait_until: Moment,
@@ -53,7 +53,7 @@
 /// Grants trial runs as their owner, and obtains them for the suspected requests of this node.
 #[derive(Debug, Default)]
 pub struct TrialIssuer {
-    running: FastMap<Fingerprint, RunningTrial>,
+    running: FastMap<RequestFeature, RunningTrial>,
     waiting: FastMap<TrialNumber, WaitingTrial>,
 }
 
@@ -62,12 +62,12 @@
     pub fn request_run(
         &mut self,
         ticket: ReplyTicket,
-        fingerprint: Fingerprint,
+        scope: TrialScope,
         deadline: Moment,
         context: &mut ControlContext<'_>,
     ) {
         let waiting = WaitingTrial {
-            fingerprint,
+            scope,
             deadline,
             wait_until: deadline.min(context.now.after_ms(MAX_WAIT_MS)),
             asked: None,
@@ -83,13 +83,13 @@
         let Some(waiting) = self.waiting.get(&number) else {
             return;
         };
-        let (fingerprint, deadline) = (waiting.fingerprint, waiting.deadline);
-        let Some(suspicion) = context.board.suspicions.get(&fingerprint).copied() else {
-            // The request was cleared meanwhile.
+        let (scope, deadline) = (waiting.scope, waiting.deadline);
+        let Some(suspicion) = context.board.suspicions.get(scope.feature) else {
+            // The feature was cleared meanwhile.
             self.grant(number, 0, context);
             return;
         };
-        if suspicion.is_quarantined(context.now) {
+        if suspicion.is_quarantined(context.now) && !scope.tells_apart {
             let span_ms = context.now.until_ms(suspicion.quarantined_until);
             self.refuse(number, span_ms, context);
             return;
@@ -100,9 +100,9 @@
         }
         // An owner that did not answer in time counts as dead for this request.
         let is_silent = waiting.asked.is_some();
-        let owner = trial_owner(fingerprint, context);
+        let owner = trial_owner(scope.feature, context);
         if is_silent || owner == context.board.own.name {
-            match self.decide(None, fingerprint, number, deadline, context) {
+            match self.decide(None, scope, number, deadline, context) {
                 TrialVerdict::Granted { crash_count } => self.grant(number, crash_count, context),
                 TrialVerdict::Busy => self.schedule_retry(number, context),
                 TrialVerdict::Quarantined { span_ms } => self.refuse(number, span_ms, context),
@@ -114,7 +114,7 @@
             waiting.next_at = context.now.after_ms(ANSWER_LIMIT_MS);
         }
         let message = PeerMessage::TrialRequest {
-            fingerprint,
+            scope,
             number,
             remaining_ms: context.now.until_ms(deadline),
         };
@@ -136,7 +136,7 @@
 
     fn refuse(&mut self, number: TrialNumber, span_ms: u64, context: &mut ControlContext<'_>) {
         if let Some(waiting) = self.waiting.remove(&number) {
-            let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{:016x}", waiting.fingerprint));
+            let notice = RefusalNotice::new(ResultCode::Quarantined, waiting.scope.feature.to_string());
             context.reply(
                 ReplyTicket(number),
                 Reply::Refused(notice.retry_after_ms(span_ms)),
@@ -148,28 +148,31 @@
     fn decide(
         &mut self,
         holder: Option<VmName>,
-        fingerprint: Fingerprint,
+        scope: TrialScope,
         number: TrialNumber,
         deadline: Moment,
         context: &mut ControlContext<'_>,
     ) -> TrialVerdict {
-        let Some(suspicion) = context.board.suspicions.get(&fingerprint).copied() else {
+        let feature = scope.feature;
+        let Some(suspicion) = context.board.suspicions.get(feature).cloned() else {
             return TrialVerdict::Granted { crash_count: 0 };
         };
-        if suspicion.is_quarantined(context.now) {
+        if suspicion.is_quarantined(context.now) && !scope.tells_apart {
             let span_ms = context.now.until_ms(suspicion.quarantined_until);
             return TrialVerdict::Quarantined { span_ms };
         }
         let granted = TrialVerdict::Granted {
             crash_count: suspicion.crash_count,
         };
-        self.drop_stale_run(fingerprint, context);
-        if let Some(running) = self.running.get(&fingerprint) {
+        self.drop_stale_run(feature, context);
+        if let Some(running) = self.running.get(&feature) {
             let is_same = running.number == number && running.holder == holder;
             return if is_same { granted } else { TrialVerdict::Busy };
         }
         context.log(format!(
-            "event=trial_begun fingerprint={fingerprint:016x} vm={} strikes={}",
+            "event=trial_begun fingerprint={:016x} kind={} vm={} strikes={}",
+            feature.hash,
+            feature.kind.as_str(),
             holder.as_ref().unwrap_or(&context.board.own.name),
             suspicion.crash_count
         ));
@@ -178,19 +181,19 @@
             number,
             expires_at: deadline.after_ms(OVERDUE_MS),
         };
-        self.running.insert(fingerprint, running);
+        self.running.insert(feature, running);
         granted
     }
 
     /// Drops a run that is past its limit or whose VM is dead.
-    fn drop_stale_run(&mut self, fingerprint: Fingerprint, context: &ControlContext<'_>) {
+    fn drop_stale_run(&mut self, feature: RequestFeature, context: &ControlContext<'_>) {
         let vms = &context.board.vms;
         let is_gone = |name: &VmName| vms.get(name).is_none_or(|vm| !vm.is_live(context.now));
         let is_over = |running: &RunningTrial| {
             context.now.reached(running.expires_at) || running.holder.as_ref().is_some_and(is_gone)
         };
-        if self.running.get(&fingerprint).is_some_and(is_over) {
-            self.running.remove(&fingerprint);
+        if self.running.get(&feature).is_some_and(is_over) {
+            self.running.remove(&feature);
         }
     }
 
@@ -198,13 +201,13 @@
     pub fn answer(
         &mut self,
         from: &VmName,
-        fingerprint: Fingerprint,
+        scope: TrialScope,
         number: TrialNumber,
         remaining_ms: u64,
         context: &mut ControlContext<'_>,
     ) {
         let deadline = context.now.after_ms(remaining_ms);
-        let verdict = self.decide(Some(from.clone()), fingerprint, number, deadline, context);
+        let verdict = self.decide(Some(from.clone()), scope, number, deadline, context);
         context.send_to(from, PeerMessage::TrialAnswer { number, verdict });
     }
 
@@ -217,13 +220,12 @@
         context: &mut ControlContext<'_>,
     ) {
         let waiting = self.waiting.get(&number);
-        if waiting.is_none_or(|waiting| waiting.asked.as_ref() != Some(from)) {
+        let Some(waiting) = waiting.filter(|waiting| waiting.asked.as_ref() == Some(from)) else {
             return;
-        }
+        };
         match verdict {
             TrialVerdict::Granted { crash_count } => {
-                let fingerprint = waiting.map(|waiting| waiting.fingerprint).unwrap_or_default();
-                let suspicion = context.board.suspicions.get(&fingerprint);
+                let suspicion = context.board.suspicions.get(waiting.scope.feature);
                 let own_crash_count = suspicion.map_or(0, |suspicion| suspicion.crash_count);
                 self.grant(number, crash_count.max(own_crash_count), context);
             }
@@ -233,30 +235,25 @@
     }
 
     /// Ends a run of this node, and reports that to the owner of the request's trial runs.
-    pub fn finish(
-        &mut self,
-        fingerprint: Fingerprint,
-        number: TrialNumber,
-        context: &mut ControlContext<'_>,
-    ) {
+    pub fn finish(&mut self, feature: RequestFeature, number: TrialNumber, context: &mut ControlContext<'_>) {
         // A request that was abandoned while it waited has no run.
         self.waiting.remove(&number);
-        self.end_running(None, fingerprint, number);
-        let owner = trial_owner(fingerprint, context);
+        self.end_running(None, feature, number);
+        let owner = trial_owner(feature, context);
         if owner != context.board.own.name {
-            context.send_to(&owner, PeerMessage::TrialDone { fingerprint, number });
+            context.send_to(&owner, PeerMessage::TrialDone { feature, number });
         }
     }
 
     /// Handles a peer's report that its run is over.
-    pub fn handle_done(&mut self, from: &VmName, fingerprint: Fingerprint, number: TrialNumber) {
-        self.end_running(Some(from), fingerprint, number);
+    pub fn handle_done(&mut self, from: &VmName, feature: RequestFeature, number: TrialNumber) {
+        self.end_running(Some(from), feature, number);
     }
 
-    fn end_running(&mut self, holder: Option<&VmName>, fingerprint: Fingerprint, number: TrialNumber) {
+    fn end_running(&mut self, holder: Option<&VmName>, feature: RequestFeature, number: TrialNumber) {
         let is_match = |running: &RunningTrial| running.number == number && running.holder.as_ref() == holder;
-        if self.running.get(&fingerprint).is_some_and(is_match) {
-            self.running.remove(&fingerprint);
+        if self.running.get(&feature).is_some_and(is_match) {
+            self.running.remove(&feature);
         }
     }
 
@@ -280,10 +277,10 @@
     }
 }
 
-/// The VM that grants trial runs of a request, by this node's view of the live VMs that are not leaving.
-pub fn trial_owner(fingerprint: Fingerprint, context: &ControlContext<'_>) -> VmName {
+/// The VM that grants trial runs of a feature, by this node's view of the live VMs that are not leaving.
+pub fn trial_owner(feature: RequestFeature, context: &ControlContext<'_>) -> VmName {
     let view = context.board.live_view(context.now);
     let staying = view.vms.iter().filter(|vm| !vm.leaving).map(|vm| &*vm.name);
-    let owner = rendezvous::owner(&format!("{fingerprint:016x}"), staying);
+    let owner = rendezvous::owner(&format!("{:016x}", feature.hash), staying);
     owner.map_or_else(|| context.board.own.name.clone(), VmName::from)
 }
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -6,6 +6,7 @@
     EngineGroup, EngineOutcome, GroupLedger, LocalChooser, MemoryLoad, PlacementGrant, PlacementPolicy,
     PlacementRequest, PlacementResult, RequestId, group_count,
 };
+use crate::blackboard::RunRestriction;
 use crate::controllers::Reply;
 use crate::controllers::message::{PeerMessage, SlotVerdict};
 use crate::controllers::owner_watch::{ANSWER_LIMIT_MS, OwnerWatch};
@@ -129,7 +130,12 @@
     /// The groups to try, first the one that is most likely to have the prompt's prefix cached.
     fn rank_groups(&self, ask: &PlacementRequest, context: &ControlContext<'_>) -> Vec<u32> {
         let count = group_count(&context.board.engines(&ask.model), self.group_size);
-        let key = ask.prefix.first().copied().unwrap_or(ask.fingerprint).to_string();
+        let key = ask
+            .prefix
+            .first()
+            .copied()
+            .unwrap_or(ask.features.content())
+            .to_string();
         let mut groups: Vec<u32> = (0..count).collect();
         groups.sort_by_key(|group| std::cmp::Reverse(rendezvous::weight(&key, &group.to_string())));
         groups.truncate(MAX_GROUPS_TRIED);
@@ -385,9 +391,13 @@
     board: &Blackboard,
     now: Moment,
 ) -> Option<RefusalNotice> {
-    let until = board.quarantined_until(ask.fingerprint, now)?;
-    let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{:016x}", ask.fingerprint));
-    Some(notice.retry_after_ms(now.until_ms(until)))
+    match board.suspicions.restriction(&ask.features, now) {
+        RunRestriction::Quarantined { feature, until } => {
+            let notice = RefusalNotice::new(ResultCode::Quarantined, feature.to_string());
+            Some(notice.retry_after_ms(now.until_ms(until)))
+        }
+        RunRestriction::Trial(_) | RunRestriction::Unrestricted => None,
+    }
 }
 
 /// The message that releases a request's slots, or removes it from the queue, at a group's owner.
--- a/src/controllers/slots/ledger/choice.rs
+++ b/src/controllers/slots/ledger/choice.rs
@@ -64,13 +64,15 @@
     }
 
     /// Whether an engine runs a request that is suspected of crashing upstreams.
-    fn has_suspect(&self, name: &Arc<str>, board: &Blackboard) -> bool {
+    fn has_suspect(&self, name: &Arc<str>, board: &Blackboard, now: Moment) -> bool {
         let uses_engine = |lease: &SlotLease| {
             lease.decode == *name || (lease.is_prefilling && lease.prefill.as_ref() == Some(name))
         };
         let mut leases = self.leases.values();
-        leases
-            .any(|lease| uses_engine(lease) && lease.fingerprint.is_some_and(|known| board.is_suspect(known)))
+        leases.any(|lease| {
+            let features = lease.features.as_ref().filter(|_| uses_engine(lease));
+            features.is_some_and(|features| board.suspicions.is_suspect(features, now))
+        })
     }
 
     /// Chooses the engine with the lowest product of utilization and time per token, among those with room.
@@ -89,7 +91,7 @@
             .filter(|(name, _)| self.has_permit(name, now) && self.may_grant(name, request, board, now))
             .min_by_key(|(name, replica)| {
                 // If an engine with two suspects crashes, it is unknown which of them caused it.
-                let is_shared = is_suspect && self.has_suspect(name, board);
+                let is_shared = is_suspect && self.has_suspect(name, board, now);
                 let cross_zone_permille = if replica.zone == request.zone {
                     0
                 } else {
@@ -126,7 +128,7 @@
             // Waiting for a busy engine would pass the permit of the decode engine to the next request.
             usable.retain(|(_, replica)| is_free(replica));
         }
-        let has_no_suspect = |name: &Arc<str>| !is_suspect || !self.has_suspect(name, board);
+        let has_no_suspect = |name: &Arc<str>| !is_suspect || !self.has_suspect(name, board, now);
         let has_unsuspected = usable.iter().any(|(name, _)| has_no_suspect(name));
         let candidates: Vec<(u64, u32, &Arc<str>)> = usable
             .into_iter()
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -17,7 +17,7 @@
     EngineGroup, EngineOutcome, EnginePermits, HeldSlot, MemoryLoad, PlacementRequest, PlacementResult,
     RequestId, SentEngines, group_count, group_members,
 };
-use crate::blackboard::{EngineView, Fingerprint, ReplicaFacts, ReplicaId, SharedRateLimits};
+use crate::blackboard::{EngineView, FeatureSet, Fingerprint, ReplicaFacts, ReplicaId, SharedRateLimits};
 use crate::controllers::message::SlotVerdict;
 use crate::controllers::rate_limits::PermitIssuer;
 use crate::controllers::services::smooth;
@@ -56,8 +56,8 @@
     is_prefilling: bool,
     /// Prompt tokens that the prefill engine probably has to compute.
     uncached_tokens: u64,
-    /// Hash of the request's content; `None` if an earlier owner granted the slot.
-    fingerprint: Option<Fingerprint>,
+    /// What the request may have in common with others; `None` if an earlier owner granted the slot.
+    features: Option<FeatureSet>,
     deadline: Moment,
     /// Permits taken of its engines.
     permits: EnginePermits,
@@ -239,8 +239,8 @@
         board: &Blackboard,
         now: Moment,
     ) -> Option<SlotVerdict> {
-        let is_suspect = board.is_suspect(ask.fingerprint);
-        if is_suspect && self.is_running(ask.fingerprint) {
+        let is_suspect = board.suspicions.is_suspect(&ask.features, now);
+        if is_suspect && self.is_running(ask.features.content()) {
             return None;
         }
         let load = ask.memory_load(now.after_ms(self.prefill_ms(ask)));
@@ -270,7 +270,7 @@
             prefill: prefill.clone(),
             is_prefilling: prefill.is_some(),
             uncached_tokens,
-            fingerprint: Some(ask.fingerprint),
+            features: Some(ask.features.clone()),
             deadline: ask.deadline,
             permits,
         };
@@ -283,9 +283,12 @@
     }
 
     /// Whether a request with this content holds slots.
-    fn is_running(&self, fingerprint: Fingerprint) -> bool {
+    fn is_running(&self, content: Fingerprint) -> bool {
         let mut leases = self.leases.values();
-        leases.any(|lease| lease.fingerprint == Some(fingerprint))
+        leases.any(|lease| {
+            let features = lease.features.as_ref();
+            features.is_some_and(|features| features.content() == content)
+        })
     }
 
     /// Takes over a lease that an earlier owner granted.
@@ -302,7 +305,7 @@
             prefill: None,
             is_prefilling: false,
             uncached_tokens: 0,
-            fingerprint: None,
+            features: None,
             deadline: held.deadline,
             permits: EnginePermits::default(),
         };
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -25,7 +25,7 @@
 
 use std::sync::Arc;
 
-use crate::blackboard::Fingerprint;
+use crate::blackboard::FeatureSet;
 use crate::prelude::*;
 
 /// Identifies one attempt at one request: the holder's incarnation, a serial number and the attempt's number.
@@ -44,8 +44,8 @@
     pub zone: Arc<str>,
     /// Rank in the queue; zero is served first.
     pub priority: u32,
-    /// Hash of the request's content; identifies requests that are suspected of crashing engines.
-    pub fingerprint: Fingerprint,
+    /// What the request may have in common with others; some of it may be suspected of crashing engines.
+    pub features: FeatureSet,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
     /// Limit for generated tokens.
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -100,12 +100,12 @@
     "replica_leaving", Belief, ["replica", "reason", "source", "list_revision"], "A replica was removed from the list, or reported that it leaves; it gets no new requests after a short delay.";
     "replica_listed", Belief, ["replica", "service", "role", "address", "zone", "draining", "list_revision"], "A replica is new on the list, or its entry changed.";
     "replica_paused", Belief, ["replica", "reason", "paused_ms"], "A replica failed and is avoided for a while if others are available.";
-    "request_quarantined", Belief, ["fingerprint", "strikes", "hold_ms"], "Replicas crashed while running a request, one run after the other; it is quarantined on all VMs.";
+    "request_quarantined", Belief, ["fingerprint", "kind", "strikes", "hold_ms"], "Replicas crashed while running requests with one feature, one run after the other; all VMs refuse such requests. kind is content for repeats of one request, and part for requests that share a part of their prompts.";
     "resumed", Progress, ["request", "replica", "last_event"], "A stream resumed at another engine after the last event that its caller received.";
-    "request_struck", Belief, ["fingerprint", "upstream", "incarnation", "strikes", "age_ms", "seen_by", "source"], "A replica crashed while running a request of this content.";
-    "request_cleared", Belief, ["fingerprint", "strikes", "source"], "Completed runs have cleared a suspected request.";
-    "trial_begun", Belief, ["fingerprint", "vm", "strikes"], "This VM, as owner of a suspected request, allowed one trial run of it to begin.";
-    "loss_unnoted", Progress, ["fingerprint"], "The control thread did not record a lost request because the process is exiting.";
+    "request_struck", Belief, ["fingerprint", "parts", "upstream", "incarnation", "strikes", "age_ms", "seen_by", "source"], "A replica crashed while running a request of this content; parts are those of its prompt that may have caused it, strikes the highest number of such crashes in a row of any of them.";
+    "request_cleared", Belief, ["fingerprint", "kind", "strikes", "source"], "Runs without a crash have cleared a suspected feature.";
+    "trial_begun", Belief, ["fingerprint", "kind", "vm", "strikes"], "This VM, as owner of a suspected feature, allowed one trial run of a request with it to begin.";
+    "loss_unnoted", Progress, [], "The control thread did not record a lost request because the process is exiting.";
     "request_lost", Failure, ["request", "fingerprint", "stage", "replica", "replica_start", "run_ms", "output_ms", "proven", "fate"], "The connection to a replica was lost before its answer was complete; output_ms is the time since the first of the answer, - before it; fate is the result of probing the replica.";
     "retry_denied", Failure, ["request", "reason", "extra", "allowed", "vms"], "A request was not retried.";
     "extra_returned", Progress, ["request", "service", "count"], "Extra sends of a request that were charged to the shared budget did not happen and were credited back.";
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -147,6 +147,12 @@
 /// Handles a quarantined request; the sentence lists the crashes of replicas that led to it.
 fn cause_of_quarantine(timeline: &RequestTimeline<'_>, refused: &LogLine) -> (FailureCause, String) {
     let (cause, sentence) = cause_of_refusal(refused);
+    let detail = refused.field("detail");
+    let feature = if detail.starts_with("part ") {
+        detail
+    } else {
+        "content"
+    };
     let mut crashes: Vec<String> = Vec::new();
     for line in timeline
         .suspicion
@@ -172,12 +178,12 @@
         return (
             cause,
             format!(
-                "{sentence} The logs don't show which replicas crashed while running requests of its content."
+                "{sentence} The logs don't show which replicas crashed while running requests of its {feature}."
             ),
         );
     }
     let explanation = format!(
-        "{sentence} Replicas that had ended under its content: {}.",
+        "{sentence} Replicas that had ended under its {feature}: {}.",
         crashes.join(", ")
     );
     (cause, explanation)
--- a/src/explain/timeline.rs
+++ b/src/explain/timeline.rs
@@ -17,7 +17,8 @@
     lines: Vec<LogLine>,
     by_request: FastMap<String, Vec<usize>>,
     by_placement: FastMap<String, Vec<usize>>,
-    by_fingerprint: FastMap<String, Vec<usize>>,
+    /// Indexes of lines by the hash of a content or of a part of prompts.
+    by_feature: FastMap<String, Vec<usize>>,
     /// Indexes of the lines about rate limits of replicas.
     limits: Vec<usize>,
     /// Indexes of the lines about configurations.
@@ -29,13 +30,13 @@
     pub fn add(&mut self, text: &str, default_vm: &str) {
         for line in text.lines().filter_map(|line| LogLine::parse(line, default_vm)) {
             let index = self.lines.len();
-            for (name, map) in [
-                ("request", &mut self.by_request),
-                ("place", &mut self.by_placement),
-                ("fingerprint", &mut self.by_fingerprint),
+            for (names, map) in [
+                (&["request"][..], &mut self.by_request),
+                (&["place"], &mut self.by_placement),
+                (&["fingerprint", "parts"], &mut self.by_feature),
             ] {
-                let key = line.field(name);
-                if !key.is_empty() && key != "-" {
+                let keys = names.iter().flat_map(|name| line.field(name).split(','));
+                for key in keys.filter(|key| !key.is_empty() && *key != "-") {
                     map.entry(key.to_owned()).or_default().push(index);
                 }
             }
@@ -129,13 +130,16 @@
         in_force.map(|(_, line)| *line).collect()
     }
 
-    /// Lines about requests of the same content, at any time: the reason for a quarantine may lie hours back.
+    /// Lines about requests with the feature for which a request was refused, or else with the same content, at
+    /// any time: the reason for a quarantine may lie hours back.
     fn suspicion_of(&self, steps: &[&LogLine]) -> Vec<&LogLine> {
         let mut fingerprints = steps.iter().map(|step| step.field("fingerprint"));
         let Some(fingerprint) = fingerprints.find(|fingerprint| !fingerprint.is_empty()) else {
             return Vec::new();
         };
-        let indexes = self.by_fingerprint.get(fingerprint).into_iter().flatten();
+        let feature = quarantined_feature(steps).filter(|feature| self.by_feature.contains_key(*feature));
+        let feature = feature.unwrap_or(fingerprint);
+        let indexes = self.by_feature.get(feature).into_iter().flatten();
         let lines = indexes.map(|index| &self.lines[*index]);
         let mut lines: Vec<&LogLine> = lines.filter(|line| line.field("request").is_empty()).collect();
         lines.sort_by(|left, right| left.time.total_cmp(&right.time));
@@ -231,3 +235,10 @@
         self.steps.iter().rev().find(|step| step.event == event).copied()
     }
 }
+
+/// The hash of the feature for which a request was refused; `None` unless it was quarantined.
+fn quarantined_feature<'a>(steps: &[&'a LogLine]) -> Option<&'a str> {
+    let refused = steps.iter().rev().find(|step| step.event == "refused")?;
+    let detail = refused.field("detail");
+    (refused.field("reason") == "quarantined").then(|| detail.rsplit(' ').next().unwrap_or(detail))
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -103,7 +103,7 @@
             return None;
         }
         let (control, request) = (&self.context.control, self.request);
-        match RunPermit::acquire(control, request.features.content(), request.deadline).await {
+        match RunPermit::acquire(control, &request.features, request.deadline).await {
             Ok(permit) => self.select_replica(permit).await,
             Err(notice) => {
                 self.progress.quarantine_notice = Some(notice);
@@ -115,7 +115,7 @@
     /// Acquires the permits and a replica for a hedged send; `None` if there may be none. Replicas with a
     /// rate limit are not hedged to, since that would use up their permits.
     fn prepare_hedge(&mut self) -> Option<SendAdmission> {
-        let permit = RunPermit::for_hedge(&self.context.control, self.request.features.content())?;
+        let permit = RunPermit::for_hedge(&self.context.control, &self.request.features)?;
         if !self.may_send() {
             return None;
         }
@@ -141,6 +141,10 @@
                 LeaseChoice::Limited(candidates) => {
                     match acquire_permit(self.context, self.request, &candidates).await {
                         PermitOutcome::Granted(rate_permit) => {
+                            if let Err(notice) = permit.renew(self.request.deadline).await {
+                                self.progress.quarantine_notice = Some(notice);
+                                return None;
+                            }
                             let replica = &rate_permit.grant().replica;
                             if let Some(lease) = DispatchLease::reserve(self.context, replica) {
                                 return self.admit_send(lease, permit, Some(rate_permit));
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
 use super::split::serve_stream;
 use super::trace::{RequestOutcome, RequestTrace};
 use super::{GatewayContext, RequestFacts};
-use crate::blackboard::{FeatureSet, RequestFeature, hash_parts};
+use crate::blackboard::{FeatureSet, RequestFeature, hash_parts, join_hashes};
 use crate::clock;
 use crate::http::RequestHead;
 use crate::prelude::*;
@@ -26,9 +26,6 @@
 /// Retry-After of a VM that has no configuration yet, in milliseconds: several times the duration of a start.
 const UNCONFIGURED_RETRY_AFTER_MS: u64 = 900;
 
-/// The most parts of a prompt that a log line lists, as lines are cut at a length of some hundred bytes.
-const MAX_LOGGED_PARTS: usize = 6;
-
 /// How much earlier a leaving VM accepts its last stream than its last call, in milliseconds: the duration of
 /// a long stream.
 const STREAM_HEADROOM_MS: u64 = 3_000;
@@ -136,7 +133,7 @@
          revision={} revision_age_ms={}",
         request.facts.id,
         request.features.content(),
-        format_parts(&request.features),
+        join_hashes(request.features.parts().iter().copied()),
         request.rule.name,
         request.rule.kind.as_str(),
         request.service,
@@ -172,21 +169,6 @@
     )
 }
 
-/// Formats the parts of a prompt for the log.
-fn format_parts(features: &FeatureSet) -> String {
-    let parts: Vec<String> = features
-        .parts()
-        .iter()
-        .take(MAX_LOGGED_PARTS)
-        .map(|part| format!("{:016x}", part.hash))
-        .collect();
-    if parts.is_empty() {
-        "-".to_owned()
-    } else {
-        parts.join(",")
-    }
-}
-
 fn find_route(
     snapshot: &Snapshot,
     head: &RequestHead,
--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -67,7 +67,7 @@
     lost_send: LostSend<'_>,
 ) -> UpstreamOutcome {
     let lost_at = clock::now();
-    let (id, fingerprint) = (request.facts.id.clone(), request.features.content());
+    let (id, features) = (request.facts.id.clone(), request.features.clone());
     let (context, replica, reporter) = (
         context.clone(),
         lost_send.replica.clone(),
@@ -92,15 +92,16 @@
             ProbeResult::Unclear => UpstreamOutcome::Unclear,
         };
         spdlog::error!(
-            "event=request_lost request={id} fingerprint={fingerprint:016x} stage={} replica={} replica_start={} \
+            "event=request_lost request={id} fingerprint={:016x} stage={} replica={} replica_start={} \
              run_ms={run_ms} output_ms={} proven={is_proven} fate={outcome:?}",
+            features.content(),
             stage.as_str(),
             replica.id,
             replica.started_epoch_ms,
             output_ms.map_or_else(|| "-".to_owned(), |output_ms| output_ms.to_string())
         );
         if outcome == UpstreamOutcome::Unreached {
-            context.unproven_losses.record(fingerprint, lost_at);
+            context.unproven_losses.record(&features, lost_at);
         }
         let lost = LostRun {
             upstream: replica.id.clone(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -11,7 +11,7 @@
 use super::rate_permit::PermitDecision;
 use super::statements::UnknownAttributes;
 use super::trace::{RequestOutcome, TraceRecord};
-use crate::blackboard::{OfferOutcome, ReplicaId};
+use crate::blackboard::{FeatureKind, OfferOutcome, ReplicaId};
 use crate::clock;
 use crate::event_log::EventLog;
 use crate::prelude::*;
@@ -117,7 +117,7 @@
             replicas: meters.gauge("replicas", "Listed replicas by state."),
             suspected: meters.gauge(
                 "suspected_requests",
-                "Requests under which replicas ended, by what becomes of them.",
+                "Contents and parts of prompts under which replicas ended, by what becomes of them.",
             ),
             rate_limit_refusals: meters.counter(
                 "limited_refusals",
@@ -191,11 +191,18 @@
         }
         self.limits.record(snapshot, now);
         self.active.record(active_requests, &[]);
-        let quarantined = snapshot.quarantined_count(now);
-        let in_trial = snapshot.suspicions.len() - quarantined;
-        for (state, count) in [("held", quarantined), ("careful", in_trial)] {
-            self.suspected
-                .record(count as u64, &[KeyValue::new("state", state)]);
+        for kind in [FeatureKind::Content, FeatureKind::Part] {
+            let suspicions = snapshot.suspicions.iter();
+            let suspicions = suspicions.filter(|(feature, _)| feature.kind == kind);
+            let (quarantined, in_trial): (Vec<_>, Vec<_>) =
+                suspicions.partition(|(_, suspicion)| suspicion.is_quarantined(now));
+            for (state, count) in [("held", quarantined.len()), ("careful", in_trial.len())] {
+                let labels = [
+                    KeyValue::new("state", state),
+                    KeyValue::new("kind", kind.as_str()),
+                ];
+                self.suspected.record(count as u64, &labels);
+            }
         }
         let tally = EventLog::tally();
         for (outcome, count) in [("taken", tally.accepted), ("dropped", tally.dropped)] {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -183,7 +183,7 @@
             rule.priority
         },
         zone: context.own.zone.clone(),
-        fingerprint: request.features.content(),
+        features: request.features.clone(),
         prompt_tokens: facts.prompt_tokens,
         max_tokens: facts.output_tokens,
         expected_tokens: expected_tokens(facts),
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -135,8 +135,8 @@
         if !may_send {
             return None;
         }
-        let (control, fingerprint) = (&self.context.control, self.request.features.content());
-        let permit = match RunPermit::acquire(control, fingerprint, self.request.deadline).await {
+        let (control, features) = (&self.context.control, &self.request.features);
+        let permit = match RunPermit::acquire(control, features, self.request.deadline).await {
             Ok(permit) => permit,
             Err(notice) => {
                 self.refusal = Some(notice);
@@ -159,6 +159,10 @@
                 return None;
             }
         };
+        // The request may have waited for its engines, and a feature of it may have come under suspicion.
+        if !self.may_still_run(&permit).await {
+            return None;
+        }
         let prompt = match self.prefill(&mut placement, &permit).await {
             PrefillStep::Ready(prompt) => Some(prompt),
             PrefillStep::LeftToDecode => None,
@@ -175,6 +179,9 @@
             // The refused prefill used the last send.
             return None;
         }
+        if !self.may_still_run(&permit).await {
+            return None;
+        }
         let is_now_extra = !is_charged && self.arrivals.is_next_extra();
         if is_now_extra && !self.charge_extra() {
             return None;
@@ -184,6 +191,17 @@
         Some(self.decode(placement, prompt, permit).await)
     }
 
+    /// Whether the request is not quarantined by now; keeps the refusal otherwise.
+    async fn may_still_run(&mut self, permit: &RunPermit) -> bool {
+        match permit.renew(self.request.deadline).await {
+            Ok(()) => true,
+            Err(notice) => {
+                self.refusal = Some(notice);
+                false
+            }
+        }
+    }
+
     /// Whether another engine may serve the stream: nothing was sent to the caller yet, or the events have
     /// ids to resume after.
     fn can_resume(&self) -> bool {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -176,7 +176,7 @@
 /// or was recently lost on a connection that may not have reached a replica.
 pub fn needs_watch(context: &GatewayContext, request: &CallerRequest, permit: &RunPermit) -> bool {
     let losses = &context.unproven_losses;
-    permit.is_trial() || losses.contains(request.features.content(), clock::now())
+    permit.is_trial() || losses.contains(&request.features, clock::now())
 }
 
 /// Chooses between a fresh and a watched connection for a request that gets a connection of its own.
--- a/src/peers/convert/mod.rs
+++ b/src/peers/convert/mod.rs
@@ -13,8 +13,9 @@
 };
 use members::{incarnation_to_bytes, to_incarnation};
 use quarantine::{
-    cases_content_body, cleared_message, crash_report_body, crash_report_message, to_cases_content,
-    to_trial_answer, to_trial_frame, trial_answer_body,
+    cases_content_body, to_cases_content, to_cleared, to_cleared_frame, to_crash_report,
+    to_crash_report_frame, to_runs_passed, to_runs_passed_frame, to_trial_answer, to_trial_done,
+    to_trial_done_frame, to_trial_request, to_trial_request_frame, trial_answer_body,
 };
 use rate_limits::{
     limits_content_body, permit_answer_body, permit_request_body, permit_returned_body, to_limit_frame,
@@ -29,10 +30,9 @@
 use crate::controllers::message::{MemberView, PeerMessage, VmIntroduction};
 use crate::controllers::slots::{HeldSlot, MemoryLoad, PlacementResult, SentEngines};
 use crate::peers::wire::{
-    CasesWantedFrame, ClearedFrame, EngineBusyFrame, FrameBody, HandoffFrame, HeartbeatFrame,
-    IntroductionFrame, LimitsHandedOverFrame, LimitsWantedFrame, PeerFrame, RegisterContentFrame,
-    RegisterWantedFrame, ReplicaLeavingFrame, ReplicasWantedFrame, RunCompletedFrame, SlotHeldFrame,
-    VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
+    CasesWantedFrame, EngineBusyFrame, FrameBody, HandoffFrame, HeartbeatFrame, IntroductionFrame,
+    LimitsHandedOverFrame, LimitsWantedFrame, PeerFrame, RegisterContentFrame, RegisterWantedFrame,
+    ReplicaLeavingFrame, ReplicasWantedFrame, SlotHeldFrame, VmSuspectedFrame, VmsKnownFrame, VmsWantedFrame,
 };
 use crate::prelude::*;
 
@@ -126,25 +126,23 @@
             request,
             result,
         } => FrameBody::SlotRelease(to_release_frame(group, request, *result)),
-        PeerMessage::CrashReported { fingerprint, report } => crash_report_body(*fingerprint, report, now),
-        PeerMessage::Cleared {
-            fingerprint,
+        PeerMessage::CrashReported(report) => FrameBody::CrashReported(to_crash_report_frame(report, now)),
+        PeerMessage::Cleared { feature, crash_count } => {
+            FrameBody::Cleared(to_cleared_frame(*feature, *crash_count))
+        }
+        PeerMessage::RunsPassed {
+            feature,
+            count,
             crash_count,
-        } => FrameBody::Cleared(ClearedFrame {
-            fingerprint: *fingerprint,
-            crash_count: *crash_count,
-        }),
-        PeerMessage::RunCompleted { fingerprint } => FrameBody::RunCompleted(RunCompletedFrame {
-            fingerprint: *fingerprint,
-        }),
+        } => FrameBody::RunsPassed(to_runs_passed_frame(*feature, *count, *crash_count)),
         PeerMessage::TrialRequest {
-            fingerprint,
+            scope,
             number,
             remaining_ms,
-        } => FrameBody::TrialRequest(to_trial_frame(*fingerprint, *number, *remaining_ms)),
+        } => FrameBody::TrialRequest(to_trial_request_frame(*scope, *number, *remaining_ms)),
         PeerMessage::TrialAnswer { number, verdict } => trial_answer_body(*number, *verdict),
-        PeerMessage::TrialDone { fingerprint, number } => {
-            FrameBody::TrialDone(to_trial_frame(*fingerprint, *number, 0))
+        PeerMessage::TrialDone { feature, number } => {
+            FrameBody::TrialDone(to_trial_done_frame(*feature, *number))
         }
         PeerMessage::CasesWanted => FrameBody::CasesWanted(CasesWantedFrame {}),
         PeerMessage::CasesContent(records) => cases_content_body(records, now),
@@ -268,21 +266,12 @@
                 },
             },
         }),
-        FrameBody::CrashReported(frame) => Ok(crash_report_message(frame, now)),
-        FrameBody::Cleared(frame) => Ok(cleared_message(&frame)),
-        FrameBody::RunCompleted(frame) => Ok(PeerMessage::RunCompleted {
-            fingerprint: frame.fingerprint,
-        }),
-        FrameBody::TrialRequest(frame) => Ok(PeerMessage::TrialRequest {
-            fingerprint: frame.fingerprint,
-            number: frame.number,
-            remaining_ms: frame.remaining_ms,
-        }),
+        FrameBody::CrashReported(frame) => Ok(PeerMessage::CrashReported(to_crash_report(frame, now))),
+        FrameBody::Cleared(frame) => Ok(to_cleared(&frame)),
+        FrameBody::RunsPassed(frame) => Ok(to_runs_passed(&frame)),
+        FrameBody::TrialRequest(frame) => Ok(to_trial_request(&frame)),
         FrameBody::TrialAnswer(frame) => to_trial_answer(&frame),
-        FrameBody::TrialDone(frame) => Ok(PeerMessage::TrialDone {
-            fingerprint: frame.fingerprint,
-            number: frame.number,
-        }),
+        FrameBody::TrialDone(frame) => Ok(to_trial_done(&frame)),
         FrameBody::CasesWanted(CasesWantedFrame {}) => Ok(PeerMessage::CasesWanted),
         FrameBody::CasesContent(frame) => Ok(to_cases_content(frame, now)),
         FrameBody::LimitStated(frame) => Ok(PeerMessage::LimitStated(to_limit_report(frame, now))),
--- a/src/peers/convert/slots.rs
+++ b/src/peers/convert/slots.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::InvalidFrame;
+use crate::blackboard::{FeatureKind, FeatureSet, Fingerprint, RequestFeature};
 use crate::controllers::message::{PeerMessage, SlotVerdict};
 use crate::controllers::slots::{
     EngineGroup, EngineOutcome, EnginePermits, PlacementRequest, PlacementResult,
@@ -49,7 +50,7 @@
         workspace: request.workspace.to_string(),
         priority: request.priority,
         zone: request.zone.to_string(),
-        fingerprint: request.fingerprint,
+        fingerprint: request.features.content(),
         prompt_tokens: request.prompt_tokens,
         max_tokens: request.max_tokens,
         prefix: request.prefix.clone(),
@@ -62,9 +63,18 @@
         may_skip_prefill: request.may_skip_prefill,
         first_token_deadline_ms: now.until_ms(request.first_token_deadline),
         may_be_late: request.may_be_late,
+        parts: request.features.parts().iter().map(|part| part.hash).collect(),
     }
 }
 
+fn to_features(content: Fingerprint, parts: &[Fingerprint]) -> FeatureSet {
+    let parts = parts.iter().map(|hash| RequestFeature {
+        kind: FeatureKind::Part,
+        hash: *hash,
+    });
+    FeatureSet::new(content, parts)
+}
+
 pub(super) fn to_slot_request(frame: SlotRequestFrame, now: Moment) -> Result<PeerMessage, InvalidFrame> {
     let group = to_group(frame.group)?;
     Ok(PeerMessage::SlotRequest {
@@ -75,7 +85,7 @@
             model: group.model,
             priority: frame.priority,
             zone: frame.zone.into(),
-            fingerprint: frame.fingerprint,
+            features: to_features(frame.fingerprint, &frame.parts),
             prompt_tokens: frame.prompt_tokens,
             max_tokens: frame.max_tokens,
             prefix: frame.prefix,
--- a/src/peers/wire/mod.rs
+++ b/src/peers/wire/mod.rs
@@ -15,7 +15,7 @@
     VmsKnownFrame, VmsWantedFrame,
 };
 pub use quarantine::{
-    CaseFrame, CasesContentFrame, CasesWantedFrame, ClearedFrame, CrashReportFrame, RunCompletedFrame,
+    CaseFrame, CasesContentFrame, CasesWantedFrame, ClearedFrame, CrashReportFrame, RunsPassedFrame,
     TrialAnswerFrame, TrialFrame,
 };
 pub use rate_limits::{
@@ -80,7 +80,7 @@
     /// An upstream crashed while it ran a request.
     #[prost(message, tag = "12")]
     CrashReported(CrashReportFrame),
-    /// Complete runs have cleared a request of suspicion.
+    /// Passes have cleared a feature of suspicion.
     #[prost(message, tag = "13")]
     Cleared(ClearedFrame),
     /// Forwards a run-once call to the owner of its key.
@@ -113,10 +113,10 @@
     /// A replica is about to leave.
     #[prost(message, tag = "23")]
     ReplicaLeaving(ReplicaLeavingFrame),
-    /// A suspected request ran to completion.
+    /// Requests with a suspected feature ran without a crash.
     #[prost(message, tag = "24")]
-    RunCompleted(RunCompletedFrame),
-    /// Requests a trial run of a suspected request.
+    RunsPassed(RunsPassedFrame),
+    /// Requests a trial run of a suspected feature.
     #[prost(message, tag = "25")]
     TrialRequest(TrialFrame),
     /// The answer to a request for a trial run.
--- a/src/peers/wire/slots.rs
+++ b/src/peers/wire/slots.rs
@@ -71,6 +71,9 @@
     /// answer or accepts a delay.
     #[prost(bool, tag = "18")]
     pub may_be_late: bool,
+    /// Hashes of the parts of the prompt that other requests may share.
+    #[prost(fixed64, repeated, tag = "19")]
+    pub parts: Vec<u64>,
 }
 
 /// A refusal with its result code.
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -20,5 +20,5 @@
 pub use node::{NodeError, run_node};
 pub use placement_guard::PlacementGuard;
 pub use rate_permit::RatePermit;
-pub use run_permit::{LossReporter, LostRun, RunPermit, report_completed};
+pub use run_permit::{LossReporter, LostRun, RunPermit, report_passed};
 pub use snapshot::Snapshot;
--- a/src/runtime/run_permit.rs
+++ b/src/runtime/run_permit.rs
@@ -1,14 +1,14 @@
-//! Permission to run a request on an upstream. A request suspected of crashing upstreams runs as a trial, one
-//! at a time in the whole fleet; its permission is returned on drop.
+//! Permission to run a request on an upstream. A request with a feature suspected of crashing upstreams runs
+//! as a trial, one at a time in the whole fleet; its permission is returned on drop.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
-use super::ControlHandle;
 use super::run_progress::RunProgress;
-use crate::blackboard::Fingerprint;
+use super::{ControlHandle, lock};
+use crate::blackboard::{FeatureKind, FeatureSet, RequestFeature, RunRestriction, SuspicionMap, TrialScope};
 use crate::clock;
 use crate::controllers::Reply;
-use crate::controllers::quarantine::{RunLoss, TrialNumber, UpstreamOutcome};
+use crate::controllers::quarantine::{CrashSuspect, RunLoss, TrialNumber, UpstreamOutcome};
 use crate::prelude::*;
 
 /// A run whose connection to the upstream was lost, as observed by the task that sent it.
@@ -26,45 +26,84 @@
     pub outcome: UpstreamOutcome,
 }
 
+/// A trial run that this process has permission for.
+#[derive(Clone, Copy, Debug)]
+struct GrantedTrial {
+    feature: RequestFeature,
+    number: TrialNumber,
+}
+
+/// What a permit was given on.
+#[derive(Debug, Default)]
+struct PermitState {
+    /// The suspected features of the request, with their crash counts in a row.
+    known_counts: Vec<CrashSuspect>,
+    /// The trial run; `None` if the request may run without restriction, or once the trial is over.
+    trial: Option<GrantedTrial>,
+}
+
 /// Permission to run a request; ends its trial, if any, on drop.
 pub struct RunPermit {
     control: ControlHandle,
-    fingerprint: Fingerprint,
-    /// The request's crash count in a row when the permission was given.
-    crash_count: u32,
-    /// Number of the trial run; `None` if the request is not suspected.
-    trial: Option<TrialNumber>,
+    features: FeatureSet,
+    state: Mutex<PermitState>,
     progress: RunProgress,
 }
 
 impl RunPermit {
-    /// Waits for permission to run a request; a quarantined request is refused at once.
+    /// Waits for permission to run a request; one with a quarantined feature is refused at once.
     pub async fn acquire(
         control: &ControlHandle,
-        fingerprint: Fingerprint,
+        features: &FeatureSet,
         deadline: Moment,
     ) -> Result<Self, RefusalNotice> {
-        control.catch_up().await;
-        let Some(suspicion) = control.snapshot().suspicion(fingerprint) else {
-            return Ok(Self::unrestricted(control, fingerprint));
-        };
+        let permit = Self::unrestricted(control, features);
+        permit.renew(deadline).await?;
+        Ok(permit)
+    }
+
+    /// Checks the permission again before the next step of a request, since a feature of it may have come
+    /// under suspicion; waits for a trial run if it is now limited to one.
+    pub async fn renew(&self, deadline: Moment) -> Result<(), RefusalNotice> {
+        self.control.catch_up().await;
         let now = clock::now();
-        if suspicion.is_quarantined(now) {
-            let notice = RefusalNotice::new(ResultCode::Quarantined, format!("{fingerprint:016x}"));
-            return Err(notice.retry_after_ms(now.until_ms(suspicion.quarantined_until)));
+        let snapshot = self.control.snapshot();
+        match snapshot.suspicions.restriction(&self.features, now) {
+            RunRestriction::Unrestricted => {}
+            RunRestriction::Quarantined { feature, until } => {
+                let notice = RefusalNotice::new(ResultCode::Quarantined, feature.to_string());
+                return Err(notice.retry_after_ms(now.until_ms(until)));
+            }
+            RunRestriction::Trial(_) if self.is_trial() => {}
+            RunRestriction::Trial(scope) => return self.begin_trial(scope, deadline).await,
         }
-        let ticket = control.new_ticket();
-        let mut permit = Self::unrestricted(control, fingerprint);
-        permit.trial = Some(ticket.0);
+        lock(&self.state).known_counts = known_counts(&snapshot.suspicions, &self.features);
+        Ok(())
+    }
+
+    async fn begin_trial(&self, scope: TrialScope, deadline: Moment) -> Result<(), RefusalNotice> {
+        let ticket = self.control.new_ticket();
+        // Set before the request, so that a permit which is dropped while it waits ends the trial.
+        lock(&self.state).trial = Some(GrantedTrial {
+            feature: scope.feature,
+            number: ticket.0,
+        });
         let wanted = Event::TrialWanted {
             ticket,
-            fingerprint,
+            scope,
             deadline,
         };
-        match control.ask_as(ticket, wanted).await {
+        match self.control.ask_as(ticket, wanted).await {
             Some(Reply::TrialGranted { crash_count }) => {
-                permit.crash_count = crash_count;
-                Ok(permit)
+                let snapshot = self.control.snapshot();
+                let mut counts = known_counts(&snapshot.suspicions, &self.features);
+                counts.retain(|known| known.feature != scope.feature);
+                counts.push(CrashSuspect {
+                    feature: scope.feature,
+                    crash_count,
+                });
+                lock(&self.state).known_counts = counts;
+                Ok(())
             }
             Some(Reply::Refused(notice)) => Err(notice),
             _ => Err(RefusalNotice::new(
@@ -74,26 +113,38 @@
         }
     }
 
-    /// Permission for another copy of a running request; `None` if the request is suspected, or if a recent
-    /// suspension of this process makes that uncertain.
-    pub fn for_hedge(control: &ControlHandle, fingerprint: Fingerprint) -> Option<Self> {
-        let is_clean = control.has_caught_up() && control.snapshot().suspicion(fingerprint).is_none();
-        is_clean.then(|| Self::unrestricted(control, fingerprint))
+    /// Permission for another copy of a running request; `None` if a feature of it is suspected, or if a
+    /// recent suspension of this process makes that uncertain.
+    pub fn for_hedge(control: &ControlHandle, features: &FeatureSet) -> Option<Self> {
+        let snapshot = control.snapshot();
+        let is_clean = control.has_caught_up() && !snapshot.suspicions.is_suspect(features, clock::now());
+        is_clean.then(|| {
+            let permit = Self::unrestricted(control, features);
+            lock(&permit.state).known_counts = known_counts(&snapshot.suspicions, features);
+            permit
+        })
     }
 
-    fn unrestricted(control: &ControlHandle, fingerprint: Fingerprint) -> Self {
+    fn unrestricted(control: &ControlHandle, features: &FeatureSet) -> Self {
         Self {
             control: control.clone(),
-            fingerprint,
-            crash_count: 0,
-            trial: None,
+            features: features.clone(),
+            state: Mutex::default(),
             progress: RunProgress::default(),
         }
     }
 
-    /// Records that a part of the run's answer arrived.
+    /// Whether this is a trial run of a suspected request, which must not run twice at a time.
+    pub fn is_trial(&self) -> bool {
+        lock(&self.state).trial.is_some()
+    }
+
+    /// Records that a part of the run's answer arrived. Once the run has outlived its beginning, it no longer
+    /// counts against the parts of its prompt.
     pub fn record_output(&self) {
-        self.progress.record_output(clock::now());
+        if self.progress.record_output(clock::now()) {
+            self.report_passed(FeatureKind::Part);
+        }
     }
 
     /// Time since the first output of the run, in milliseconds; `None` before it.
@@ -101,60 +152,106 @@
         self.progress.output_ms(now)
     }
 
-    /// Whether this is a trial run of a suspected request, which must not run twice at a time.
-    pub fn is_trial(&self) -> bool {
-        self.trial.is_some()
-    }
-
     /// Creates a reporter for the loss of this run's connection, usable after the permit is dropped.
     pub fn loss_reporter(&self) -> LossReporter {
-        LossReporter::new(&self.control, self.fingerprint, self.crash_count)
+        let has_begun = self.progress.has_begun();
+        let state = lock(&self.state);
+        let count_of = |feature: RequestFeature| {
+            let known = state.known_counts.iter().find(|known| known.feature == feature);
+            known.map_or(0, |known| known.crash_count)
+        };
+        let features = self.features.as_slice().iter();
+        let suspects = features.filter(|feature| feature.kind == FeatureKind::Content || !has_begun);
+        LossReporter {
+            control: self.control.clone(),
+            known_counts: suspects
+                .map(|feature| CrashSuspect {
+                    feature: *feature,
+                    crash_count: count_of(*feature),
+                })
+                .collect(),
+        }
     }
 
     /// Reports that the run completed.
     pub fn report_completed(&self) {
-        report_completed(&self.control, self.fingerprint);
+        self.report_passed(FeatureKind::Content);
+        if self.progress.complete() {
+            self.report_passed(FeatureKind::Part);
+        }
+    }
+
+    /// Reports that the run passed all features of a kind, and ends its trial if that was of one of them.
+    fn report_passed(&self, kind: FeatureKind) {
+        report_passed(&self.control, &self.features, kind);
+        let trial = lock(&self.state)
+            .trial
+            .take_if(|trial| trial.feature.kind == kind);
+        self.end_trial(trial);
+    }
+
+    fn end_trial(&self, trial: Option<GrantedTrial>) {
+        if let Some(GrantedTrial { feature, number }) = trial {
+            self.control.send_event(Event::TrialDone { feature, number });
+        }
     }
+}
 
-    /// The request's crash count in a row when the permission was given; zero if it was not suspected.
-    pub fn crash_count(&self) -> u32 {
-        self.crash_count
+impl Drop for RunPermit {
+    fn drop(&mut self) {
+        let trial = lock(&self.state).trial.take();
+        self.end_trial(trial);
     }
 }
 
-/// Reports that a run completed if its request is suspected.
-pub fn report_completed(control: &ControlHandle, fingerprint: Fingerprint) {
-    if control.snapshot().suspicion(fingerprint).is_some() {
-        control.send_event(Event::RequestCompleted { fingerprint });
+/// The suspected features of a request, with their crash counts in a row.
+fn known_counts(suspicions: &SuspicionMap, features: &FeatureSet) -> Vec<CrashSuspect> {
+    let features = features.as_slice().iter();
+    let suspected = features.filter_map(|feature| {
+        Some(CrashSuspect {
+            feature: *feature,
+            crash_count: suspicions.get(*feature)?.crash_count,
+        })
+    });
+    suspected.collect()
+}
+
+/// Reports that a run of a request passed all of its features of a kind.
+pub fn report_passed(control: &ControlHandle, features: &FeatureSet, kind: FeatureKind) {
+    let features = features.as_slice().iter().copied();
+    let features: Arc<[RequestFeature]> = features.filter(|feature| feature.kind == kind).collect();
+    if !features.is_empty() {
+        control.send_event(Event::RequestPassed { features });
     }
 }
 
 /// Reports that the connection to the upstream of a run was lost.
 pub struct LossReporter {
     control: ControlHandle,
-    fingerprint: Fingerprint,
-    known_crash_count: u32,
+    known_counts: Arc<[CrashSuspect]>,
 }
 
 impl LossReporter {
-    /// Creates a reporter for a run that began when the request had this crash count in a row.
-    pub fn new(control: &ControlHandle, fingerprint: Fingerprint, known_crash_count: u32) -> Self {
+    /// Creates a reporter for a run that had begun to answer before this process took it over.
+    pub fn for_adopted_run(control: &ControlHandle, features: &FeatureSet) -> Self {
+        let content = CrashSuspect {
+            feature: RequestFeature::content(features.content()),
+            crash_count: 0,
+        };
         Self {
             control: control.clone(),
-            fingerprint,
-            known_crash_count,
+            known_counts: Arc::new([content]),
         }
     }
 
     /// Reports the loss and waits until this node's snapshot includes it.
     pub async fn report(self, lost: LostRun) {
         let loss = RunLoss {
-            fingerprint: self.fingerprint,
+            known_counts: self.known_counts,
             upstream: lost.upstream,
             incarnation: lost.incarnation,
             began_at: lost.began_at,
             lost_at: lost.lost_at,
-            known_crash_count: self.known_crash_count,
             outcome: lost.outcome,
         };
         let reply = self
@@ -162,16 +259,7 @@
             .ask(|ticket| Event::RequestLost { ticket, loss })
             .await;
         if reply.is_none() {
-            spdlog::debug!("event=loss_unnoted fingerprint={:016x}", self.fingerprint);
-        }
-    }
-}
-
-impl Drop for RunPermit {
-    fn drop(&mut self) {
-        if let Some(number) = self.trial {
-            let fingerprint = self.fingerprint;
-            self.control.send_event(Event::TrialDone { fingerprint, number });
+            spdlog::debug!("event=loss_unnoted");
         }
     }
 }
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -4,8 +4,7 @@
 
 use super::super::controllers::rendezvous;
 use crate::blackboard::{
-    Fingerprint, OfferTally, ReplicaFacts, ReplicaId, ReplicaRecord, SharedRateLimits, Suspicion,
-    SuspicionMap, find_limit,
+    OfferTally, ReplicaFacts, ReplicaId, ReplicaRecord, SharedRateLimits, SuspicionMap, find_limit,
 };
 use crate::controllers::discovery::ListRevision;
 use crate::controllers::message::VmIntroduction;
@@ -55,7 +54,7 @@
     pub member_count: usize,
     /// Until when new requests are accepted; `None` unless the node is draining.
     pub accept_until: Option<Moment>,
-    /// Requests suspected of crashing upstreams, by the fingerprint of their content.
+    /// Features of requests suspected of crashing upstreams.
     pub suspicions: Arc<SuspicionMap>,
     /// Rate limits that replicas report.
     pub rate_limits: SharedRateLimits,
@@ -102,16 +101,11 @@
         find_limit(&self.rate_limits, &record.id, record.started_epoch_ms).is_some()
     }
 
-    /// The suspicion against requests with this fingerprint; `None` if no upstream crashed while running one.
-    pub fn suspicion(&self, fingerprint: Fingerprint) -> Option<Suspicion> {
-        self.suspicions.get(&fingerprint).copied()
-    }
-
-    /// Number of request fingerprints that are quarantined.
+    /// Number of quarantined features of requests.
     pub fn quarantined_count(&self, now: Moment) -> usize {
-        let suspicions = self.suspicions.values();
+        let suspicions = self.suspicions.iter();
         suspicions
-            .filter(|suspicion| suspicion.is_quarantined(now))
+            .filter(|(_, suspicion)| suspicion.is_quarantined(now))
             .count()
     }
 
--- a/src/traffic/call/lookup.rs
+++ b/src/traffic/call/lookup.rs
@@ -59,7 +59,7 @@
     call: &CheckedCall,
     avoid: &[Arc<str>],
 ) -> Result<(Arc<str>, RunPermit), RefusalNotice> {
-    let permit = RunPermit::acquire(&context.control, call.fingerprint, call.deadline).await?;
+    let permit = RunPermit::acquire(&context.control, &call.features, call.deadline).await?;
     let replica = choose_replica(context, &call.scope, avoid, !avoid.is_empty()).await?;
     Ok((replica, permit))
 }
@@ -84,7 +84,7 @@
         Either::Left((outcome, _)) => return outcome,
         Either::Right((_, first)) => first,
     };
-    let Some(permit) = RunPermit::for_hedge(&context.control, call.fingerprint) else {
+    let Some(permit) = RunPermit::for_hedge(&context.control, &call.features) else {
         return first.await;
     };
     let Ok(replica) = choose_replica(context, &call.scope, avoid, true).await else {
--- a/src/traffic/call/mod.rs
+++ b/src/traffic/call/mod.rs
@@ -15,7 +15,7 @@
 use super::answer::json_response;
 use super::request::{CallBody, check_deadline, check_workspace, read_json};
 use super::routes::refuse_when_leaving;
-use crate::blackboard::{Fingerprint, hash_parts};
+use crate::blackboard::{FeatureSet, hash_parts};
 use crate::controllers::idempotency::KeyScope;
 use crate::prelude::*;
 use crate::register::OperationRule;
@@ -29,7 +29,7 @@
 struct CheckedCall {
     scope: KeyScope,
     payload: Arc<str>,
-    fingerprint: Fingerprint,
+    features: FeatureSet,
     deadline: Moment,
 }
 
@@ -89,7 +89,7 @@
     };
     let payload: Arc<str> = body.payload.to_string().into();
     let call = CheckedCall {
-        fingerprint: fingerprint(&scope, &payload),
+        features: find_features(&scope, &payload),
         scope,
         payload,
         deadline,
@@ -97,8 +97,8 @@
     Ok((call, repeat))
 }
 
-/// Hashes the content of a call.
-fn fingerprint(scope: &KeyScope, payload: &str) -> Fingerprint {
+/// A call has nothing in common with others but its content.
+fn find_features(scope: &KeyScope, payload: &str) -> FeatureSet {
     let parts = [&*scope.workspace, &*scope.service, &*scope.operation, payload];
-    hash_parts(&parts.map(str::as_bytes))
+    FeatureSet::new(hash_parts(&parts.map(str::as_bytes)), [])
 }
--- a/src/traffic/call/run_once.rs
+++ b/src/traffic/call/run_once.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::replica::{CallOutcome, ReplicaCall, call_replica, choose_replica};
-use super::{CheckedCall, RETRY_AFTER_MS, fingerprint};
+use super::{CheckedCall, RETRY_AFTER_MS, find_features};
 use crate::blackboard::hash_parts;
 use crate::clock;
 use crate::controllers::Reply;
@@ -185,7 +185,7 @@
     start_by: Moment,
     avoid: &[Arc<str>],
 ) -> Result<(Arc<str>, RunPermit), RefusalNotice> {
-    let permit = RunPermit::acquire(&context.control, fingerprint(scope, payload), start_by).await?;
+    let permit = RunPermit::acquire(&context.control, &find_features(scope, payload), start_by).await?;
     let replica = choose_replica(context, scope, avoid, !avoid.is_empty()).await?;
     Ok((replica, permit))
 }
--- a/src/traffic/generate/attempt.rs
+++ b/src/traffic/generate/attempt.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::controllers::quarantine::UpstreamOutcome;
 use crate::controllers::slots::{PlacementGrant, RequestId};
+use crate::prelude::*;
 use crate::traffic::diagnosis::{UpstreamProbe, diagnose, is_answering};
 use crate::traffic::sse::StreamItem;
 
@@ -35,6 +36,8 @@
     Complete,
     /// The caller disconnected.
     CallerGone,
+    /// The request must not run any more.
+    Refused(RefusalNotice),
     /// An engine failed; another attempt may succeed.
     Failed {
         /// The name of the engine that failed.
@@ -63,7 +66,7 @@
     /// Runs one attempt from its source to its outcome.
     pub(super) async fn run_attempt(&mut self, source: StreamSource) -> AttemptOutcome {
         self.run_began_at = clock::now();
-        self.known_crash_count = 0;
+        self.permit = None;
         match source {
             StreamSource::Attached { request, stream } => self.relay_with_resume(&request, stream).await,
             StreamSource::Placed(mut placement) => self.run_placed(&mut placement).await,
@@ -71,7 +74,7 @@
     }
 
     async fn run_placed(&mut self, placement: &mut Placement) -> AttemptOutcome {
-        self.known_crash_count = placement.permit.crash_count();
+        self.permit = Some(placement.permit.clone());
         let prefill = placement.grant.prefill_engine();
         if placement.permit.is_trial()
             && let Some(unreachable) = self.find_unreachable(&placement.grant).await
@@ -85,6 +88,9 @@
         };
         placement.finish_prefill();
         self.prefilled_at = Some(clock::now());
+        if let Err(notice) = placement.permit.renew(self.work.deadline).await {
+            return AttemptOutcome::Refused(notice);
+        }
         let kv = (exported.address.as_str(), exported.name.as_str());
         let decode = &placement.grant.decode;
         let skip = self.delivered;
--- a/src/traffic/generate/placement.rs
+++ b/src/traffic/generate/placement.rs
@@ -18,7 +18,7 @@
 pub struct Placement {
     guard: PlacementGuard,
     /// The permission to run the request.
-    pub permit: RunPermit,
+    pub permit: Arc<RunPermit>,
     /// The granted engines.
     pub grant: PlacementGrant,
 }
@@ -31,14 +31,14 @@
         avoid: &[Arc<str>],
         is_retry: bool,
     ) -> Result<Self, RefusalNotice> {
-        let permit = RunPermit::acquire(&context.control, work.fingerprint, work.deadline).await?;
+        let permit = RunPermit::acquire(&context.control, &work.features, work.deadline).await?;
         let placement_request = PlacementRequest {
             request: context.next_request_id(),
             workspace: work.workspace.clone(),
             model: work.model.clone(),
             priority: u32::from(work.may_wait),
             zone: context.own.zone.clone(),
-            fingerprint: work.fingerprint,
+            features: work.features.clone(),
             prompt_tokens: work.prompt_tokens,
             max_tokens: work.max_tokens,
             expected_tokens: work.max_tokens,
@@ -56,7 +56,11 @@
         let placed = PlacementGuard::acquire(&context.control, placement_request).await;
         context.metrics.record_queue_wait(work, requested_at);
         let (guard, grant) = placed?;
-        Ok(Self { guard, permit, grant })
+        Ok(Self {
+            guard,
+            permit: Arc::new(permit),
+            grant,
+        })
     }
 
     /// The id of the attempt.
--- a/src/traffic/generate/session.rs
+++ b/src/traffic/generate/session.rs
@@ -11,10 +11,11 @@
 use super::engine;
 use super::placement::Placement;
 use super::token::TokenEncoder;
+use crate::blackboard::FeatureKind;
 use crate::clock;
 use crate::controllers::slots::PlacementResult;
 use crate::prelude::*;
-use crate::runtime::{ActiveRequestGuard, LossReporter, LostRun, report_completed};
+use crate::runtime::{ActiveRequestGuard, LossReporter, LostRun, RunPermit, report_passed};
 use crate::traffic::TrafficContext;
 use crate::traffic::caller_watch::wait_for_disconnect;
 use crate::traffic::diagnosis::UpstreamProbe;
@@ -44,8 +45,8 @@
     last_token_at: Moment,
     /// When the current attempt began.
     pub(super) run_began_at: Moment,
-    /// The request's crash count in a row that was known when the current attempt began.
-    pub(super) known_crash_count: u32,
+    /// Permission for the current attempt; `None` if an engine ran it before this process took it over.
+    pub(super) permit: Option<Arc<RunPermit>>,
     _guard: ActiveRequestGuard,
 }
 
@@ -70,7 +71,7 @@
             first_token_at: None,
             last_token_at: accepted_at,
             run_began_at: accepted_at,
-            known_crash_count: 0,
+            permit: None,
             _guard: context.control.track_request(),
         }
     }
@@ -108,7 +109,10 @@
                 AttemptOutcome::Failed { engine, probe } => {
                     self.handle_failure(&engine, probe, &mut avoid).await
                 }
+                AttemptOutcome::Refused(notice) => return Some(Err(notice)),
             }
+            // Ends the trial of the failed attempt, if it was one, before the next may ask for one.
+            self.permit = None;
             match Placement::acquire(&self.context, &self.work, &avoid, true).await {
                 Ok(placement) => source = StreamSource::Placed(placement),
                 Err(notice) => return Some(Err(notice)),
@@ -144,13 +148,11 @@
                 lost_at: clock::now(),
                 outcome: probe.outcome,
             };
-            LossReporter::new(
-                &self.context.control,
-                self.work.fingerprint,
-                self.known_crash_count,
-            )
-            .report(lost)
-            .await;
+            let reporter = match &self.permit {
+                Some(permit) => permit.loss_reporter(),
+                None => LossReporter::for_adopted_run(&self.context.control, &self.work.features),
+            };
+            reporter.report(lost).await;
         }
     }
 
@@ -220,6 +222,9 @@
                 .record_token_gap(&self.work, self.last_token_at);
         }
         self.last_token_at = now;
+        if let Some(permit) = &self.permit {
+            permit.record_output();
+        }
         let id = encoder.encode(self.delivered + 1);
         let text = serde_json::Value::from(token);
         let event = format!(
@@ -238,7 +243,10 @@
         // A disconnected caller can resume with its last event id; the engine then reports the end again.
         let _ = self.sender.send(event.into_bytes()).await;
         self.context.metrics.count_stream_end(&self.work, "complete");
-        report_completed(&self.context.control, self.work.fingerprint);
+        match &self.permit {
+            Some(permit) => permit.report_completed(),
+            None => report_passed(&self.context.control, &self.work.features, FeatureKind::Content),
+        }
     }
 
     async fn send_refusal(&mut self, notice: &RefusalNotice) {
--- a/src/traffic/generate/token.rs
+++ b/src/traffic/generate/token.rs
@@ -65,7 +65,7 @@
     mac.update(b"resume-token");
     mac.update(&(work.workspace.len() as u64).to_be_bytes());
     mac.update(work.workspace.as_bytes());
-    mac.update(&work.fingerprint.to_be_bytes());
+    mac.update(&work.features.content().to_be_bytes());
     mac
 }
 
--- a/src/traffic/request.rs
+++ b/src/traffic/request.rs
@@ -9,8 +9,9 @@
 use serde::de::DeserializeOwned;
 
 use super::TrafficContext;
-use crate::blackboard::{Fingerprint, hash_parts};
+use crate::blackboard::{FeatureSet, RequestFeature, hash_parts};
 use crate::clock;
+use crate::controllers::slots::{BLOCK_TOKENS, hash_prefix};
 use crate::prelude::*;
 use crate::runtime::Snapshot;
 
@@ -181,8 +182,9 @@
     pub max_tokens: u32,
     /// Seed for sampling, which makes the answer the same on every engine; zero if the caller sent none.
     pub seed: u64,
-    /// Hash of the content that determines the answer; excludes class and deadline.
-    pub fingerprint: Fingerprint,
+    /// What other requests may have in common with this one: the content that determines the answer, without
+    /// class and deadline, and the leading blocks of its prompt.
+    pub features: FeatureSet,
     /// When the answer must be complete.
     pub deadline: Moment,
 }
@@ -203,30 +205,41 @@
             return Err(RefusalNotice::new(ResultCode::BadJson, detail));
         }
         let (_, deadline) = check_deadline(body.deadline_ms)?;
-        let fingerprint = fingerprint(&body);
+        let prompt_tokens = body.prompt.split_ascii_whitespace().count() as u32;
+        let features = find_features(&body, prompt_tokens);
         Ok(Self {
             workspace: body.workspace.into(),
             model: body.model.into(),
             class: body.class.into(),
             may_wait: class.may_wait,
-            prompt_tokens: body.prompt.split_ascii_whitespace().count() as u32,
+            features,
+            prompt_tokens,
             prompt: body.prompt.into(),
             max_tokens: body.max_tokens,
             seed: body.seed.unwrap_or_default(),
-            fingerprint,
             deadline,
         })
     }
 }
 
-fn fingerprint(body: &GenerateBody) -> Fingerprint {
+fn find_features(body: &GenerateBody, prompt_tokens: u32) -> FeatureSet {
     let seed = body.seed.unwrap_or_default().to_be_bytes();
     let max_tokens = body.max_tokens.to_be_bytes();
-    hash_parts(&[
+    let content = hash_parts(&[
         body.workspace.as_bytes(),
         body.model.as_bytes(),
         &seed,
         &max_tokens,
         body.prompt.as_bytes(),
-    ])
+    ]);
+    let mut blocks = hash_prefix(&body.prompt);
+    if blocks.len() as u32 * BLOCK_TOKENS == prompt_tokens {
+        // The last block covers the whole prompt, which belongs to this request.
+        blocks.pop();
+    }
+    let parts = blocks.iter().map(|block| block.to_be_bytes());
+    FeatureSet::new(
+        content,
+        parts.map(|block| RequestFeature::part(&body.model, &block)),
+    )
 }
--- a/tests/crest.rs
+++ b/tests/crest.rs
@@ -6,6 +6,7 @@
 use std::collections::BinaryHeap;
 use std::sync::Arc;
 
+use dotterelspan::blackboard::FeatureSet;
 use dotterelspan::blackboard::ReplicaId;
 use dotterelspan::controllers::message::SlotVerdict;
 use dotterelspan::controllers::slots::{
@@ -175,7 +176,7 @@
             model: "m".into(),
             zone: "a".into(),
             priority: 1,
-            fingerprint: 0,
+            features: FeatureSet::new(0, []),
             prompt_tokens,
             max_tokens: 2_040,
             expected_tokens: estimate as u32,
--- a/tests/engine_limits.rs
+++ b/tests/engine_limits.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use dotterelspan::blackboard::FeatureSet;
 use dotterelspan::blackboard::{RateLimit, RateLimitMap, ReplicaRole, RequestRate};
 use dotterelspan::controllers::message::SlotVerdict;
 use dotterelspan::controllers::rate_limits::OwnerView;
@@ -84,7 +85,7 @@
         model: "m".into(),
         zone: "a".into(),
         priority: 1,
-        fingerprint: number,
+        features: FeatureSet::new(number, []),
         prompt_tokens: 800,
         max_tokens: 50,
         expected_tokens: 50,
--- a/tests/fleet_view/deaths.rs
+++ b/tests/fleet_view/deaths.rs
@@ -1,8 +1,10 @@
 //! Crash cases and quarantines as the nodes of a fleet share them.
 
-use dotterelspan::blackboard::Fingerprint;
+use std::sync::Arc;
+
+use dotterelspan::blackboard::{RequestFeature, TrialScope};
 use dotterelspan::controllers::Reply;
-use dotterelspan::controllers::quarantine::{RunLoss, UpstreamOutcome};
+use dotterelspan::controllers::quarantine::{CrashSuspect, RunLoss, UpstreamOutcome};
 use dotterelspan::prelude::*;
 
 use crate::simulated_fleet::SimulatedFleet;
@@ -11,8 +13,10 @@
 /// The number of nodes in these fleets.
 const NODES: usize = 30;
 
-/// Fingerprint of the request that crashes replicas.
-const DEADLY: Fingerprint = 0xdead;
+/// The content of the request that crashes replicas.
+fn deadly() -> RequestFeature {
+    RequestFeature::content(0xdead)
+}
 
 /// How long a message takes to reach all nodes by gossip, in milliseconds.
 const GOSSIP_MS: u64 = 300;
@@ -39,12 +43,15 @@
 fn new_loss(fleet: &SimulatedFleet, node: usize, upstream: &str, known_crash_count: u32) -> RunLoss {
     let lost_at = fleet.clock_of(node);
     RunLoss {
-        fingerprint: DEADLY,
+        known_counts: [CrashSuspect {
+            feature: deadly(),
+            crash_count: known_crash_count,
+        }]
+        .into(),
         upstream: upstream.into(),
         incarnation: 1,
         began_at: Moment(lost_at.0 - 60),
         lost_at,
-        known_crash_count,
         outcome: UpstreamOutcome::Ended,
     }
 }
@@ -70,33 +77,33 @@
 fn is_quarantined(fleet: &SimulatedFleet, node: usize) -> bool {
     fleet
         .board(node)
-        .quarantined_until(DEADLY, fleet.clock_of(node))
+        .quarantined_until(deadly(), fleet.clock_of(node))
         .is_some()
 }
 
 fn crash_count(fleet: &SimulatedFleet, node: usize) -> u32 {
     let suspicions = &fleet.board(node).suspicions;
     suspicions
-        .get(&DEADLY)
+        .get(deadly())
         .map_or(0, |suspicion| suspicion.crash_count)
 }
 
 fn request_trial(fleet: &mut SimulatedFleet, node: usize, ticket: u64) {
     let deadline = fleet.clock_of(node).after_ms(DEADLINE_MS);
-    let (ticket, fingerprint) = (ReplyTicket(ticket), DEADLY);
-    fleet.send_event(
-        node,
-        &Event::TrialWanted {
-            ticket,
-            fingerprint,
-            deadline,
+    let wanted = Event::TrialWanted {
+        ticket: ReplyTicket(ticket),
+        scope: TrialScope {
+            feature: deadly(),
+            tells_apart: false,
         },
-    );
+        deadline,
+    };
+    fleet.send_event(node, &wanted);
 }
 
 fn report_trial_done(fleet: &mut SimulatedFleet, node: usize, number: u64) {
-    let fingerprint = DEADLY;
-    fleet.send_event(node, &Event::TrialDone { fingerprint, number });
+    let feature = deadly();
+    fleet.send_event(node, &Event::TrialDone { feature, number });
 }
 
 /// The nodes that were granted a trial run since the last call of this function.
@@ -261,8 +268,8 @@
     report_crash(&mut fleet, 3, "i-1", 0);
     fleet.run_ms(GOSSIP_MS);
     let complete = |fleet: &mut SimulatedFleet, node| {
-        let fingerprint = DEADLY;
-        fleet.send_event(node, &Event::RequestCompleted { fingerprint });
+        let features = [deadly()].into();
+        fleet.send_event(node, &Event::RequestPassed { features });
         fleet.run_ms(GOSSIP_MS);
     };
     complete(&mut fleet, 5);
@@ -311,6 +318,11 @@
     assert!((0..NODES).all(|node| crash_count(&fleet, node) == 1));
 }
 
+fn counts_of(content: u64, crash_count: u32) -> Arc<[CrashSuspect]> {
+    let feature = RequestFeature::content(content);
+    Arc::new([CrashSuspect { feature, crash_count }])
+}
+
 #[test]
 fn a_flood_of_requests_costs_bounded_memory() {
     /// The most crash cases that a node keeps.
@@ -319,18 +331,18 @@
     fleet.run_ms(AGREE_MS);
     fleet.read_all(change(0, 10, &["i-1"], &[]));
     let mut quarantined = new_loss(&fleet, 0, "i-1", 1);
-    quarantined.fingerprint = 1;
+    quarantined.known_counts = counts_of(1, 1);
     report_loss(&mut fleet, 0, quarantined);
     for fingerprint in 2..MAX_CASES as u64 + 500 {
         let mut loss = new_loss(&fleet, 0, "i-1", 0);
-        loss.fingerprint = fingerprint;
+        loss.known_counts = counts_of(fingerprint, 0);
         report_loss(&mut fleet, 0, loss);
     }
     for node in 0..2 {
         let suspicions = &fleet.board(node).suspicions;
         assert!(suspicions.len() <= MAX_CASES, "{}", suspicions.len());
         assert!(
-            suspicions.contains_key(&1),
+            suspicions.get(RequestFeature::content(1)).is_some(),
             "quarantined requests are evicted last"
         );
     }
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod deaths;
 mod limits;
+mod parts;
 mod simulated_fleet;
 mod store_watch;
 
--- a/tests/platform/deadly_part.rs
+++ b/tests/platform/deadly_part.rs
@@ -13,7 +13,7 @@
 use crate::wire::{exchange, request};
 
 /// How long requests are sent.
-const LOAD_DURATION: Duration = Duration::from_secs(16);
+const LOAD_DURATION: Duration = Duration::from_secs(22);
 
 /// Time between two requests with a deadly part.
 const DEADLY_INTERVAL: Duration = Duration::from_millis(200);
--- a/tests/properties/slots.rs
+++ b/tests/properties/slots.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use dotterelspan::blackboard::FeatureSet;
 use dotterelspan::blackboard::OwnIdentity;
 use dotterelspan::controllers::message::SlotVerdict;
 use dotterelspan::controllers::rendezvous;
@@ -83,7 +84,7 @@
         model: "m".into(),
         zone: "z".into(),
         priority: u32::from(!number.is_multiple_of(4)),
-        fingerprint: u64::from(number),
+        features: FeatureSet::new(u64::from(number), []),
         prompt_tokens: 100,
         max_tokens: 10,
         expected_tokens: 10,
