Try quarantined parts with frozen, joining and restarted nodes and with rare harmless requests

Three more cases on real nodes: a node that sleeps while the part is found, one that joins afterwards and gets all such requests at once, and harmless requests that share the other part but come every 700 ms, so that no recent passes speak for it. 3 replicas crash in each of them in two runs, none late, 34 of 34, 422 of 422 and 6 of 6 served.

--- a/tests/platform/deadly_part.rs
+++ b/tests/platform/deadly_part.rs
@@ -21,6 +21,9 @@
 /// Time between two harmless requests.
 const HARMLESS_INTERVAL: Duration = Duration::from_millis(33);
 
+/// Time between two harmless requests whose shared part is rarely used.
+const RARE_INTERVAL: Duration = Duration::from_millis(700);
+
 /// How long harmless requests are sent before the first deadly one.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
@@ -52,7 +55,7 @@
 
 /// Three nodes, eight replicas of the plain service, and engines with eight replicas that decode.
 struct Fleet {
-    _store: StandInStore,
+    store: StandInStore,
     nodes: Vec<GatewayNode>,
     replicas: Vec<StandInReplica>,
 }
@@ -75,7 +78,7 @@
         let nodes = vec![first, second, third];
         nodes.iter().for_each(GatewayNode::wait_ready);
         Self {
-            _store: store,
+            store,
             nodes,
             replicas,
         }
@@ -135,6 +138,22 @@
     lines: &'static str,
     /// Parts of the deadly requests' prompts before the last one; the requests take turns.
     deadly_prefixes: &'static [&'static [&'static str]],
+    harmless_interval: Duration,
+}
+
+impl LoadPlan {
+    fn new(
+        path: &'static str,
+        lines: &'static str,
+        deadly_prefixes: &'static [&'static [&'static str]],
+    ) -> Self {
+        Self {
+            path,
+            lines,
+            deadly_prefixes,
+            harmless_interval: HARMLESS_INTERVAL,
+        }
+    }
 }
 
 fn send(
@@ -180,7 +199,7 @@
         let (addresses, plan, results) = (addresses.clone(), *plan, results.clone());
         std::thread::spawn(move || {
             for number in 0.. {
-                let due_at = began_at + HARMLESS_INTERVAL * number;
+                let due_at = began_at + plan.harmless_interval * number;
                 if due_at >= end_at {
                     break;
                 }
@@ -259,66 +278,46 @@
 
 #[test]
 fn a_part_that_crashes_engines_is_quarantined_for_unlike_generations() {
-    assert_plan_contained(&LoadPlan {
-        path: "/stream/single",
-        lines: STREAM_LINES,
-        deadly_prefixes: MIDDLE,
-    });
+    assert_plan_contained(&LoadPlan::new("/stream/single", STREAM_LINES, MIDDLE));
 }
 
 #[test]
 fn a_part_that_crashes_engines_is_quarantined_for_resumable_generations() {
-    assert_plan_contained(&LoadPlan {
-        path: "/stream/resume",
-        lines: STREAM_LINES,
-        deadly_prefixes: MIDDLE,
-    });
+    assert_plan_contained(&LoadPlan::new("/stream/resume", STREAM_LINES, MIDDLE));
 }
 
 #[test]
 fn a_first_part_that_crashes_engines_is_quarantined() {
-    assert_plan_contained(&LoadPlan {
-        path: "/stream/single",
-        lines: STREAM_LINES,
-        deadly_prefixes: &[&[DEADLY_PARTS[0], SHARED_PART]],
-    });
+    assert_plan_contained(&LoadPlan::new(
+        "/stream/single",
+        STREAM_LINES,
+        &[&[DEADLY_PARTS[0], SHARED_PART]],
+    ));
 }
 
 #[test]
 fn two_parts_that_crash_engines_are_both_quarantined() {
-    assert_plan_contained(&LoadPlan {
-        path: "/stream/single",
-        lines: STREAM_LINES,
-        deadly_prefixes: &[&[SHARED_PART, DEADLY_PARTS[0]], &[SHARED_PART, DEADLY_PARTS[1]]],
-    });
+    assert_plan_contained(&LoadPlan::new(
+        "/stream/single",
+        STREAM_LINES,
+        &[&[SHARED_PART, DEADLY_PARTS[0]], &[SHARED_PART, DEADLY_PARTS[1]]],
+    ));
 }
 
 #[test]
 fn a_part_that_crashes_replicas_is_quarantined_for_idempotent_calls() {
-    assert_plan_contained(&LoadPlan {
-        path: "/read",
-        lines: "",
-        deadly_prefixes: MIDDLE,
-    });
+    assert_plan_contained(&LoadPlan::new("/read", "", MIDDLE));
 }
 
 #[test]
 fn a_part_that_crashes_replicas_is_quarantined_for_run_once_calls() {
-    assert_plan_contained(&LoadPlan {
-        path: "/book",
-        lines: "",
-        deadly_prefixes: MIDDLE,
-    });
+    assert_plan_contained(&LoadPlan::new("/book", "", MIDDLE));
 }
 
 #[test]
 fn a_restarted_node_does_not_forward_requests_with_a_quarantined_part() {
     let mut fleet = Fleet::start();
-    let plan = LoadPlan {
-        path: "/stream/single",
-        lines: STREAM_LINES,
-        deadly_prefixes: MIDDLE,
-    };
+    let plan = LoadPlan::new("/stream/single", STREAM_LINES, MIDDLE);
     let sent = run_load(&mut fleet, &plan, |fleet, number| {
         if number == 25 {
             fleet.nodes[1].kill();
@@ -328,15 +327,60 @@
     assert_contained(&fleet, &sent);
 }
 
+#[test]
+fn a_node_that_was_frozen_does_not_forward_requests_with_a_quarantined_part() {
+    let mut fleet = Fleet::start();
+    let plan = LoadPlan::new("/stream/single", STREAM_LINES, MIDDLE);
+    let sent = run_load(&mut fleet, &plan, |fleet, number| match number {
+        0 => fleet.nodes[2].signal("STOP"),
+        20 => fleet.nodes[2].signal("CONT"),
+        _ => {}
+    });
+    assert_contained(&fleet, &sent);
+}
+
+#[test]
+fn a_node_that_joins_does_not_forward_requests_with_a_quarantined_part() {
+    let mut fleet = Fleet::start();
+    let plan = LoadPlan::new("/stream/single", STREAM_LINES, MIDDLE);
+    let sent = run_load(&mut fleet, &plan, |fleet, number| match number {
+        15 => {
+            let joining = GatewayNode::start(&fleet.store, "vm-4", &[&fleet.nodes[0]]);
+            fleet.nodes.push(joining);
+        }
+        // The joining node gets all of them as soon as it is ready.
+        16.. if fleet.nodes[3].readiness() == 200 => {
+            let (results, _received) = channel();
+            send(
+                fleet.nodes[3].callers(),
+                &plan,
+                MIDDLE[0],
+                1_000 + number,
+                true,
+                &results,
+            );
+        }
+        _ => {}
+    });
+    assert_contained(&fleet, &sent);
+}
+
+#[test]
+fn rare_requests_that_share_the_other_part_are_served() {
+    let mut fleet = Fleet::start();
+    let plan = LoadPlan {
+        harmless_interval: RARE_INTERVAL,
+        ..LoadPlan::new("/stream/single", STREAM_LINES, MIDDLE)
+    };
+    let sent = run_load(&mut fleet, &plan, |_, _| {});
+    assert_contained(&fleet, &sent);
+}
+
 #[test]
 fn a_shared_part_is_not_held_when_replicas_crash_on_their_own() {
     for (path, lines, service) in [("/stream/single", STREAM_LINES, "i-d"), ("/read", "", "i-")] {
         let mut fleet = Fleet::start();
-        let plan = LoadPlan {
-            path,
-            lines,
-            deadly_prefixes: &[],
-        };
+        let plan = LoadPlan::new(path, lines, &[]);
         let interval = OWN_CRASH_INTERVAL.as_millis() / DEADLY_INTERVAL.as_millis();
         let sent = run_load(&mut fleet, &plan, |fleet, number| {
             if (number as u128).is_multiple_of(interval) {
