Count passes of equal requests against crashes that are noticed at several times

What order of reports counts one crash twice: a busy VM notices the losses of copies that ended together at times that lie apart; from 20 ms on, and half as much as they began apart, they counted as separate crashes. And nothing cleared them, as no copy runs during a quarantine.

Passes are remembered as reported now. - Another crash of the same moment took back the passes counted so far. Only a higher crash count does now. - A trial run that began before its content was cleared counted as the second crash in a row (a_trial_run_that_began_before_its_request_was_cleared_...). The lower of both counts, then and now, is used.

--- a/src/controllers/quarantine/case.rs
+++ b/src/controllers/quarantine/case.rs
@@ -120,7 +120,10 @@
         if std::mem::take(&mut self.is_cleared) {
             self.reports.clear();
         }
-        self.passes = 0;
+        // Upstreams that crash at the same time, like those of a rack, give reports of the same count.
+        if crash_count > self.crash_count() {
+            self.passes = 0;
+        }
         if self.reports.len() >= MAX_REPORTS {
             // Evicts a report with the lowest crash count, which affects the quarantine least.
             let weakest = self
--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -113,12 +113,19 @@
 
     /// Records that an upstream crashed under a run of this node.
     fn record_own_crash(&mut self, loss: &RunLoss, context: &mut ControlContext<'_>) {
-        let suspects = loss.known_counts.iter().map(|known| CrashSuspect {
-            feature: known.feature,
-            crash_count: match known.feature.kind {
-                FeatureKind::Content => self.count_crashes_of_content(*known, loss),
-                FeatureKind::Part => known.crash_count + 1,
-            },
+        let suspects = loss.known_counts.iter().map(|known| {
+            // The feature may have been cleared since the run began.
+            let suspicion = context.board.suspicions.get(known.feature);
+            let current_count = suspicion.map_or(0, |suspicion| suspicion.crash_count);
+            let known_count = known.crash_count.min(current_count);
+            let crash_count = match known.feature.kind {
+                FeatureKind::Content => self.count_crashes_of_content(known.feature, known_count, loss),
+                FeatureKind::Part => known_count + 1,
+            };
+            CrashSuspect {
+                feature: known.feature,
+                crash_count,
+            }
         });
         let report = CrashReport {
             upstream: loss.upstream.clone(),
@@ -141,10 +148,9 @@
     /// Crashes in a row of a content with this loss. Overlapping runs of this node that were lost before and
     /// separately count, too. Where other runs of the content pass, though, runs that are lost one after the
     /// other may still have been ended by one common cause.
-    fn count_crashes_of_content(&mut self, known: CrashSuspect, loss: &RunLoss) -> u32 {
-        let earlier = self.own_losses.entry(known.feature).or_default();
-        let had_passes =
-            self.passes.contains(known.feature) || earlier.iter().any(|earlier| earlier.had_passes);
+    fn count_crashes_of_content(&mut self, content: RequestFeature, known_count: u32, loss: &RunLoss) -> u32 {
+        let earlier = self.own_losses.entry(content).or_default();
+        let had_passes = self.passes.contains(content) || earlier.iter().any(|earlier| earlier.had_passes);
         let separate = earlier
             .iter()
             .filter(|earlier| !had_passes && earlier.is_separate_from(loss));
@@ -152,7 +158,7 @@
             .map(|earlier| earlier.crash_count)
             .max()
             .unwrap_or_default();
-        let crash_count = known.crash_count.max(highest) + 1;
+        let crash_count = known_count.max(highest) + 1;
         if earlier.len() < MAX_OWN_LOSSES {
             earlier.push(OwnLoss {
                 began_at: loss.began_at,
@@ -225,7 +231,7 @@
     /// Reports the passes of a feature from before its first crash. If a feature crashes upstreams again and
     /// nothing passed in between, it may have become harmful since, and earlier passes say nothing.
     fn report_earlier_passes(&mut self, feature: RequestFeature, context: &mut ControlContext<'_>) {
-        let count = self.passes.take(feature, context.now);
+        let count = self.passes.take_unreported(feature, context.now);
         let suspicion = context.board.suspicions.get(feature);
         if count > 0 && suspicion.is_some_and(|suspicion| suspicion.crash_count == 1) {
             self.report_passes(feature, count, context);
@@ -318,6 +324,7 @@
     fn handle_passed(&mut self, features: &[RequestFeature], context: &mut ControlContext<'_>) {
         for feature in features {
             if context.board.suspicions.get(*feature).is_some() {
+                self.passes.record_reported(*feature, context.now);
                 self.report_passes(*feature, 1, context);
             } else {
                 self.passes.record(*feature, context.now);
--- a/src/controllers/quarantine/passes.rs
+++ b/src/controllers/quarantine/passes.rs
@@ -10,8 +10,9 @@
 /// The most features kept per generation.
 const MAX_FEATURES: usize = 4_096;
 
-/// Numbers of passes by feature, in two generations: the older one is dropped when the younger one is old or
-/// full, so memory is bounded however many features there are.
+/// Numbers of passes that were not reported to the owner of a feature's trial runs, by feature. They are kept
+/// in two generations: the older one is dropped when the younger one is old or full, so memory is bounded
+/// however many features there are.
 #[derive(Debug, Default)]
 pub struct PassMemory {
     recent: FastMap<RequestFeature, u32>,
@@ -20,25 +21,36 @@
 }
 
 impl PassMemory {
-    /// Records that a request with these features passed.
+    /// Records a pass of a feature that the owner was not told of.
     pub fn record(&mut self, feature: RequestFeature, now: Moment) {
+        let count = self.entry(feature, now);
+        *count = count.saturating_add(1);
+    }
+
+    /// Records a pass of a feature that was reported to the owner.
+    pub fn record_reported(&mut self, feature: RequestFeature, now: Moment) {
+        self.entry(feature, now);
+    }
+
+    fn entry(&mut self, feature: RequestFeature, now: Moment) -> &mut u32 {
         self.rotate(now);
         if self.recent.len() >= MAX_FEATURES && !self.recent.contains_key(&feature) {
             self.start_generation(now);
         }
-        let count = self.recent.entry(feature).or_default();
-        *count = count.saturating_add(1);
+        self.recent.entry(feature).or_default()
     }
 
-    /// Removes and returns the number of passes of a feature.
-    pub fn take(&mut self, feature: RequestFeature, now: Moment) -> u32 {
+    /// Returns the number of unreported passes of a feature, which count as reported from now on.
+    pub fn take_unreported(&mut self, feature: RequestFeature, now: Moment) -> u32 {
         self.rotate(now);
-        let recent = self.recent.remove(&feature).unwrap_or_default();
-        let earlier = self.earlier.remove(&feature).unwrap_or_default();
-        recent.saturating_add(earlier)
+        let counts = [&mut self.recent, &mut self.earlier].map(|passes| {
+            let count = passes.get_mut(&feature);
+            count.map_or(0, std::mem::take)
+        });
+        counts[0].saturating_add(counts[1])
     }
 
-    /// Whether a pass of a feature is kept.
+    /// Whether a feature passed lately, reported or not.
     pub fn contains(&self, feature: RequestFeature) -> bool {
         self.recent.contains_key(&feature) || self.earlier.contains_key(&feature)
     }
--- a/tests/fleet_view/deaths.rs
+++ b/tests/fleet_view/deaths.rs
@@ -157,6 +157,47 @@
     assert!((0..NODES).all(|node| is_quarantined(&fleet, node)));
 }
 
+#[test]
+fn equal_requests_that_pass_are_not_quarantined_when_a_busy_node_notices_one_crash_at_several_times() {
+    let mut fleet = start(15);
+    for round in 0..2 {
+        for node in 1..4 {
+            let features = [deadly()].into();
+            fleet.send_event(node, &Event::RequestPassed { features });
+        }
+        // Three replicas of a rack, whose losses one node notices 25 ms after each other.
+        for (number, late_ms) in [(1, 0), (2, 25), (3, 50)] {
+            let mut loss = new_loss(&fleet, 1, &format!("i-{}", round * 3 + number), 0);
+            loss.began_at = Moment(loss.lost_at.0 - 100 + late_ms / 2);
+            loss.lost_at = loss.lost_at.after_ms(late_ms);
+            report_loss(&mut fleet, 1, loss);
+        }
+        fleet.run_ms(GOSSIP_MS);
+        assert!(
+            (0..NODES).all(|node| !is_quarantined(&fleet, node)),
+            "round {round}"
+        );
+        fleet.run_ms(1_500);
+    }
+}
+
+#[test]
+fn a_trial_run_that_began_before_its_request_was_cleared_counts_as_a_first_crash() {
+    let mut fleet = start(16);
+    report_crash(&mut fleet, 3, "i-1", 0);
+    fleet.run_ms(GOSSIP_MS);
+    let trial = new_loss(&fleet, 9, "i-2", 1);
+    for node in [4, 5, 6] {
+        let features = [deadly()].into();
+        fleet.send_event(node, &Event::RequestPassed { features });
+    }
+    fleet.run_ms(GOSSIP_MS);
+    assert!((0..NODES).all(|node| crash_count(&fleet, node) == 0));
+    report_loss(&mut fleet, 9, trial);
+    fleet.run_ms(GOSSIP_MS);
+    assert!((0..NODES).all(|node| crash_count(&fleet, node) == 1));
+}
+
 #[test]
 fn a_suspected_request_runs_once_at_a_time_in_the_fleet() {
     let mut fleet = start(4);
--- a/tests/platform/query_of_death.rs
+++ b/tests/platform/query_of_death.rs
@@ -1,5 +1,6 @@
 //! A query of death: a request that crashes each replica that runs it, sent repeatedly to all nodes in turn.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -497,6 +498,64 @@
     }
 }
 
+/// Callers that send equal reads all the time.
+const EQUAL_READERS: usize = 12;
+
+/// Time between two losses of a rack.
+const RACK_LOSS_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// How long equal reads go on after the second loss of the rack.
+const READS_AFTER_LOSS: Duration = Duration::from_secs(6);
+
+#[test]
+fn equal_reads_are_served_while_a_rack_loses_power_twice() {
+    let fleet = Fleet::start();
+    fleet
+        .desks
+        .iter()
+        .for_each(|desk| desk.set_behavior(ReplicaBehavior::Slow));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let readers: Vec<_> = (0..EQUAL_READERS)
+        .map(|reader| {
+            let (address, is_over) = (fleet.nodes[reader % 2].callers(), is_over.clone());
+            std::thread::spawn(move || {
+                let mut answers = Vec::new();
+                while !is_over.load(Ordering::Relaxed) {
+                    let id = format!("read-{reader}-{}", answers.len());
+                    let text = request("POST", "shop.example", "/read", &id, "", "the day's slots");
+                    let sent_at = Instant::now();
+                    let status = exchange(address, &text).map_or(0, |answer| answer.status());
+                    answers.push((sent_at, status));
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                answers
+            })
+        })
+        .collect();
+    std::thread::sleep(RACK_LOSS_INTERVAL);
+    for _ in 0..2 {
+        fleet.desks[..3].iter().for_each(|desk| desk.process.crash());
+        std::thread::sleep(RACK_LOSS_INTERVAL);
+    }
+    let counted_from = Instant::now();
+    std::thread::sleep(READS_AFTER_LOSS);
+    is_over.store(true, Ordering::Relaxed);
+    let answers = readers
+        .into_iter()
+        .flat_map(|reader| reader.join().expect("a reader"));
+    let counted: Vec<u16> = answers
+        .filter(|(sent_at, _)| *sent_at >= counted_from)
+        .map(|(_, status)| status)
+        .collect();
+    let served = counted.iter().filter(|status| **status == 200).count();
+    let seen = format!("{served} of {} served, {:?}", counted.len(), fleet.log_paths());
+    println!("{seen}");
+    assert!(served * 100 >= counted.len() * MIN_SERVED_PERCENT, "{seen}");
+    for node in &fleet.nodes {
+        assert!(!node.log().contains("event=request_quarantined"), "{seen}");
+    }
+}
+
 #[test]
 fn a_quarantined_call_is_explained_from_logs_alone() {
     let fleet = Fleet::start();
