Do not let events put off the next tick of the controllers

Cause: some controllers ask for a tick some milliseconds from now (drain, queues of engines, an empty list, pool moves). The control thread asked them again after each event, so events that came more often than that put the tick off, up to the limit of 1 s. Class of fault: a duration where a deadline should be stored.

Change: a wake-up that was asked for stays until the tick; a later wish can only bring it forward.

--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -238,11 +238,15 @@
         let mut clocks = ClockWatch::new();
         let mut last_tick = clock::now();
         let mut next_publish = last_tick;
+        let mut next_wake = last_tick.after_ms(TICK_RANGE_MS.1);
         loop {
             let now = clock::now();
-            let wake = self.core.wake_at(now).unwrap_or(now.after_ms(TICK_RANGE_MS.1));
-            let earliest = last_tick.after_ms(TICK_RANGE_MS.0);
-            let next_tick = wake.clamp(earliest, earliest.after_ms(TICK_RANGE_MS.1));
+            // Some controllers ask for a tick some time after each event, which must not put off an earlier one.
+            next_wake = self
+                .core
+                .wake_at(now)
+                .map_or(next_wake, |wake| wake.min(next_wake));
+            let next_tick = next_wake.max(last_tick.after_ms(TICK_RANGE_MS.0));
             let received = self.inbox.recv_timeout(now.remaining(next_tick).min(MAX_WAIT));
             if let Some(suspended_ms) = self.suspensions.record_wakeup(clock::now()) {
                 spdlog::warn!("event=woke_late suspended_ms={suspended_ms}");
@@ -255,6 +259,7 @@
             let now = clock::now();
             if now.reached(next_tick) {
                 last_tick = now;
+                next_wake = now.after_ms(TICK_RANGE_MS.1);
                 clocks.check();
                 let active_requests = self.active_requests.load(Ordering::Relaxed);
                 self.handle(&Event::Tick { active_requests });
--- a/tests/control_thread.rs
+++ b/tests/control_thread.rs
@@ -1,5 +1,8 @@
-//! Panics in a controller or in a task stop neither the control thread nor other tasks.
+//! Panics in a controller or in a task stop neither the control thread nor other tasks, and events do not
+//! postpone ticks.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
@@ -55,6 +58,40 @@
     assert_eq!(receiver.recv_timeout(Duration::from_secs(5)), Ok(true));
 }
 
+/// Counts ticks and asks for the next one 50 ms after whatever happens.
+struct TickCounter(Arc<AtomicU32>);
+
+impl Controller for TickCounter {
+    fn subscriptions(&self) -> &'static [EventKind] {
+        &[EventKind::Tick, EventKind::ListReachable]
+    }
+
+    fn handle(&mut self, event: &Event, _context: &mut ControlContext<'_>) {
+        if matches!(event, Event::Tick { .. }) {
+            self.0.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    fn wake_at(&self, _board: &Blackboard, now: Moment) -> Option<Moment> {
+        Some(now.after_ms(50))
+    }
+}
+
+#[test]
+fn ticks_come_in_time_while_events_come_all_the_time() {
+    let ticks: Arc<AtomicU32> = Arc::default();
+    let controllers: Vec<Box<dyn Controller>> = vec![Box::new(TickCounter(ticks.clone()))];
+    let core = ControlCore::new(Blackboard::new(identity()), controllers);
+    let control = ControlHandle::start(core, |_| {}).expect("a thread can be started");
+    for _ in 0..80 {
+        control.send_event(Event::ListReachable { is_reachable: true });
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    // 16 in 800 ms if the machine is idle.
+    let count = ticks.load(Ordering::SeqCst);
+    assert!(count >= 8, "{count} ticks");
+}
+
 #[test]
 fn a_panic_in_a_task_poisons_no_lock_and_stops_no_other_task() {
     let guarded = std::sync::Arc::new(std::sync::Mutex::new(7));
