Close the port of a crashing stand-in before the connection of its unframed answer

Traced: the stand-in's thread closed its connection, and the thread that closes the port was late by more than the 25 ms for which a probe is watched. A process that crashes closes both at once.

--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -548,6 +548,8 @@
                 let _ = stream.write_all(&bytes);
                 std::thread::sleep(CRASH_DELAY);
                 self.process.crash();
+                // The crash closes this connection, after the port.
+                std::thread::sleep(CRASH_DELAY);
                 false
             }
             ReplicaBehavior::Silent => {
