--- a/src/blackboard/suspicion.rs
+++ b/src/blackboard/suspicion.rs
@@ -17,6 +17,8 @@
     /// Until when requests with the feature run without restriction, since this VM completed such requests
     /// shortly before the crash; in the past if there is no such time.
     pub tolerated_until: Moment,
+    /// Runs that passed since the latest crash, as far as this VM knows.
+    pub passes: u32,
     /// Other features that all crashed runs had, any of which may be the cause instead.
     pub companions: Arc<[RequestFeature]>,
 }
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -148,9 +148,11 @@
 pub enum TrialVerdict {
     /// The trial run may begin.
     Granted {
-        /// Number of consecutive runs during which an upstream crashed; zero if the request is no longer
+        /// Number of consecutive runs during which an upstream crashed; zero if the feature is no longer
         /// suspected.
         crash_count: u32,
+        /// Number of runs that passed since the latest crash.
+        passes: u32,
     },
     /// Another trial run of the request is in progress.
     Busy,
--- a/src/controllers/quarantine/case.rs
+++ b/src/controllers/quarantine/case.rs
@@ -185,6 +185,7 @@
             crash_count: self.crash_count(),
             quarantined_until: self.quarantined_until(),
             tolerated_until: self.tolerated_until,
+            passes: self.passes,
             companions: self.companions(),
         })
     }
--- a/src/controllers/quarantine/mod.rs
+++ b/src/controllers/quarantine/mod.rs
@@ -366,8 +366,12 @@
             // The message to that node, or its neighbors, was lost.
             let crash_count = own_count;
             context.send_to(from, PeerMessage::Cleared { feature, crash_count });
-        } else if own_count <= crash_count && case.record_passes(count) {
-            self.clear(feature, own_count, "own", context);
+        } else if own_count <= crash_count {
+            if case.record_passes(count) {
+                self.clear(feature, own_count, "own", context);
+            } else {
+                self.publish_suspicion(feature, context);
+            }
         }
     }
 
--- a/src/controllers/quarantine/trials.rs
+++ b/src/controllers/quarantine/trials.rs
@@ -1,11 +1,12 @@
-//! Trial runs: one run with a suspected feature is allowed at a time in the whole fleet.
+//! Trial runs: one run with a suspected feature is allowed at a time in the whole fleet, and one more for each
+//! run that has passed since the latest crash.
 //!
 //! The live VM that ranks first for the feature (rendezvous hashing) is the owner of its trial runs: it
-//! grants one, and the next one once that is over. A VM that gets no answer from the owner decides alone, so
+//! grants them, and the next one once one is over. A VM that gets no answer from the owner decides alone, so
 //! that no request waits for a dead VM.
 
 use super::TrialNumber;
-use crate::blackboard::{RequestFeature, TrialScope};
+use crate::blackboard::{FeatureKind, RequestFeature, TrialScope};
 use crate::controllers::Reply;
 use crate::controllers::message::{PeerMessage, TrialVerdict};
 use crate::controllers::rendezvous;
@@ -18,9 +19,12 @@
 /// How long a request waits before it asks again while another run is in progress, in milliseconds.
 const RETRY_INTERVAL_MS: u64 = 30;
 
-/// The longest time a request waits for another run of the same request to end, in milliseconds: several
+/// The longest time a request waits for another run of the same content to end, in milliseconds: several
 /// times the duration of a plain call.
-const MAX_WAIT_MS: u64 = 400;
+const CONTENT_WAIT_MS: u64 = 400;
+
+/// The longest time a request waits for another run with the same part to begin its answer, in milliseconds.
+const PART_WAIT_MS: u64 = 800;
 
 /// The retry delay sent to the caller of a request that is running elsewhere, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
@@ -53,7 +57,7 @@
 /// Grants trial runs as their owner, and obtains them for the suspected requests of this node.
 #[derive(Debug, Default)]
 pub struct TrialIssuer {
-    running: FastMap<RequestFeature, RunningTrial>,
+    running: FastMap<RequestFeature, Vec<RunningTrial>>,
     waiting: FastMap<TrialNumber, WaitingTrial>,
 }
 
@@ -66,10 +70,14 @@
         deadline: Moment,
         context: &mut ControlContext<'_>,
     ) {
+        let wait_ms = match scope.feature.kind {
+            FeatureKind::Content => CONTENT_WAIT_MS,
+            FeatureKind::Part => PART_WAIT_MS,
+        };
         let waiting = WaitingTrial {
             scope,
             deadline,
-            wait_until: deadline.min(context.now.after_ms(MAX_WAIT_MS)),
+            wait_until: deadline.min(context.now.after_ms(wait_ms)),
             asked: None,
             next_at: context.now,
         };
@@ -86,7 +94,7 @@
         let (scope, deadline) = (waiting.scope, waiting.deadline);
         let Some(suspicion) = context.board.suspicions.get(scope.feature) else {
             // The feature was cleared meanwhile.
-            self.grant(number, 0, context);
+            self.grant(number, 0, 0, context);
             return;
         };
         if suspicion.is_quarantined(context.now) && !scope.tells_apart {
@@ -103,7 +111,9 @@
         let owner = trial_owner(scope.feature, context);
         if is_silent || owner == context.board.own.name {
             match self.decide(None, scope, number, deadline, context) {
-                TrialVerdict::Granted { crash_count } => self.grant(number, crash_count, context),
+                TrialVerdict::Granted { crash_count, passes } => {
+                    self.grant(number, crash_count, passes, context);
+                }
                 TrialVerdict::Busy => self.schedule_retry(number, context),
                 TrialVerdict::Quarantined { span_ms } => self.refuse(number, span_ms, context),
             }
@@ -128,10 +138,28 @@
         }
     }
 
-    fn grant(&mut self, number: TrialNumber, crash_count: u32, context: &mut ControlContext<'_>) {
-        if self.waiting.remove(&number).is_some() {
-            context.reply(ReplyTicket(number), Reply::TrialGranted { crash_count });
-        }
+    /// Grants a run on what its owner knows of the feature, or this node if it knows of more crashes. Runs that
+    /// passed in between break a row of crashes of a part: it is one of many parts of each of its requests, and
+    /// may have been in two crashes by chance.
+    fn grant(
+        &mut self,
+        number: TrialNumber,
+        owner_count: u32,
+        passes: u32,
+        context: &mut ControlContext<'_>,
+    ) {
+        let Some(waiting) = self.waiting.remove(&number) else {
+            return;
+        };
+        let feature = waiting.scope.feature;
+        let suspicion = context.board.suspicions.get(feature);
+        let own_count = suspicion.map_or(0, |suspicion| suspicion.crash_count);
+        let breaks_row = passes > 0 && feature.kind == FeatureKind::Part;
+        let crash_count = match own_count > owner_count {
+            true => own_count,
+            false => owner_count.saturating_sub(u32::from(breaks_row)),
+        };
+        context.reply(ReplyTicket(number), Reply::TrialGranted { crash_count });
     }
 
     fn refuse(&mut self, number: TrialNumber, span_ms: u64, context: &mut ControlContext<'_>) {
@@ -155,7 +183,10 @@
     ) -> TrialVerdict {
         let feature = scope.feature;
         let Some(suspicion) = context.board.suspicions.get(feature).cloned() else {
-            return TrialVerdict::Granted { crash_count: 0 };
+            return TrialVerdict::Granted {
+                crash_count: 0,
+                passes: 0,
+            };
         };
         if suspicion.is_quarantined(context.now) && !scope.tells_apart {
             let span_ms = context.now.until_ms(suspicion.quarantined_until);
@@ -163,11 +194,18 @@
         }
         let granted = TrialVerdict::Granted {
             crash_count: suspicion.crash_count,
+            passes: suspicion.passes,
         };
-        self.drop_stale_run(feature, context);
-        if let Some(running) = self.running.get(&feature) {
-            let is_same = running.number == number && running.holder == holder;
-            return if is_same { granted } else { TrialVerdict::Busy };
+        self.drop_stale_runs(feature, context);
+        let running = self.running.entry(feature).or_default();
+        if running
+            .iter()
+            .any(|running| running.number == number && running.holder == holder)
+        {
+            return granted;
+        }
+        if running.len() > suspicion.passes as usize {
+            return TrialVerdict::Busy;
         }
         context.log(format!(
             "event=trial_begun fingerprint={:016x} kind={} vm={} strikes={}",
@@ -181,19 +219,19 @@
             number,
             expires_at: deadline.after_ms(OVERDUE_MS),
         };
-        self.running.insert(feature, running);
+        self.running.entry(feature).or_default().push(running);
         granted
     }
 
-    /// Drops a run that is past its limit or whose VM is dead.
-    fn drop_stale_run(&mut self, feature: RequestFeature, context: &ControlContext<'_>) {
+    /// Drops runs that are past their limit or whose VM is dead.
+    fn drop_stale_runs(&mut self, feature: RequestFeature, context: &ControlContext<'_>) {
         let vms = &context.board.vms;
         let is_gone = |name: &VmName| vms.get(name).is_none_or(|vm| !vm.is_live(context.now));
         let is_over = |running: &RunningTrial| {
             context.now.reached(running.expires_at) || running.holder.as_ref().is_some_and(is_gone)
         };
-        if self.running.get(&feature).is_some_and(is_over) {
-            self.running.remove(&feature);
+        if let Some(running) = self.running.get_mut(&feature) {
+            running.retain(|running| !is_over(running));
         }
     }
 
@@ -220,14 +258,12 @@
         context: &mut ControlContext<'_>,
     ) {
         let waiting = self.waiting.get(&number);
-        let Some(waiting) = waiting.filter(|waiting| waiting.asked.as_ref() == Some(from)) else {
+        if waiting.is_none_or(|waiting| waiting.asked.as_ref() != Some(from)) {
             return;
-        };
+        }
         match verdict {
-            TrialVerdict::Granted { crash_count } => {
-                let suspicion = context.board.suspicions.get(waiting.scope.feature);
-                let own_crash_count = suspicion.map_or(0, |suspicion| suspicion.crash_count);
-                self.grant(number, crash_count.max(own_crash_count), context);
+            TrialVerdict::Granted { crash_count, passes } => {
+                self.grant(number, crash_count, passes, context);
             }
             TrialVerdict::Busy => self.schedule_retry(number, context),
             TrialVerdict::Quarantined { span_ms } => self.refuse(number, span_ms, context),
@@ -252,8 +288,11 @@
 
     fn end_running(&mut self, holder: Option<&VmName>, feature: RequestFeature, number: TrialNumber) {
         let is_match = |running: &RunningTrial| running.number == number && running.holder.as_ref() == holder;
-        if self.running.get(&feature).is_some_and(is_match) {
-            self.running.remove(&feature);
+        if let Some(running) = self.running.get_mut(&feature) {
+            running.retain(|running| !is_match(running));
+            if running.is_empty() {
+                self.running.remove(&feature);
+            }
         }
     }
 
@@ -267,8 +306,10 @@
         numbers
             .into_iter()
             .for_each(|number| self.advance(number, context));
-        self.running
-            .retain(|_, running| !context.now.reached(running.expires_at));
+        self.running.retain(|_, running| {
+            running.retain(|running| !context.now.reached(running.expires_at));
+            !running.is_empty()
+        });
     }
 
     /// When the next waiting request is due; `None` if none waits.
--- a/src/peers/convert/quarantine.rs
+++ b/src/peers/convert/quarantine.rs
@@ -152,23 +152,30 @@
 }
 
 pub(super) fn trial_answer_body(number: TrialNumber, verdict: TrialVerdict) -> FrameBody {
-    let (verdict_number, crash_count, span_ms) = match verdict {
-        TrialVerdict::Granted { crash_count } => (GRANTED, crash_count, 0),
-        TrialVerdict::Busy => (BUSY, 0, 0),
-        TrialVerdict::Quarantined { span_ms } => (QUARANTINED, 0, span_ms),
-    };
-    FrameBody::TrialAnswer(TrialAnswerFrame {
+    let mut frame = TrialAnswerFrame {
         number,
-        verdict: verdict_number,
-        crash_count,
-        span_ms,
-    })
+        ..TrialAnswerFrame::default()
+    };
+    match verdict {
+        TrialVerdict::Granted { crash_count, passes } => {
+            frame.verdict = GRANTED;
+            frame.crash_count = crash_count;
+            frame.passes = passes;
+        }
+        TrialVerdict::Busy => frame.verdict = BUSY,
+        TrialVerdict::Quarantined { span_ms } => {
+            frame.verdict = QUARANTINED;
+            frame.span_ms = span_ms;
+        }
+    }
+    FrameBody::TrialAnswer(frame)
 }
 
 pub(super) fn to_trial_answer(frame: &TrialAnswerFrame) -> Result<PeerMessage, InvalidFrame> {
     let verdict = match frame.verdict {
         GRANTED => TrialVerdict::Granted {
             crash_count: frame.crash_count,
+            passes: frame.passes,
         },
         BUSY => TrialVerdict::Busy,
         QUARANTINED => TrialVerdict::Quarantined {
--- a/src/peers/wire/quarantine.rs
+++ b/src/peers/wire/quarantine.rs
@@ -100,6 +100,9 @@
     /// The remaining time of the quarantine, in milliseconds; zero if not quarantined.
     #[prost(uint64, tag = "4")]
     pub span_ms: u64,
+    /// Number of runs that passed since the latest crash if granted, zero otherwise.
+    #[prost(uint32, tag = "5")]
+    pub passes: u32,
 }
 
 /// Requests all crash cases.
--- a/src/runtime/run_progress.rs
+++ b/src/runtime/run_progress.rs
@@ -5,8 +5,8 @@
 use crate::prelude::*;
 
 /// How long an answer must have been arriving for its run to count as begun without a crash, in milliseconds:
-/// several times the time from the first event of a stream to the second.
-const BEGINNING_MS: u64 = 250;
+/// some times the time from the first event of a stream to the second.
+const BEGINNING_MS: u64 = 150;
 
 /// The time of a run's first output, and whether the run has outlived its beginning.
 #[derive(Debug, Default)]
--- a/tests/fleet_view/parts.rs
+++ b/tests/fleet_view/parts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use dotterelspan::blackboard::{FeatureSet, RequestFeature, RunRestriction, TrialScope};
+use dotterelspan::controllers::Reply;
 use dotterelspan::controllers::quarantine::{CrashSuspect, RunLoss, UpstreamOutcome};
 use dotterelspan::prelude::*;
 
@@ -287,3 +288,47 @@
         assert_eq!(crash_count(&fleet, node, deadly()), 2);
     }
 }
+
+/// Asks for a trial run at a node; returns the crash count with which it is granted, if it is within 100 ms.
+fn begin_trial(fleet: &mut SimulatedFleet, node: usize, number: u64) -> Option<u32> {
+    fleet.take_replies();
+    let wanted = Event::TrialWanted {
+        ticket: ReplyTicket(number),
+        scope: TrialScope {
+            feature: deadly(),
+            tells_apart: false,
+        },
+        deadline: fleet.clock_of(node).after_ms(4_000),
+    };
+    fleet.send_event(node, &wanted);
+    fleet.run_ms(100);
+    let mut replies = fleet.take_replies().into_iter();
+    replies.find_map(|(_, _, reply)| match reply {
+        Reply::TrialGranted { crash_count } => Some(crash_count),
+        _ => None,
+    })
+}
+
+#[test]
+fn each_pass_since_the_latest_crash_allows_one_more_trial_run_at_a_time() {
+    let mut fleet = start(10);
+    crash(&mut fleet, 3, "i-1", &FeatureSet::new(1, [deadly()]));
+    assert!(begin_trial(&mut fleet, 4, 1).is_some());
+    assert!(begin_trial(&mut fleet, 5, 2).is_none());
+    pass(&mut fleet, 4, deadly());
+    fleet.run_ms(GOSSIP_MS);
+    assert!(begin_trial(&mut fleet, 6, 3).is_some());
+    assert!(begin_trial(&mut fleet, 7, 4).is_none());
+}
+
+#[test]
+fn a_pass_between_two_crashes_breaks_the_row_of_a_part() {
+    let mut fleet = start(11);
+    crash(&mut fleet, 3, "i-1", &FeatureSet::new(1, [deadly()]));
+    assert_eq!(begin_trial(&mut fleet, 4, 1), Some(1));
+    pass(&mut fleet, 4, deadly());
+    let feature = deadly();
+    fleet.send_event(4, &Event::TrialDone { feature, number: 1 });
+    fleet.run_ms(GOSSIP_MS);
+    assert_eq!(begin_trial(&mut fleet, 5, 2), Some(0));
+}
