Let the waiting caller of a test leave before the next trial run is asked for

each_pass_since_the_latest_crash_allows_one_more_trial_run_at_a_time was committed failing: the second request still waited for its turn and got the run that the pass allowed, before the third asked. The check is the same.

--- a/tests/fleet_view/parts.rs
+++ b/tests/fleet_view/parts.rs
@@ -315,6 +315,9 @@
     crash(&mut fleet, 3, "i-1", &FeatureSet::new(1, [deadly()]));
     assert!(begin_trial(&mut fleet, 4, 1).is_some());
     assert!(begin_trial(&mut fleet, 5, 2).is_none());
+    // The caller of the waiting request leaves.
+    let feature = deadly();
+    fleet.send_event(5, &Event::TrialDone { feature, number: 2 });
     pass(&mut fleet, 4, deadly());
     fleet.run_ms(GOSSIP_MS);
     assert!(begin_trial(&mut fleet, 6, 3).is_some());
