Add a failing test of unframed answers whose crashed replica has an unclear port

Refused connections and a proxy that closes them are told apart already. The test of living replicas beside busy threads passes, and has to go on passing.

--- a/tests/platform/answer_ends.rs
+++ b/tests/platform/answer_ends.rs
@@ -1,6 +1,10 @@
 //! Answers that end early, in their head, in an event, or with the process of their replica.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use crate::faults::AnswerForm;
+use crate::life::PortEnd;
 use crate::node::{GatewayNode, publish_config};
 use crate::replica::{ReplicaBehavior, StandInReplica};
 use crate::store::StandInStore;
@@ -32,6 +36,12 @@
         }
     }
 
+    fn end_ports(&self, end: PortEnd) {
+        self.replicas
+            .iter()
+            .for_each(|replica| replica.process.set_port_end(end));
+    }
+
     fn ask(&self, path: &str, id: &str) -> Option<Message> {
         let text = request("POST", "shop.example", path, id, "X-Token-Count: 300,40\r\n", id);
         exchange(self.node.callers(), &text)
@@ -136,3 +146,74 @@
         }
     }
 }
+
+/// Bodies of unframed answers that are cut between two events, inside an event and in plain text.
+const CUT_BODIES: [&str; 3] = ["id: 1\ndata: token\n\n", "id: 1\ndata: to", "half of a te"];
+
+const PATHS: [&str; 4] = ["/read", "/book", "/stream/single", "/stream/resume"];
+
+#[test]
+fn an_unframed_answer_is_not_whole_because_the_port_of_its_crashed_replica_is_unclear() {
+    let mut defects = Vec::new();
+    for end in PortEnd::ALL {
+        for body in CUT_BODIES {
+            for path in PATHS {
+                let deployment = Deployment::start(ReplicaBehavior::CrashesInUnframed(body));
+                deployment.end_ports(end);
+                let answer = deployment.ask(path, "q-1");
+                assert!(deployment.was_run("q-1"));
+                if looks_whole(&answer) {
+                    defects.push(format!("{end:?} {path} {body:?}"));
+                }
+            }
+        }
+    }
+    assert!(defects.is_empty(), "{}", defects.join("\n"));
+}
+
+/// Threads that keep processors busy until this is dropped.
+struct BusyThreads {
+    is_over: Arc<AtomicBool>,
+}
+
+impl BusyThreads {
+    fn start(count: usize) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        for _ in 0..count {
+            let is_over = is_over.clone();
+            std::thread::spawn(move || {
+                while !is_over.load(Ordering::Relaxed) {
+                    std::hint::spin_loop();
+                }
+            });
+        }
+        Self { is_over }
+    }
+}
+
+impl Drop for BusyThreads {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+}
+
+#[test]
+fn an_unframed_answer_of_a_living_replica_is_whole_beside_load() {
+    let deployment = Deployment::start(ReplicaBehavior::StopsAfter(usize::MAX, AnswerForm::UntilClose));
+    let processors = std::thread::available_parallelism().map_or(4, usize::from);
+    let _busy = BusyThreads::start(processors + 2);
+    let mut defects = Vec::new();
+    for number in 0..30 {
+        for path in PATHS {
+            let id = format!("q-{}-{number}", path.rsplit('/').next().unwrap_or_default());
+            let answer = deployment.ask(path, &id);
+            let is_complete = answer
+                .as_ref()
+                .is_some_and(|answer| answer.text() == AnswerForm::EVENTS);
+            if !looks_whole(&answer) || !is_complete {
+                defects.push(format!("{path} {number}: {answer:?}"));
+            }
+        }
+    }
+    assert!(defects.is_empty(), "{}", defects.join("\n"));
+}
--- a/tests/platform/life.rs
+++ b/tests/platform/life.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use dotterelspan::prelude::FastMap;
+use socket2::SockRef;
 
 use crate::node::wait_until;
 
@@ -16,6 +17,35 @@
 /// How much later than its connections a process may close its port.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(3);
 
+/// For how long a port is unclear where its end is.
+const UNCLEAR_PORT_SPAN: Duration = Duration::from_millis(150);
+
+/// What the port of a process does once its connections were closed by a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PortEnd {
+    /// It is closed with the connections.
+    Closes,
+    /// Something in front of it accepts connections and closes them, until the restart.
+    ClosesConnections,
+    /// It resets connections for [`UNCLEAR_PORT_SPAN`], then it is closed.
+    Resets,
+    /// It accepts connections without a word for [`UNCLEAR_PORT_SPAN`], then it is closed.
+    IsSilent,
+    /// It stays open, and the process runs again at once.
+    StaysOpen,
+}
+
+impl PortEnd {
+    /// All ends.
+    pub const ALL: [Self; 5] = [
+        Self::Closes,
+        Self::ClosesConnections,
+        Self::Resets,
+        Self::IsSilent,
+        Self::StaysOpen,
+    ];
+}
+
 /// One replica's process across its restarts.
 pub struct ReplicaProcess {
     address: SocketAddr,
@@ -26,6 +56,7 @@
     next_connection: AtomicU64,
     crash_times: Mutex<Vec<Instant>>,
     closes_port_last: AtomicBool,
+    port_end: Mutex<PortEnd>,
 }
 
 impl ReplicaProcess {
@@ -38,6 +69,7 @@
             next_connection: AtomicU64::default(),
             crash_times: Mutex::default(),
             closes_port_last: AtomicBool::new(false),
+            port_end: Mutex::new(PortEnd::Closes),
         }
     }
 
@@ -60,6 +92,15 @@
         self.closes_port_last.store(true, Ordering::SeqCst);
     }
 
+    /// Sets what the port does after later crashes.
+    pub fn set_port_end(&self, end: PortEnd) {
+        *self.lock_port_end() = end;
+    }
+
+    fn lock_port_end(&self) -> MutexGuard<'_, PortEnd> {
+        self.port_end.lock().expect("no holder panics")
+    }
+
     /// Crashes the process; the accepting thread notices at once.
     pub fn crash(&self) {
         if !self.is_down.swap(true, Ordering::SeqCst) {
@@ -79,8 +120,12 @@
     }
 
     /// Accepts connections until the process crashes, then closes the port and all connections. The server
-    /// of a connection calls `forget` when it is done.
-    pub fn accept_until_crash(&self, listener: TcpListener, mut serve: impl FnMut(TcpStream, u64)) {
+    /// of a connection calls `remove_connection` when it is done. Returns the listener if the port stays open.
+    pub fn accept_until_crash(
+        &self,
+        listener: TcpListener,
+        mut serve: impl FnMut(TcpStream, u64),
+    ) -> Option<TcpListener> {
         for stream in listener.incoming().flatten() {
             if self.is_down.load(Ordering::SeqCst) {
                 break;
@@ -93,19 +138,49 @@
         if self.closes_port_last.load(Ordering::SeqCst) {
             std::thread::sleep(PORT_CLOSE_DELAY);
         }
+        let end = *self.lock_port_end();
+        let kept = match end {
+            PortEnd::Closes => None,
+            _ => listener.try_clone().ok(),
+        };
         drop(listener);
         for (_, stream) in self.lock_connections().drain() {
             // Fails if the other end has closed the connection.
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
+        let listener = kept?;
+        match end {
+            PortEnd::Closes => None,
+            PortEnd::StaysOpen => Some(listener),
+            PortEnd::ClosesConnections => {
+                hold_port(listener, RESTART_DELAY, |_| None);
+                None
+            }
+            PortEnd::Resets => {
+                hold_port(listener, UNCLEAR_PORT_SPAN, |stream| {
+                    SockRef::from(&stream)
+                        .set_linger(Some(Duration::ZERO))
+                        .expect("a socket option");
+                    None
+                });
+                None
+            }
+            PortEnd::IsSilent => {
+                hold_port(listener, UNCLEAR_PORT_SPAN, Some);
+                None
+            }
+        }
     }
 
-    /// Waits for the restart, then listens on the same port again.
-    pub fn restart(&self) -> TcpListener {
-        std::thread::sleep(RESTART_DELAY);
-        let mut listener = None;
+    /// Waits for the restart, then listens on the same port again. With `open`, the listener of a port that
+    /// stayed open, the process runs again at once.
+    pub fn restart(&self, open: Option<TcpListener>) -> TcpListener {
+        let mut listener = open;
+        if listener.is_none() {
+            std::thread::sleep(RESTART_DELAY);
+        }
         wait_until("the port is free again", || {
-            listener = TcpListener::bind(self.address).ok();
+            listener = listener.take().or_else(|| TcpListener::bind(self.address).ok());
             listener.is_some()
         });
         self.starts.fetch_add(1, Ordering::SeqCst);
@@ -113,3 +188,17 @@
         listener.expect("it was bound")
     }
 }
+
+/// Accepts connections for a while on behalf of a process that has ended. Those that `keep` returns stay open
+/// until the end of it, the others are closed.
+fn hold_port(listener: TcpListener, span: Duration, mut keep: impl FnMut(TcpStream) -> Option<TcpStream>) {
+    let over_at = Instant::now() + span;
+    let mut kept = Vec::new();
+    listener.set_nonblocking(true).expect("a socket option");
+    while Instant::now() < over_at {
+        match listener.accept() {
+            Ok((stream, _)) => kept.extend(keep(stream)),
+            Err(_) => std::thread::sleep(Duration::from_millis(1)),
+        }
+    }
+}
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -256,14 +256,14 @@
         std::thread::spawn(move || {
             let mut listener = listener;
             loop {
-                served.process.accept_until_crash(listener, |mut stream, number| {
+                let open = served.process.accept_until_crash(listener, |mut stream, number| {
                     let replica = served.clone();
                     std::thread::spawn(move || {
                         replica.serve(&mut stream);
                         replica.process.remove_connection(number);
                     });
                 });
-                listener = served.process.restart();
+                listener = served.process.restart(open);
                 let start = served.process.start_number();
                 served.publish_start(&store, &service, phase.as_deref(), start);
             }
