Take an unframed answer for whole only if its replica is shown to run on

Callers got half answers that looked whole: a process that ends has its connections closed in order by its system, and the probe after the end proved nothing where the port reset connections, stayed silent or belonged to the next start. The rule is turned round: after the end the replica has to answer a health check of its own, and a connection that was opened before the end has to stay open.

--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -64,7 +64,7 @@
     "drain_begun", Belief, ["accept_ms"], "The process was ordered to drain.";
     "drain_ended", Belief, ["active_requests"], "The process exits; requests that are still active are cut off.";
     "drain_handoff", Belief, ["active_requests"], "The handoff of idempotency keys to peers begins; no key starts from now on.";
-    "end_checked", Belief, ["request", "replica", "outcome", "elapsed_ms"], "The replica of an answer that ended with its connection was checked.";
+    "end_checked", Belief, ["request", "replica", "outcome", "witnessed", "elapsed_ms"], "The replica of an answer that ended with its connection was checked; the answer counts as complete only if the outcome is alive. witnessed is whether a connection was open to it before the end.";
     "ended", Progress, ["request", "route", "kind", "outcome", "code", "status", "replica", "prefill", "granted_by", "sends", "queue_ms", "prefill_ms", "first_ms", "events", "idle_ms", "total_ms", "revision", "list_revision"], "A request has ended. Logged as a failure unless the outcome is served; other lines of the request show its steps.";
     "engine_down", Belief, ["engine", "end", "down_ms"], "The owner of a service's engines excludes one for a while after failed requests.";
     "engine_ordered", Belief, ["engine", "role", "fencing_token", "list_revision"], "An engine is ordered to move to the other pool.";
--- a/src/gateway/answer_end.rs
+++ b/src/gateway/answer_end.rs
@@ -1,10 +1,13 @@
 //! Decides whether an answer is whole once no more of it comes.
 
-use super::loss::has_exited;
+use std::sync::Arc;
+
+use super::GatewayContext;
+use super::exchange::CallerRequest;
+use super::life_check::{ReplicaLife, check_life};
 use super::upstream::UpstreamAnswer;
 use crate::blackboard::ReplicaRecord;
-use crate::clock;
-use crate::http::{BodyFraming, ResponseHead};
+use crate::http::ResponseHead;
 
 /// Media type of streams of events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -16,6 +19,8 @@
     InsideEvent,
     /// The answer ended with its connection, and so did the replica's process.
     ReplicaExited,
+    /// The answer ended with its connection, and the replica's process was not shown to run on.
+    ReplicaUnproven,
 }
 
 impl BrokenEnd {
@@ -24,36 +29,30 @@
         match self {
             Self::InsideEvent => "it ended inside an event",
             Self::ReplicaExited => "its replica exited",
+            Self::ReplicaUnproven => "its replica did not answer after it",
         }
     }
 }
 
 /// Checks an answer that has been read to its end; `rest` is what came after the last complete event. An answer
-/// without a length or chunks ends with its connection, which the replica's system also closes if the process
-/// crashes, so the replica is probed.
+/// that ended with its connection is whole only if its replica is shown to be running.
 pub async fn check_end(
-    answer: &UpstreamAnswer,
+    context: &Arc<GatewayContext>,
+    request: &CallerRequest,
+    answer: &mut UpstreamAnswer,
     replica: &ReplicaRecord,
     rest: &[u8],
 ) -> Result<(), BrokenEnd> {
     if !rest.is_empty() && is_event_stream(&answer.head) {
         return Err(BrokenEnd::InsideEvent);
     }
-    if answer.framing != BodyFraming::UntilClose {
+    let Some(witness) = &mut answer.witness else {
         return Ok(());
-    }
-    let ended_at = clock::now();
-    let has_exited = has_exited(replica).await;
-    spdlog::warn!(
-        "event=end_checked request={} replica={} outcome={} elapsed_ms={}",
-        answer.facts.request_id.as_deref().unwrap_or("-"),
-        replica.id,
-        if has_exited { "exited" } else { "not_seen_to_exit" },
-        ended_at.until_ms(clock::now())
-    );
-    match has_exited {
-        true => Err(BrokenEnd::ReplicaExited),
-        false => Ok(()),
+    };
+    match check_life(context, request, replica, witness).await {
+        ReplicaLife::Alive => Ok(()),
+        ReplicaLife::Exited => Err(BrokenEnd::ReplicaExited),
+        ReplicaLife::Unproven => Err(BrokenEnd::ReplicaUnproven),
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod engine_call;
 mod exchange;
 mod health;
+mod life_check;
 mod limit_gauge;
 mod listener;
 mod loss;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -177,7 +177,8 @@
                 }
             }
             Some(Ok(None)) => {
-                if let Err(broken_end) = check_end(&answer, lease.replica(), &[]).await {
+                if let Err(broken_end) = check_end(context, request, &mut answer, lease.replica(), &[]).await
+                {
                     let broken = BrokenAnswer::from_end(answer.framing, broken_end);
                     record_broken_answer(context, request, lease, &permit, broken).await;
                     request.trace.end(RequestOutcome::Cut, head.status);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -195,7 +195,7 @@
             SendResult::LongAnswer(Box::new(answer), body_start, Box::new(admission))
         }
         Some(Ok((body, true))) => {
-            if let Err(broken_end) = check_end(&answer, lease.replica(), &[]).await {
+            if let Err(broken_end) = check_end(context, request, &mut answer, lease.replica(), &[]).await {
                 let broken = BrokenAnswer::from_end(answer.framing, broken_end);
                 record_broken_answer(context, request, lease, &permit, broken).await;
                 return SendResult::MayHaveRun;
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -382,7 +382,9 @@
                 }
                 Some(Ok(None)) => {
                     let rest = splitter.incomplete_event();
-                    if let Err(broken_end) = check_end(&answer, &placement.decode, rest).await {
+                    if let Err(broken_end) =
+                        check_end(self.context, self.request, &mut answer, &placement.decode, rest).await
+                    {
                         if answer.framing == BodyFraming::UntilClose {
                             self.report_decode_loss(&placement, &run).await;
                         }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 
 use super::exchange::CallerRequest;
+use super::life_check::WitnessConnection;
 use super::loss::RunStage;
 use super::replica_state::{record_replica_state, report_rate_limit};
 use super::{AnswerFacts, GatewayContext};
@@ -40,6 +41,8 @@
     Unsent {
         /// Description of the error.
         reason: String,
+        /// Whether the connection was refused, as when no process listens at the address.
+        is_refused: bool,
     },
     /// Bytes of the request were sent, and no response to it came.
     #[snafu(display("no answer: {reason}"))]
@@ -143,6 +146,9 @@
     pub is_own: bool,
     /// How the end of the body is marked.
     pub framing: BodyFraming,
+    /// A connection that shows whether the process runs on; only of a caller's answer that ends with its
+    /// connection.
+    pub witness: Option<WitnessConnection>,
     stream: HttpStream,
     decoder: BodyDecoder,
     may_keep: bool,
@@ -221,6 +227,7 @@
     if clock::now().reached(request.deadline) {
         return Err(ExchangeError::Unsent {
             reason: "deadline passed".to_owned(),
+            is_refused: false,
         });
     }
     if let Some(stage) = request.stage {
@@ -261,6 +268,7 @@
     let connected = HttpStream::connect(request.replica.address, connect_by).await;
     let mut stream = connected.map_err(|error| ExchangeError::Unsent {
         reason: error.to_string(),
+        is_refused: error.is_connection_refused(),
     })?;
     if let Some(settle_ms) = request.choice.settle_ms() {
         let connected_at = clock::now();
@@ -272,6 +280,7 @@
         {
             return Err(ExchangeError::Unsent {
                 reason: "the replica closed the new connection".to_owned(),
+                is_refused: false,
             });
         }
     }
@@ -324,11 +333,14 @@
                 && is_body_sent
                 && head.keeps_connection()
                 && framing != BodyFraming::UntilClose;
+            let is_checked = framing == BodyFraming::UntilClose
+                && matches!(request.stage, Some(RunStage::Call | RunStage::Decode));
             return Ok(UpstreamAnswer {
                 head,
                 facts,
                 is_own,
                 framing,
+                witness: is_checked.then(|| WitnessConnection::open(request.replica)),
                 stream,
                 decoder,
                 may_keep,
--- a/tests/platform/answer_ends.rs
+++ b/tests/platform/answer_ends.rs
@@ -154,8 +154,8 @@
 
 #[test]
 fn an_unframed_answer_is_not_whole_because_the_port_of_its_crashed_replica_is_unclear() {
-    let mut defects = Vec::new();
-    for end in PortEnd::ALL {
+    let find_defects = |end: PortEnd| {
+        let mut defects = Vec::new();
         for body in CUT_BODIES {
             for path in PATHS {
                 let deployment = Deployment::start(ReplicaBehavior::CrashesInUnframed(body));
@@ -167,7 +167,15 @@
                 }
             }
         }
-    }
+        defects
+    };
+    let defects: Vec<String> = std::thread::scope(|scope| {
+        let cases = PortEnd::ALL.map(|end| scope.spawn(move || find_defects(end)));
+        cases
+            .into_iter()
+            .flat_map(|case| case.join().expect("the case runs"))
+            .collect()
+    });
     assert!(defects.is_empty(), "{}", defects.join("\n"));
 }
 
