Reset the connections of unfinished answers to HTTP/1.0 callers whatever ends them

The answer to an HTTP/1.0 caller ends with its connection, and where the node was killed, left, or took a half-closed connection for a lost caller, the system closed it in order: 3 of 6 ways to cut such a stream looked whole. The connection is now set to be reset when the answer begins, and to an orderly close once the answer is complete, so that no later step has to remember it. AnswerOutcome::CutUnframed is gone.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -5,7 +5,6 @@
 
 use async_std::net::TcpStream;
 use futures::future::{Either, select};
-use socket2::SockRef;
 
 use super::GatewayContext;
 use super::answer::ConnectionPersistence;
@@ -84,17 +83,6 @@
     match outcome {
         AnswerOutcome::Complete(persistence) => persistence,
         AnswerOutcome::Cut => ConnectionPersistence::Close,
-        AnswerOutcome::CutUnframed => {
-            reset_on_close(&socket);
-            ConnectionPersistence::Close
-        }
-    }
-}
-
-/// Makes the connection end with a reset, so that a truncated answer without a length does not look complete.
-fn reset_on_close(socket: &TcpStream) {
-    if let Err(error) = SockRef::from(socket).set_linger(Some(Duration::ZERO)) {
-        spdlog::debug!("event=socket_option_failed reason=\"{error}\"");
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -82,8 +82,6 @@
     Complete(ConnectionPersistence),
     /// The answer was cut off.
     Cut,
-    /// The answer was cut off and has no framing, so only a connection reset shows that it is not complete.
-    CutUnframed,
 }
 
 /// Routes a request and answers it on its caller's connection.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use crate::http::{BodyFraming, LAST_CHUNK, ResponseHead, write_chunk};
 use crate::prelude::*;
 use crate::runtime::RunPermit;
-use crate::transport::{StreamError, until};
+use crate::transport::{CloseMode, StreamError, set_close_mode, until};
 
 /// Writes an answer to the caller in pieces: chunked for HTTP/1.1, else delimited by the connection's end.
 pub struct AnswerWriter<'a> {
@@ -42,6 +42,8 @@
         let pending = if is_chunked {
             write_chunked_head(&*context.protocol, head, request.persistence)
         } else {
+            // Whatever ends the connection before the answer is complete, also an exit of this process.
+            set_close_mode(socket, CloseMode::Reset);
             write_closing_head(&*context.protocol, head)
         };
         Self {
@@ -79,20 +81,13 @@
         if self.is_chunked {
             bytes.extend_from_slice(LAST_CHUNK);
         }
-        if self.send(&bytes).await {
-            AnswerOutcome::Complete(self.persistence)
-        } else {
-            self.truncated_outcome()
+        if !self.send(&bytes).await {
+            return AnswerOutcome::Cut;
         }
-    }
-
-    /// Returns the outcome of an answer whose body is incomplete.
-    pub fn truncated_outcome(&self) -> AnswerOutcome {
-        if self.is_chunked {
-            AnswerOutcome::Cut
-        } else {
-            AnswerOutcome::CutUnframed
+        if !self.is_chunked {
+            set_close_mode(self.socket, CloseMode::Orderly);
         }
+        AnswerOutcome::Complete(self.persistence)
     }
 }
 
@@ -166,14 +161,14 @@
     let head = answer.head.clone();
     let mut writer = AnswerWriter::new(context, socket, request, &head);
     if !writer.write(&first_bytes).await {
-        return writer.truncated_outcome();
+        return AnswerOutcome::Cut;
     }
     while !clock::now().reached(request.deadline) {
         match until(request.deadline, answer.read()).await {
             Some(Ok(Some(piece))) => {
                 permit.record_output();
                 if !writer.write(&piece).await {
-                    return writer.truncated_outcome();
+                    return AnswerOutcome::Cut;
                 }
             }
             Some(Ok(None)) => {
@@ -182,7 +177,7 @@
                     let broken = BrokenAnswer::from_end(answer.framing, broken_end);
                     record_broken_answer(context, request, lease, &permit, broken).await;
                     request.trace.end(RequestOutcome::Cut, head.status);
-                    return writer.truncated_outcome();
+                    return AnswerOutcome::Cut;
                 }
                 let elapsed_ms = lease.elapsed_ms();
                 lease.finish(SendOutcome::Served(elapsed_ms));
@@ -194,7 +189,7 @@
                 let broken = BrokenAnswer::from_error(answer.framing, &error);
                 record_broken_answer(context, request, lease, &permit, broken).await;
                 request.trace.end(RequestOutcome::Cut, head.status);
-                return writer.truncated_outcome();
+                return AnswerOutcome::Cut;
             }
             None => break,
         }
@@ -203,5 +198,5 @@
     let broken = BrokenAnswer::from_error(answer.framing, &StreamError::Deadline);
     record_broken_answer(context, request, lease, &permit, broken).await;
     request.trace.end(RequestOutcome::Cut, head.status);
-    writer.truncated_outcome()
+    AnswerOutcome::Cut
 }
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -486,7 +486,7 @@
     async fn finish(&mut self, answer: &UpstreamAnswer, rest: &[u8]) -> AnswerOutcome {
         let writer = self.writer(answer);
         if !rest.is_empty() && !writer.write(rest).await {
-            return writer.truncated_outcome();
+            return AnswerOutcome::Cut;
         }
         match self.writer.take() {
             Some(writer) => writer.finish().await,
@@ -503,9 +503,9 @@
     /// Ends a stream for which no further attempt is possible.
     async fn abandon(&mut self) -> AnswerOutcome {
         let request = self.request;
-        if let Some(writer) = &self.writer {
+        if self.writer.is_some() {
             request.trace.end(RequestOutcome::Cut, 200);
-            return writer.truncated_outcome();
+            return AnswerOutcome::Cut;
         }
         let is_late = clock::now().reached(request.deadline);
         let notice = match (self.may_have_run, is_late) {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,4 +6,4 @@
 
 pub use deadline::until;
 pub use http_stream::{HttpStream, StreamError};
-pub use socket::configure_socket;
+pub use socket::{CloseMode, configure_socket, set_close_mode};
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -1,4 +1,4 @@
-//! Socket options: no delay for small writes, and detection of half-open connections.
+//! Socket options: no delay for small writes, detection of half-open connections, and how a connection is closed.
 
 use std::time::Duration;
 
@@ -34,3 +34,23 @@
         spdlog::debug!("event=socket_option_failed reason=\"{error}\"");
     }
 }
+
+/// How the system closes a connection, also one whose process exits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseMode {
+    /// The peer reads all that was sent, and then the end of the stream.
+    Orderly,
+    /// The peer gets a reset.
+    Reset,
+}
+
+/// Sets how a connection will be closed. A failure is only logged.
+pub fn set_close_mode(stream: &TcpStream, mode: CloseMode) {
+    let linger = match mode {
+        CloseMode::Orderly => None,
+        CloseMode::Reset => Some(Duration::ZERO),
+    };
+    if let Err(error) = SockRef::from(stream).set_linger(linger) {
+        spdlog::debug!("event=socket_option_failed reason=\"{error}\"");
+    }
+}
--- a/tests/platform/answer_ends.rs
+++ b/tests/platform/answer_ends.rs
@@ -1,14 +1,17 @@
 //! Answers that end early, in their head, in an event, or with the process of their replica.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
-use crate::faults::AnswerForm;
+use crate::faults::{AnswerForm, EndlessBytes};
 use crate::life::PortEnd;
 use crate::node::{GatewayNode, publish_config};
 use crate::replica::{ReplicaBehavior, StandInReplica};
 use crate::store::StandInStore;
-use crate::wire::{Message, exchange, request};
+use crate::wire::{Message, exchange, read_answer, request};
 
 /// One node with replicas of all kinds, which all behave alike.
 struct Deployment {
@@ -225,3 +228,91 @@
     }
     assert!(defects.is_empty(), "{}", defects.join("\n"));
 }
+
+/// Why the answer to an HTTP/1.0 caller, which ends with its connection, is cut.
+#[derive(Clone, Copy, Debug)]
+enum OldCallerCut {
+    /// The node's process is killed.
+    NodeKilled,
+    /// The node leaves, and exits before the stream ends.
+    NodeLeaves,
+    /// The caller's deadline passes.
+    Deadline,
+    /// The caller reads nothing until the deadline has passed.
+    SlowReader,
+    /// The replica closes the connection.
+    ReplicaBreaks,
+    /// The caller closes its sending direction.
+    HalfClose,
+}
+
+impl OldCallerCut {
+    const ALL: [Self; 6] = [
+        Self::NodeKilled,
+        Self::NodeLeaves,
+        Self::Deadline,
+        Self::SlowReader,
+        Self::ReplicaBreaks,
+        Self::HalfClose,
+    ];
+
+    fn behavior(self) -> ReplicaBehavior {
+        match self {
+            Self::ReplicaBreaks => ReplicaBehavior::BreaksSlowStream,
+            Self::SlowReader => ReplicaBehavior::Endless(EndlessBytes::Events),
+            _ => ReplicaBehavior::PacedEvents(1_500),
+        }
+    }
+
+    fn deadline_ms(self) -> u64 {
+        match self {
+            Self::Deadline | Self::SlowReader => 2_000,
+            _ => 20_000,
+        }
+    }
+
+    /// Sends a request and reads the answer, which is cut meanwhile.
+    fn play(self) -> Option<Message> {
+        let mut deployment = Deployment::start(self.behavior());
+        let text = request("POST", "shop.example", "/stream/single", "q-1", "", "x")
+            .replace(" HTTP/1.1", " HTTP/1.0")
+            .replace(
+                "X-Deadline-Ms: 8000",
+                &format!("X-Deadline-Ms: {}", self.deadline_ms()),
+            );
+        let mut stream = TcpStream::connect(deployment.node.callers()).expect("a connection");
+        stream.write_all(text.as_bytes()).expect("an open connection");
+        let mut first = [0];
+        stream.peek(&mut first).expect("the answer begins");
+        match self {
+            Self::NodeKilled => deployment.node.kill(),
+            Self::NodeLeaves => deployment.node.signal("TERM"),
+            Self::Deadline | Self::ReplicaBreaks => {}
+            Self::SlowReader => std::thread::sleep(Duration::from_millis(self.deadline_ms() + 500)),
+            Self::HalfClose => stream
+                .shutdown(std::net::Shutdown::Write)
+                .expect("an open connection"),
+        }
+        read_answer(&mut stream)
+    }
+}
+
+#[test]
+fn a_cut_answer_to_a_caller_of_http_1_0_does_not_end_in_order() {
+    let answers = std::thread::scope(|scope| {
+        let cases = OldCallerCut::ALL.map(|cut| (cut, scope.spawn(move || cut.play())));
+        cases.map(|(cut, case)| (cut, case.join().expect("the case runs")))
+    });
+    let defects: Vec<_> = answers.iter().filter(|(_, answer)| looks_whole(answer)).collect();
+    assert!(defects.is_empty(), "{defects:?}");
+}
+
+#[test]
+fn a_whole_answer_to_a_caller_of_http_1_0_ends_in_order() {
+    let deployment = Deployment::start(ReplicaBehavior::Well);
+    for path in PATHS {
+        let text = request("POST", "shop.example", path, "q-1", "", "x").replace(" HTTP/1.1", " HTTP/1.0");
+        let answer = exchange(deployment.node.callers(), &text);
+        assert!(looks_whole(&answer), "{path}: {answer:?}");
+    }
+}
