Add a failing test of callers beside answers without end

Twelve answers without end take all threads of the executor: three other callers get 3 to 106 answers in 4 s, of some 1,119 beside shapes that are rejected early.

--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -1,8 +1,8 @@
 //! Replicas, a store and a peer that send bytes without end: memory and time stay bounded, and no truncated
 //! answer looks complete.
 
-use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use crate::faults::EndlessBytes;
@@ -172,3 +172,118 @@
     assert!(node.memory_kb() < MEMORY_LIMIT_KB, "{} KB", node.memory_kb());
     assert_eq!(node.ask(&text("/read", "q-1")).status(), 200);
 }
+
+/// Number of callers whose answers have no end.
+const ENDLESS_CALLERS: usize = 12;
+
+/// Number of callers of a sound replica beside them.
+const OTHER_CALLERS: usize = 3;
+
+/// How long each shape is played.
+const PLAY_SPAN: Duration = Duration::from_secs(4);
+
+/// How long the other callers wait for an answer.
+const OTHER_CALLER_WAIT: Duration = Duration::from_secs(1);
+
+/// The share of the other callers' requests that have to be served, in percent.
+const SERVED_PERCENT: usize = 95;
+
+/// Asks for endless answers at a path, and reads what comes, until the time is over.
+fn read_endless(address: SocketAddr, path: &str, over_at: Instant) {
+    let mut buffer = vec![0; 64 * 1024];
+    while Instant::now() < over_at {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            continue;
+        };
+        let text = request(
+            "POST",
+            "shop.example",
+            path,
+            "q-endless",
+            "X-Token-Count: 300,40\r\n",
+            "x",
+        );
+        let mut is_open = stream.write_all(text.as_bytes()).is_ok();
+        stream
+            .set_read_timeout(Some(Duration::from_millis(200)))
+            .expect("a socket option");
+        while is_open && Instant::now() < over_at {
+            is_open = match stream.read(&mut buffer) {
+                Ok(count) => count > 0,
+                Err(error) => error.kind() == ErrorKind::WouldBlock,
+            };
+        }
+    }
+}
+
+/// Calls a sound replica until the time is over. Returns how many calls were served in time, and how many were
+/// made.
+fn count_served(address: SocketAddr, over_at: Instant) -> (usize, usize) {
+    let (mut served, mut made) = (0, 0);
+    while Instant::now() < over_at {
+        let began = Instant::now();
+        let answer = exchange(address, &text("/empty", &format!("q-{made}")));
+        made += 1;
+        let is_served = answer.is_some_and(|answer| answer.status() == 200 && answer.is_whole);
+        served += usize::from(is_served && began.elapsed() < OTHER_CALLER_WAIT);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    (served, made)
+}
+
+/// Plays one shape at a node. Returns how many other calls were served and made, and the node's peak memory in
+/// kilobytes.
+fn play_beside_others(kind: EndlessBytes, path: &'static str) -> (usize, usize, u64) {
+    let store = StandInStore::start();
+    publish_config(&store, 1);
+    let endless = ReplicaBehavior::Endless(kind);
+    let start = |id: &str, service: &str, phase: Option<&str>, behavior: ReplicaBehavior| {
+        StandInReplica::start(&store, id, service, phase, behavior)
+    };
+    let mut replicas = vec![
+        start("i-1", "desk", None, endless),
+        start("i-p1", "llm", Some("prefill"), ReplicaBehavior::Well),
+        start("i-2", "nobody", None, ReplicaBehavior::Well),
+    ];
+    replicas.extend((1..=4).map(|number| start(&format!("i-d{number}"), "llm", Some("decode"), endless)));
+    let node = GatewayNode::start(&store, "vm-1", &[]);
+    node.wait_ready();
+    let (address, over_at) = (node.callers(), Instant::now() + PLAY_SPAN);
+    let (served, made) = std::thread::scope(|scope| {
+        for _ in 0..ENDLESS_CALLERS {
+            scope.spawn(move || read_endless(address, path, over_at));
+        }
+        let others: Vec<_> = (0..OTHER_CALLERS)
+            .map(|_| scope.spawn(move || count_served(address, over_at)))
+            .collect();
+        others.into_iter().fold((0, 0), |(served, made), other| {
+            let (more_served, more_made) = other.join().expect("a caller that ends");
+            (served + more_served, made + more_made)
+        })
+    });
+    (served, made, node.memory_kb())
+}
+
+#[test]
+fn other_callers_are_served_beside_answers_without_end() {
+    let plain = EndlessBytes::FAST.map(|kind| (kind, "/read"));
+    let streams = [
+        EndlessBytes::Events,
+        EndlessBytes::Event,
+        EndlessBytes::SmallChunks,
+    ]
+    .map(|kind| (kind, "/stream"));
+    let mut defects = Vec::new();
+    for (kind, path) in plain
+        .into_iter()
+        .chain(streams)
+        .chain([(EndlessBytes::NoLength, "/book")])
+    {
+        let (served, made, memory_kb) = play_beside_others(kind, path);
+        println!("{kind:?} {path}: {served} of {made} other calls served, {memory_kb} KB");
+        if served * 100 < made * SERVED_PERCENT || memory_kb > MEMORY_LIMIT_KB {
+            defects.push(format!("{kind:?} {path}: {served} of {made}, {memory_kb} KB"));
+        }
+    }
+    assert!(defects.is_empty(), "{}", defects.join("\n"));
+}
--- a/tests/platform/faults.rs
+++ b/tests/platform/faults.rs
@@ -27,6 +27,8 @@
     NoLength,
     /// Chunks of one byte.
     SmallChunks,
+    /// A body with a length that is never reached.
+    HugeLength,
     /// A single event of a stream.
     Event,
     /// Complete events of a stream.
@@ -39,7 +41,7 @@
 
 impl EndlessBytes {
     /// All kinds that are sent as fast as the reader accepts them.
-    pub const FAST: [Self; 11] = [
+    pub const FAST: [Self; 12] = [
         Self::HeaderLine,
         Self::HeaderLines,
         Self::InterimAnswers,
@@ -48,6 +50,7 @@
         Self::BeyondLength,
         Self::NoLength,
         Self::SmallChunks,
+        Self::HugeLength,
         Self::Event,
         Self::Events,
         Self::StrayAnswer,
@@ -69,6 +72,7 @@
             Self::BeyondLength => (head("Content-Length: 5\r\n") + "hello", "aaaaaaaa"),
             Self::NoLength => (head(""), "aaaaaaaa"),
             Self::SmallChunks => (head(chunked), "1\r\na\r\n"),
+            Self::HugeLength => (head("Content-Length: 999999999999\r\n"), "aaaaaaaa"),
             Self::Event | Self::TricklingEvent => (head(stream) + "id: 1\ndata: ", "a"),
             Self::Events => (head(stream), "id: 1\ndata: a\n\n"),
             Self::StrayAnswer => (
