Let other tasks run while an answer without end is read

Other callers starved beside twelve answers without end: a relay whose two sockets are always ready never waits, so it kept its thread of the executor, and each chunk of some bytes cost a write of its own. A task that reads a connection now yields after each 32 KB, and the chunks of one read are passed on together.

--- a/src/transport/http_stream.rs
+++ b/src/transport/http_stream.rs
@@ -17,6 +17,9 @@
 /// request.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Bytes after which a task that reads a connection lets other tasks run.
+const YIELD_AFTER_BYTES: usize = 32 * 1024;
+
 /// The most interim (1xx) responses accepted before the final one; servers send one or two.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
@@ -80,6 +83,8 @@
     buffer: Vec<u8>,
     start: usize,
     end: usize,
+    /// Bytes read since the reading task last let others run.
+    unyielded_bytes: usize,
 }
 
 impl HttpStream {
@@ -91,6 +96,7 @@
             buffer: Vec::new(),
             start: 0,
             end: 0,
+            unyielded_bytes: 0,
         }
     }
 
@@ -127,8 +133,14 @@
         if self.buffer.len() < self.end + READ_BYTES {
             self.buffer.resize(self.end + READ_BYTES, 0);
         }
+        if self.unyielded_bytes >= YIELD_AFTER_BYTES {
+            // A socket that always has data would keep its thread from other tasks.
+            self.unyielded_bytes = 0;
+            async_std::task::yield_now().await;
+        }
         let count = self.stream.read(&mut self.buffer[self.end..]).await?;
         self.end += count;
+        self.unyielded_bytes += count;
         Ok(count)
     }
 
@@ -182,20 +194,16 @@
         }
     }
 
-    /// Returns the next buffered or received bytes of a body; `None` once the body is complete.
+    /// Returns the next buffered or received bytes of a body; `None` once the body is complete. The bytes may
+    /// come from several chunks.
     pub async fn read_body(&mut self, decoder: &mut BodyDecoder) -> Result<Option<Vec<u8>>, StreamError> {
         loop {
-            match decoder.step(self.buffered())? {
-                BodyStep::Data { data, used } => {
-                    let bytes = self.buffered()[data].to_vec();
-                    self.consume(used);
-                    return Ok(Some(bytes));
-                }
-                BodyStep::Done { used } => {
-                    self.consume(used);
-                    return Ok(None);
-                }
-                BodyStep::More { used } => self.consume(used),
+            let bytes = self.decode_buffered(decoder)?;
+            if !bytes.is_empty() {
+                return Ok(Some(bytes));
+            }
+            if decoder.is_done() {
+                return Ok(None);
             }
             if self.fill().await? == 0 {
                 return if decoder.ends_with_connection() {
@@ -207,6 +215,26 @@
         }
     }
 
+    /// Decodes all bytes of a body that are in the buffer. An invalid chunk fails once those before it were
+    /// returned.
+    fn decode_buffered(&mut self, decoder: &mut BodyDecoder) -> Result<Vec<u8>, HttpError> {
+        let mut bytes = Vec::new();
+        loop {
+            match decoder.step(self.buffered()) {
+                Ok(BodyStep::Data { data, used }) => {
+                    bytes.extend_from_slice(&self.buffered()[data]);
+                    self.consume(used);
+                }
+                Ok(BodyStep::Done { used } | BodyStep::More { used }) => {
+                    self.consume(used);
+                    return Ok(bytes);
+                }
+                Err(error) if bytes.is_empty() => return Err(error),
+                Err(_) => return Ok(bytes),
+            }
+        }
+    }
+
     /// Reads a complete body; fails if it is longer than `max_bytes`.
     pub async fn read_complete_body(
         &mut self,
