--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -4,6 +4,9 @@
 /// size.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Bytes of an empty line and the end of the line before it, without the last byte.
+const LINE_END_BYTES: usize = 3;
+
 /// Buffers a stream of events and returns complete events only.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -13,8 +16,10 @@
 impl EventSplitter {
     /// Adds bytes and returns all events that are complete.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        // An empty line may have begun with the last bytes of the buffer.
+        let from = self.buffered.len().saturating_sub(LINE_END_BYTES);
         self.buffered.extend_from_slice(bytes);
-        match find_last_event_end(&self.buffered) {
+        match find_last_event_end(&self.buffered, from) {
             Some(end) => {
                 let rest = self.buffered.split_off(end);
                 std::mem::replace(&mut self.buffered, rest)
@@ -34,10 +39,10 @@
     }
 }
 
-/// Returns the offset behind the last empty line.
-fn find_last_event_end(bytes: &[u8]) -> Option<usize> {
+/// Returns the offset behind the last empty line that ends after `from`.
+fn find_last_event_end(bytes: &[u8], from: usize) -> Option<usize> {
     let ends_at = |end: usize| bytes[..end].ends_with(b"\n\n") || bytes[..end].ends_with(b"\r\n\r\n");
-    (2..=bytes.len()).rev().find(|end| ends_at(*end))
+    (from..=bytes.len()).rev().find(|end| ends_at(*end))
 }
 
 /// Counts complete events by their data lines; at least one.
