--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -27,6 +27,8 @@
     Chunk(ChunkState),
     UntilClose,
     Done,
+    /// The body is invalid, and where it goes on is unknown.
+    Invalid(HttpError),
 }
 
 /// The result of one decoding step.
@@ -79,9 +81,18 @@
         matches!(self.state, DecoderState::UntilClose | DecoderState::Done)
     }
 
-    /// Decodes as much as possible from the start of the buffer.
+    /// Decodes as much as possible from the start of the buffer. All steps after one that failed fail too.
     pub fn step(&mut self, buffer: &[u8]) -> Result<BodyStep, HttpError> {
+        let step = self.decode(buffer);
+        if let Err(error) = step {
+            self.state = DecoderState::Invalid(error);
+        }
+        step
+    }
+
+    fn decode(&mut self, buffer: &[u8]) -> Result<BodyStep, HttpError> {
         match self.state {
+            DecoderState::Invalid(error) => Err(error),
             DecoderState::Done => Ok(BodyStep::Done { used: 0 }),
             _ if buffer.is_empty() => Ok(BodyStep::More { used: 0 }),
             DecoderState::UntilClose => Ok(BodyStep::Data {
@@ -156,7 +167,7 @@
 
     /// Continues after the first `skipped` bytes of the buffer.
     fn step_after(&mut self, skipped: usize, buffer: &[u8]) -> Result<BodyStep, HttpError> {
-        Ok(match self.step(&buffer[skipped..])? {
+        Ok(match self.decode(&buffer[skipped..])? {
             BodyStep::Data { data, used } => BodyStep::Data {
                 data: data.start + skipped..data.end + skipped,
                 used: used + skipped,
--- a/tests/http_codec.rs
+++ b/tests/http_codec.rs
@@ -181,6 +181,23 @@
 }
 
 /// Decodes a chunked body that arrives in pieces of `piece` bytes; `None` if it is incomplete.
+#[test]
+fn a_decoder_that_failed_takes_no_later_bytes_for_the_end_of_the_body() {
+    let too_many_trailers = format!("\r\n0\r\n{}", "X-Line: a\r\n".repeat(500));
+    for invalid in [too_many_trailers.as_str(), "\r\nz\r\n", "zz"] {
+        let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+        assert!(decoder.step(b"1\r\na").is_ok());
+        assert!(decoder.step(invalid.as_bytes()).is_err(), "{invalid:?}");
+        for later in [invalid, "\r\n", "\r\n0\r\n\r\n", ""] {
+            assert!(
+                decoder.step(later.as_bytes()).is_err(),
+                "{invalid:?}, then {later:?}"
+            );
+        }
+        assert!(!decoder.is_done());
+    }
+}
+
 fn decode_all(bytes: &[u8], piece: usize) -> Result<Option<Vec<u8>>, HttpError> {
     let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
     let (mut buffer, mut body) = (Vec::new(), Vec::new());
