Add only runs at replicas that were shown to run to known crashes

Callers that send one equal read to a service were refused for 10 s and longer after a rack lost power. A run was lost in the outage and gave a crash count of one; its retry went to another replica of the rack, whose system still completed connections, was lost within a moment, its probe was refused, and the count became two, which is a quarantine. A run over a new or pooled connection shows nothing of the replica at that time. Only a watched connection, or an answer that had begun, lets a run add to the crashes that were known when it began. Trial runs have such connections, so that a request that crashes its replicas at once is still held after two.

A test with one node and a port that lags behind its connections by 30 or 150 ms failed in each run before. Ruled out: pass counts (the content had one or more passes).

--- a/src/controllers/quarantine/losses.rs
+++ b/src/controllers/quarantine/losses.rs
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct RunLoss {
     /// The features of the request that may have caused the loss, with the crashes in a row that this node knew
-    /// of when it sent the request.
+    /// of when it sent the request; zero if the upstream may have exited before.
     pub known_counts: Arc<[CrashSuspect]>,
     /// The upstream's name.
     pub upstream: Arc<str>,
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -125,7 +125,7 @@
         Err(ExchangeError::Unpermitted) => PrefillOutcome::Unpermitted,
         Err(ExchangeError::Lost {
             is_disconnect,
-            is_proven,
+            contact,
             ..
         }) => {
             if !is_disconnect {
@@ -136,7 +136,7 @@
                 replica,
                 stage: RunStage::Prefill,
                 began_at,
-                is_proven,
+                contact,
             };
             match report_loss(context, request, lost).await {
                 UpstreamOutcome::Ended => PrefillOutcome::EngineCrashed,
--- a/src/gateway/loss.rs
+++ b/src/gateway/loss.rs
@@ -37,8 +37,19 @@
     pub stage: RunStage,
     /// When the send began.
     pub began_at: Moment,
-    /// Whether its connection is known to have reached the replica.
-    pub is_proven: bool,
+    /// What is known of the replica at the time when the request was sent.
+    pub contact: ReplicaContact,
+}
+
+/// What is known of a replica at the time when a request is sent to it over a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaContact {
+    /// The connection was accepted, maybe by a proxy or by the system of a process that was exiting.
+    Assumed,
+    /// The connection carried an answer of the replica before, which may have exited since.
+    Earlier,
+    /// The replica was running.
+    Shown,
 }
 
 /// Kind of work that a replica does for a request.
@@ -75,18 +86,20 @@
     let (context, replica, reporter) = (
         context.clone(),
         lost_send.replica.clone(),
-        lost_send.permit.loss_reporter(),
+        lost_send
+            .permit
+            .loss_reporter(lost_send.contact == ReplicaContact::Shown),
     );
     let output_ms = lost_send.permit.output_ms(lost_at);
     let LostSend {
         stage,
         began_at,
-        is_proven,
+        contact,
         ..
     } = lost_send;
     let reporting = async move {
         let run_ms = began_at.until_ms(lost_at);
-        let has_reached_replica = is_proven || run_ms > PROXY_CLOSE_MS;
+        let has_reached_replica = contact != ReplicaContact::Assumed || run_ms > PROXY_CLOSE_MS;
         let outcome = match probe_replica(&replica, lost_at, CLOSE_WATCH_MS).await {
             ProbeResult::Refused => UpstreamOutcome::Ended,
             // A proxy also closes a connection if no replica is behind it, so maybe none got the request.
@@ -97,12 +110,13 @@
         };
         spdlog::error!(
             "event=request_lost request={id} fingerprint={:016x} stage={} replica={} replica_start={} \
-             run_ms={run_ms} output_ms={} proven={is_proven} fate={outcome:?}",
+             run_ms={run_ms} output_ms={} proven={} fate={outcome:?}",
             features.content(),
             stage.as_str(),
             replica.id,
             replica.started_epoch_ms,
-            output_ms.map_or_else(|| "-".to_owned(), |output_ms| output_ms.to_string())
+            output_ms.map_or_else(|| "-".to_owned(), |output_ms| output_ms.to_string()),
+            contact == ReplicaContact::Shown
         );
         if outcome == UpstreamOutcome::Unreached {
             context.unproven_losses.record(&features, lost_at);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use super::answer_end::{BrokenEnd, check_end};
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerOutcome, CallerRequest};
-use super::loss::{LostSend, RunStage, report_loss};
+use super::loss::{LostSend, ReplicaContact, RunStage, report_loss};
 use super::send::SendAdmission;
 use super::trace::RequestOutcome;
 use super::upstream::UpstreamAnswer;
@@ -142,7 +142,7 @@
             replica: &replica,
             stage: RunStage::Call,
             began_at,
-            is_proven: true,
+            contact: ReplicaContact::Shown,
         };
         report_loss(context, request, lost).await;
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -128,7 +128,7 @@
         }
         Err(ExchangeError::Lost {
             is_disconnect,
-            is_proven,
+            contact,
             ..
         }) => {
             let (replica, began_at) = (lease.replica().clone(), lease.began_at());
@@ -139,7 +139,7 @@
                     replica: &replica,
                     stage: RunStage::Call,
                     began_at,
-                    is_proven,
+                    contact,
                 };
                 report_loss(context, request, lost).await;
             }
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -8,7 +8,7 @@
 use super::answer_end::{check_end, media_type};
 use super::call::failed_notice;
 use super::exchange::{AnswerOutcome, CallerRequest, DEFAULT_RETRY_AFTER_MS, refuse};
-use super::loss::{LostSend, RunStage, report_loss};
+use super::loss::{LostSend, ReplicaContact, RunStage, report_loss};
 use super::paid_sends::BudgetCharges;
 use super::place::{EnginePlacement, PlacementCriteria};
 use super::prompt::{PrefillStep, PrefilledPrompt};
@@ -313,7 +313,7 @@
             }
             Err(ExchangeError::Lost {
                 is_disconnect,
-                is_proven,
+                contact,
                 ..
             }) => {
                 if is_disconnect {
@@ -322,7 +322,7 @@
                         replica: &replica,
                         stage: RunStage::Decode,
                         began_at,
-                        is_proven,
+                        contact,
                     };
                     report_loss(self.context, request, lost).await;
                 }
@@ -432,7 +432,7 @@
             replica: &placement.decode,
             stage: RunStage::Decode,
             began_at: run.began_at,
-            is_proven: true,
+            contact: ReplicaContact::Shown,
         };
         report_loss(self.context, self.request, lost).await;
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -7,7 +7,7 @@
 
 use super::exchange::CallerRequest;
 use super::life_check::WitnessConnection;
-use super::loss::RunStage;
+use super::loss::{ReplicaContact, RunStage};
 use super::replica_state::{record_replica_state, report_rate_limit};
 use super::{AnswerFacts, GatewayContext};
 use crate::blackboard::{ReplicaId, ReplicaRecord};
@@ -51,8 +51,8 @@
         reason: String,
         /// Whether the connection was lost; false if it carried something other than a response.
         is_disconnect: bool,
-        /// Whether the connection is known to have reached a replica when the request was sent.
-        is_proven: bool,
+        /// What is known of the replica at the time when the request was sent.
+        contact: ReplicaContact,
     },
     /// The deadline passed after the send had begun.
     #[snafu(display("no answer in time"))]
@@ -293,11 +293,15 @@
     mut request: UpstreamRequest<'_>,
     is_fresh: bool,
 ) -> Result<UpstreamAnswer, ExchangeError> {
-    let is_proven = !is_fresh || request.choice == ConnectionChoice::Watched;
+    let contact = match request.choice {
+        ConnectionChoice::Watched => ReplicaContact::Shown,
+        _ if is_fresh => ReplicaContact::Assumed,
+        _ => ReplicaContact::Earlier,
+    };
     let lost = |error: StreamError| ExchangeError::Lost {
         reason: error.to_string(),
         is_disconnect: error.is_connection_lost(),
-        is_proven,
+        contact,
     };
     let asked_at = clock::now();
     let mut is_body_sent = true;
@@ -359,7 +363,7 @@
     Err(ExchangeError::Lost {
         reason: "answers to other requests".to_owned(),
         is_disconnect: false,
-        is_proven: true,
+        contact: ReplicaContact::Shown,
     })
 }
 
@@ -397,13 +401,13 @@
         .map_err(|error| ExchangeError::Lost {
             reason: error.to_string(),
             is_disconnect: error.is_connection_lost(),
-            is_proven: true,
+            contact: ReplicaContact::Shown,
         })?;
     if !is_complete {
         return Err(ExchangeError::Lost {
             reason: "answer too long".to_owned(),
             is_disconnect: false,
-            is_proven: true,
+            contact: ReplicaContact::Shown,
         });
     }
     let (head, facts) = (answer.head.clone(), answer.facts.clone());
--- a/src/runtime/run_permit.rs
+++ b/src/runtime/run_permit.rs
@@ -152,12 +152,15 @@
         self.progress.output_ms(now)
     }
 
-    /// Creates a reporter for the loss of this run's connection, usable after the permit is dropped.
-    pub fn loss_reporter(&self) -> LossReporter {
+    /// Creates a reporter for the loss of this run's connection, usable after the permit is dropped. A run
+    /// whose upstream was not shown to run when it was sent may have been lost in a crash from before, so it
+    /// does not add to the crashes known by then.
+    pub fn loss_reporter(&self, is_upstream_shown: bool) -> LossReporter {
         let has_begun = self.progress.has_begun();
         let state = lock(&self.state);
         let count_of = |feature: RequestFeature| {
-            let known = state.known_counts.iter().find(|known| known.feature == feature);
+            let mut known_counts = state.known_counts.iter().filter(|_| is_upstream_shown);
+            let known = known_counts.find(|known| known.feature == feature);
             known.map_or(0, |known| known.crash_count)
         };
         let features = self.features.as_slice().iter();
--- a/src/traffic/call/replica.rs
+++ b/src/traffic/call/replica.rs
@@ -94,7 +94,7 @@
         lost_at,
         outcome: probe.outcome,
     };
-    permit.loss_reporter().report(lost).await;
+    permit.loss_reporter(permit.is_trial()).report(lost).await;
 }
 
 async fn exchange_with_replica(
--- a/src/traffic/generate/session.rs
+++ b/src/traffic/generate/session.rs
@@ -141,15 +141,16 @@
             avoid.push(engine.clone());
         }
         if let Some(probe) = probe {
+            let now = clock::now();
             let lost = LostRun {
                 upstream: engine.clone(),
                 incarnation: probe.incarnation,
                 began_at: self.run_began_at,
-                lost_at: clock::now(),
+                lost_at: now,
                 outcome: probe.outcome,
             };
             let reporter = match &self.permit {
-                Some(permit) => permit.loss_reporter(),
+                Some(permit) => permit.loss_reporter(permit.is_trial() || permit.output_ms(now).is_some()),
                 None => LossReporter::for_adopted_run(&self.context.control, &self.work.features),
             };
             reporter.report(lost).await;
--- a/tests/platform/answer_ends.rs
+++ b/tests/platform/answer_ends.rs
@@ -2,11 +2,10 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use crate::faults::{AnswerForm, EndlessBytes};
+use crate::fixture::BusyThreads;
 use crate::life::PortEnd;
 use crate::node::{GatewayNode, publish_config};
 use crate::replica::{ReplicaBehavior, StandInReplica};
@@ -182,37 +181,10 @@
     assert!(defects.is_empty(), "{}", defects.join("\n"));
 }
 
-/// Threads that keep processors busy until this is dropped.
-struct BusyThreads {
-    is_over: Arc<AtomicBool>,
-}
-
-impl BusyThreads {
-    fn start(count: usize) -> Self {
-        let is_over = Arc::new(AtomicBool::new(false));
-        for _ in 0..count {
-            let is_over = is_over.clone();
-            std::thread::spawn(move || {
-                while !is_over.load(Ordering::Relaxed) {
-                    std::hint::spin_loop();
-                }
-            });
-        }
-        Self { is_over }
-    }
-}
-
-impl Drop for BusyThreads {
-    fn drop(&mut self) {
-        self.is_over.store(true, Ordering::Relaxed);
-    }
-}
-
 #[test]
 fn an_unframed_answer_of_a_living_replica_is_whole_beside_load() {
     let deployment = Deployment::start(ReplicaBehavior::StopsAfter(usize::MAX, AnswerForm::UntilClose));
-    let processors = std::thread::available_parallelism().map_or(4, usize::from);
-    let _busy = BusyThreads::start(processors + 2);
+    let _busy = BusyThreads::start();
     let mut defects = Vec::new();
     for number in 0..30 {
         for path in PATHS {
--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -1,4 +1,7 @@
-//! Deployments of one node that several tests use.
+//! Deployments of one node, and load beside them, that several tests use.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use crate::node::{GatewayNode, publish_config};
 use crate::replica::{ReplicaBehavior, StandInReplica};
@@ -49,3 +52,31 @@
         self.prefills.iter().chain(&self.decodes).collect()
     }
 }
+
+/// Threads that keep processors busy until this is dropped.
+pub struct BusyThreads {
+    is_over: Arc<AtomicBool>,
+}
+
+impl BusyThreads {
+    /// Starts somewhat more threads than there are processors.
+    pub fn start() -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let processors = std::thread::available_parallelism().map_or(4, usize::from);
+        for _ in 0..processors + 2 {
+            let is_over = is_over.clone();
+            std::thread::spawn(move || {
+                while !is_over.load(Ordering::Relaxed) {
+                    std::hint::spin_loop();
+                }
+            });
+        }
+        Self { is_over }
+    }
+}
+
+impl Drop for BusyThreads {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+}
--- a/tests/platform/life.rs
+++ b/tests/platform/life.rs
@@ -20,6 +20,9 @@
 /// For how long a port is unclear where its end is.
 const UNCLEAR_PORT_SPAN: Duration = Duration::from_millis(150);
 
+/// How much later than its connections the port of an exiting process may be closed on a busy machine.
+const PORT_LAG: Duration = Duration::from_millis(30);
+
 /// What the port of a process does once its connections were closed by a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PortEnd {
@@ -31,17 +34,20 @@
     Resets,
     /// It accepts connections without a word for [`UNCLEAR_PORT_SPAN`], then it is closed.
     IsSilent,
+    /// Its system completes connections for [`PORT_LAG`] that nobody accepts, and resets them as it is closed.
+    LagsBehind,
     /// It stays open, and the process runs again at once.
     StaysOpen,
 }
 
 impl PortEnd {
     /// All ends.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Closes,
         Self::ClosesConnections,
         Self::Resets,
         Self::IsSilent,
+        Self::LagsBehind,
         Self::StaysOpen,
     ];
 }
@@ -165,6 +171,10 @@
                 });
                 None
             }
+            PortEnd::LagsBehind => {
+                std::thread::sleep(PORT_LAG);
+                None
+            }
             PortEnd::IsSilent => {
                 hold_port(listener, UNCLEAR_PORT_SPAN, Some);
                 None
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod deadly_part;
 mod decisions;
 mod endless;
+mod equal_reads;
 mod faults;
 mod fixture;
 mod generation_limits;
