Take a service's answer without a length or chunks for a lost one

A caller of the entry role's interface got 200 with an empty answer for a run of which nothing is known: async-h1 does not read a body that ends with its connection and takes it for an empty one, whole or not. Such an answer now counts as a broken connection, like one that is truncated. The test fails without this change; truncated lengths and chunks were told apart before.

--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -91,8 +91,15 @@
     send(stream, address, request, deadline).await
 }
 
-/// Reads a complete body; `None` if it is truncated or longer than the limit.
+/// Reads a complete body; `None` if it is truncated, longer than the limit, or has neither a length nor chunks.
 pub async fn read_body(response: &mut Response, limit_bytes: usize) -> Option<Vec<u8>> {
+    let is_framed = ["content-length", "transfer-encoding"]
+        .iter()
+        .any(|name| response.header(*name).is_some());
+    if !is_framed {
+        // async-h1 does not read such a body and takes it for an empty one.
+        return None;
+    }
     let expected = response.len();
     let body = response.take_body();
     let mut bytes = Vec::new();
