Let the client of the stand-ins take no truncated answer for a whole one

A case of the fault matrix once had a caller with status 200 and an empty body: the client took an answer whose connection ended after its head for complete. It now compares the body with its length, and refuses bodies that are not framed.

--- a/stand_ins/src/http.rs
+++ b/stand_ins/src/http.rs
@@ -107,9 +107,17 @@
     let retry_after = response
         .header("retry-after")
         .and_then(|values| values.last().as_str().parse().ok());
+    let length = response.len();
+    let is_framed = ["content-length", "transfer-encoding"]
+        .iter()
+        .any(|name| response.header(*name).is_some());
     let mut bytes = Vec::new();
     let read = timeout(RESPONSE_TIMEOUT, response.take_body().read_to_end(&mut bytes)).await;
     read.ok()?.ok()?;
+    let is_whole = is_framed && length.is_none_or(|length| length == bytes.len());
+    if !is_whole {
+        return None;
+    }
     let body = serde_json::from_slice(&bytes)
         .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(&bytes).into_owned()));
     Some(Answer {
@@ -119,12 +127,13 @@
     })
 }
 
-/// Posts JSON and reads the complete response; `None` on a connection error or a timeout.
+/// Posts JSON and reads the complete response; `None` on a connection error, a timeout or a truncated body.
 pub async fn post(address: &str, path: &str, body: &Value) -> Option<Answer> {
     finish(open(address, post_request(address, path, body)).await).await
 }
 
-/// Sends a GET request and reads the complete response; `None` on a connection error or a timeout.
+/// Sends a GET request and reads the complete response; `None` on a connection error, a timeout or a truncated
+/// body.
 pub async fn get(address: &str, path: &str) -> Option<Answer> {
     finish(open(address, get_request(address, path)).await).await
 }
