Check the replicas of services without a health check at a usual path

An unframed answer of a service whose configuration names no health check counted as lost although its replica ran. Any answer of the replica itself shows that it runs, so the check goes to /health there.

--- a/src/gateway/life_check.rs
+++ b/src/gateway/life_check.rs
@@ -34,6 +34,9 @@
 /// of an answer some time before it exits.
 const EXIT_WATCH_MS: u64 = 25;
 
+/// Path of the health check of a service that has none. Any answer of the replica shows that it runs.
+const DEFAULT_HEALTH_PATH: &str = "/health";
+
 /// Connect timeout of a witness, in milliseconds.
 const WITNESS_CONNECT_MS: u64 = 250;
 
@@ -146,9 +149,7 @@
     async fn ask_health(&self) -> ReplicaLife {
         let snapshot = self.context.snapshot();
         let service = snapshot.register.services.get(&self.replica.service);
-        let Some(path) = service.and_then(|service| service.health_path.as_deref()) else {
-            return ReplicaLife::Unproven;
-        };
+        let path = service.and_then(|service| service.health_path.as_deref());
         let rate_permit = if snapshot.is_limited(self.replica) {
             let candidates = [self.replica.id.clone()];
             match acquire_permit(self.context, self.request, &candidates).await {
@@ -162,7 +163,10 @@
         let health_check = UpstreamRequest {
             replica: self.replica,
             method: "GET",
-            head: self.context.protocol.write_health_check(self.replica, path),
+            head: self
+                .context
+                .protocol
+                .write_health_check(self.replica, path.unwrap_or(DEFAULT_HEALTH_PATH)),
             body: b"",
             request_id: "",
             stage: None,
