Let the watches of the configuration time out at even distances

Two tests of a draining replica failed now and then: undisturbed nodes sent to it for up to 2.45 s where 2 s are allowed, while those who read the list for others were stopped or had lost the store. The others notice a missed change when one of their watches of the configuration times out, and these waited at random, so that all six could be late together.

Each live VM now has a time slot in a period that all share, by its rank and the time of day, so that any six disturbed ones leave a gap of 1.2 s at most.

--- a/src/controllers/readers.rs
+++ b/src/controllers/readers.rs
@@ -65,15 +65,41 @@
 /// Rate at which watches on the configuration time out while nothing changes, over all VMs.
 const FLEET_WATCH_TIMEOUTS_PER_SECOND: u64 = 6;
 
-/// The shortest timeout of a watch on the configuration, and the longest mean timeout, in milliseconds.
-const WATCH_RANGE_MS: (u64, u64) = (1_350, 25_000);
-
-/// The shortest and the longest timeout of a watch on the configuration with `live_vms` VMs alive, in
-/// milliseconds. They are far apart, since all VMs begin a watch at the same time after each change.
-pub fn watch_range_ms(live_vms: usize) -> (u64, u64) {
-    let (shortest_ms, longest_ms) = WATCH_RANGE_MS;
-    let mean_ms = (live_vms as u64 * 1_000 / FLEET_WATCH_TIMEOUTS_PER_SECOND).clamp(shortest_ms, longest_ms);
-    (shortest_ms, 2 * mean_ms - shortest_ms)
+/// The shortest and the longest time between two timeouts of a VM's watch on the configuration, in
+/// milliseconds.
+const WATCH_PERIOD_RANGE_MS: (u64, u64) = (1_350, 25_000);
+
+/// A watch that begins closer to its time slot than this fraction of the period waits for the next slot.
+const SHORTEST_WAIT_DIVISOR: u64 = 8;
+
+/// How long a watch on the configuration that begins at this time of day waits, in milliseconds. Each live VM has
+/// a time slot of its own in a common period, so that the watches of the fleet time out at even distances
+/// whenever they began: some VM soon learns of a change of the list, whichever VMs are disturbed.
+pub fn watch_wait_ms(live_vms: &[VmRecord], own: &str, epoch_ms: u64) -> u64 {
+    let period_ms = watch_period_ms(live_vms.len());
+    let position = |name: &str| weight(WATCH_KEY, name);
+    let own_position = (position(own), own);
+    let earlier = live_vms
+        .iter()
+        .filter(|vm| (position(&vm.name), &*vm.name) < own_position);
+    let slot_ms = earlier.count() as u64 * period_ms / live_vms.len().max(1) as u64;
+    let until_slot_ms = period_ms - (epoch_ms + period_ms - slot_ms) % period_ms;
+    if until_slot_ms < period_ms / SHORTEST_WAIT_DIVISOR {
+        until_slot_ms + period_ms
+    } else {
+        until_slot_ms
+    }
+}
+
+/// The longest wait of a watch on the configuration, in milliseconds.
+pub fn longest_watch_ms(live_vms: usize) -> u64 {
+    let period_ms = watch_period_ms(live_vms);
+    period_ms + period_ms / SHORTEST_WAIT_DIVISOR
+}
+
+fn watch_period_ms(live_vms: usize) -> u64 {
+    let (shortest_ms, longest_ms) = WATCH_PERIOD_RANGE_MS;
+    (live_vms as u64 * 1_000 / FLEET_WATCH_TIMEOUTS_PER_SECOND).clamp(shortest_ms, longest_ms)
 }
 
 /// Whether this node should watch the configuration. A node without one reads it on the same schedule as the
--- a/src/controllers/revision.rs
+++ b/src/controllers/revision.rs
@@ -5,7 +5,7 @@
 
 use super::RegisterSource;
 use super::message::PeerMessage;
-use super::readers::watch_range_ms;
+use super::readers::longest_watch_ms;
 use crate::blackboard::{Fingerprint, OfferOutcome, RefusedRevision, hash_parts};
 use crate::event_log::to_quoted_value;
 use crate::prelude::*;
@@ -284,8 +284,8 @@
 
     /// Records whether this node can read the service itself.
     fn set_reachable(&self, is_reachable: bool, context: &mut ControlContext<'_>) {
-        let (_, longest_ms) = watch_range_ms(context.board.live_view(context.now).vms.len());
-        let valid_ms = longest_ms + READ_MARGIN_MS;
+        let live_vms = context.board.live_view(context.now).vms.len();
+        let valid_ms = longest_watch_ms(live_vms) + READ_MARGIN_MS;
         let facts = &mut context.board.register;
         if is_reachable {
             facts.read_until = context.now.after_ms(valid_ms);
--- a/src/platform/config_watch.rs
+++ b/src/platform/config_watch.rs
@@ -6,8 +6,9 @@
 use super::amount::VersionNumber;
 use super::replica_watch::ListCheck;
 use super::store_follower::{StoreFollower, WatchTarget, WatchTiming};
+use crate::clock;
 use crate::controllers::RegisterSource;
-use crate::controllers::readers::watch_range_ms;
+use crate::controllers::readers::watch_wait_ms;
 use crate::prelude::*;
 use crate::runtime::ControlHandle;
 
@@ -23,7 +24,7 @@
 
 /// Waits and limits of the configuration watch.
 const CONFIG_TIMING: WatchTiming = WatchTiming {
-    wait_range_ms: |snapshot| watch_range_ms(snapshot.live_vms.len()),
+    wait_ms: |snapshot| watch_wait_ms(&snapshot.live_vms, &snapshot.introduction.name, clock::epoch_ms()),
     batch_delay_ms: |snapshot| {
         if snapshot.reads_store {
             READER_BATCH_DELAY_MS
--- a/src/platform/replica_watch.rs
+++ b/src/platform/replica_watch.rs
@@ -4,8 +4,11 @@
 //! reach them.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use rand::Rng;
+
 use super::replica_entry::{REPLICA_PREFIX, parse_replica};
 use super::store::{StoreClient, StoreError, StoreItem};
 use super::store_follower::{FollowedReading, StoreFollower, WatchTarget, WatchTiming};
@@ -18,14 +21,14 @@
 use crate::runtime::ControlHandle;
 
 /// The shortest and the longest wait of a watch of the list, in milliseconds.
-const LIST_WAIT_MS: (u64, u64) = (3_000, 4_500);
+const LIST_WAIT_MS: RangeInclusive<u64> = 3_000..=4_500;
 
 /// How long to wait after a change of the list before the next watch, in milliseconds.
 const LIST_BATCH_DELAY_MS: u64 = 250;
 
 /// How the list of replicas is watched.
 const LIST_TIMING: WatchTiming = WatchTiming {
-    wait_range_ms: |_| LIST_WAIT_MS,
+    wait_ms: |_| rand::rng().random_range(LIST_WAIT_MS),
     batch_delay_ms: |_| LIST_BATCH_DELAY_MS,
     answer_limit_ms: 1_500,
 };
--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use futures::future::{Either, select};
-use rand::Rng;
 
 use super::store::{StoreClient, StoreError, StoreItem, StoreReading};
 use crate::clock;
@@ -54,9 +53,9 @@
 /// Waits and limits of a watch.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchTiming {
-    /// The shortest and the longest wait of one watch, in milliseconds. A lost connection is noticed when the
-    /// wait ends, unless other signs show it earlier.
-    pub wait_range_ms: fn(&Snapshot) -> (u64, u64),
+    /// The wait of a watch that begins now, in milliseconds. A lost connection is noticed when the wait ends,
+    /// unless other signs show it earlier.
+    pub wait_ms: fn(&Snapshot) -> u64,
     /// How long to wait after a change before the next watch, in milliseconds, so that one call returns
     /// several changes made in quick succession.
     pub batch_delay_ms: fn(&Snapshot) -> u64,
@@ -160,8 +159,7 @@
 
     /// Watches, and starts over on a new connection when the one in use may be half-open.
     async fn watch(&mut self, cursor: u64) -> Result<StoreReading, StoreError> {
-        let (shortest_ms, longest_ms) = (self.target.timing.wait_range_ms)(&self.control.snapshot());
-        let wait_ms = rand::rng().random_range(shortest_ms..=longest_ms);
+        let wait_ms = (self.target.timing.wait_ms)(&self.control.snapshot());
         loop {
             let began_at = clock::now();
             let watching = std::pin::pin!(self.client.watch(self.target.prefix, cursor, wait_ms));
--- a/tests/fleet_view/store_watch.rs
+++ b/tests/fleet_view/store_watch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use dotterelspan::controllers::RegisterSource;
-use dotterelspan::controllers::readers::{watch_range_ms, watches_config};
+use dotterelspan::controllers::readers::{watch_wait_ms, watches_config};
 use dotterelspan::prelude::*;
 use rand::Rng;
 
@@ -54,8 +54,9 @@
     match fleet.call_of(index) {
         StoreCall::Paused(until) if now.reached(until) => {
             let own_now = fleet.clock_of(index);
-            let (shortest_ms, longest_ms) = watch_range_ms(fleet.board(index).live_view(own_now).vms.len());
-            let wait_ms = fleet.random().random_range(shortest_ms..=longest_ms);
+            let live_vms = fleet.board(index).live_view(own_now).vms.clone();
+            let own = fleet.board(index).own.name.clone();
+            let wait_ms = watch_wait_ms(&live_vms, &own, now.0);
             fleet.watched.calls += 1;
             let is_silent = !fleet.has_store(index);
             fleet.set_call(
