Repeat unanswered probes of peers over new links before their VMs are suspected

A probe over a silent link is not answered, and a VM was suspected after 1.5 s without a try over a new connection; a peer went on writing to the link that was added first, the silent one.

A probe that is unanswered for 0.7 s is repeated over a new link, messages go to the link that was added last, and a node whose peers answered over new links only, at least half of its neighbors within 1.5 s, takes its other connections for half-open.

--- a/src/controllers/membership/mod.rs
+++ b/src/controllers/membership/mod.rs
@@ -15,6 +15,14 @@
 /// of a packet.
 pub const SILENCE_LIMIT_MS: u64 = 1_500;
 
+/// How long a probed peer may be silent before the probe is repeated over a new link, in milliseconds. A
+/// connection can go silent for good although the VMs at both its ends run.
+const RELINK_AFTER_MS: u64 = 700;
+
+/// Peers that answer over new links within this time count as having had silent links together, in
+/// milliseconds.
+const RELINK_WINDOW_MS: u64 = 1_500;
+
 /// How long a suspicion of a VM on the published list lasts without new evidence, in milliseconds.
 pub const SUSPICION_MS: u64 = 3_000;
 
@@ -26,13 +34,42 @@
 pub struct MembershipController {
     next_probe: Moment,
     retry_cursor: usize,
-    probes_sent: FastMap<VmName, Moment>,
+    probes_sent: FastMap<VmName, SentProbe>,
+    /// When peers last answered a probe over a new link only.
+    relinked_at: FastMap<VmName, Moment>,
     /// Decides when this process requests the tables that other VMs keep.
     comparison: DigestComparison<MemberView>,
     /// The first VM that this process had a link with; `None` before that.
     seed: Option<VmName>,
 }
 
+/// A probe that was not answered yet.
+#[derive(Clone, Copy, Debug)]
+struct SentProbe {
+    sent_at: Moment,
+    /// Whether it was repeated over a new link.
+    is_relinked: bool,
+}
+
+impl SentProbe {
+    fn new(now: Moment) -> Self {
+        Self {
+            sent_at: now,
+            is_relinked: false,
+        }
+    }
+
+    /// When the probe is repeated over a new link, or the peer is suspected after that.
+    fn due_at(&self) -> Moment {
+        let span_ms = if self.is_relinked {
+            SILENCE_LIMIT_MS
+        } else {
+            RELINK_AFTER_MS
+        };
+        self.sent_at.after_ms(span_ms)
+    }
+}
+
 impl MembershipController {
     fn apply_list(&self, listed: &[VmRecord], context: &mut ControlContext<'_>) {
         for vm in context.board.vms.iter_mut() {
@@ -155,7 +192,10 @@
             return;
         };
         let is_unchanged = known.incarnation == Some(incarnation) && known.suspected_until.is_none();
-        self.probes_sent.remove(from);
+        let answered = self.probes_sent.remove(from);
+        if answered.is_some_and(|probe| probe.is_relinked) {
+            self.record_relink(from, context);
+        }
         context.board.vms.record_message(from, context.now);
         if is_unchanged {
             return;
@@ -174,6 +214,34 @@
         }
     }
 
+    /// Records that a peer answered over a new link after its old one had been silent. If that holds for at least
+    /// half of the neighbors, this node's other connections may be silent too.
+    fn record_relink(&mut self, from: &VmName, context: &mut ControlContext<'_>) {
+        let now = context.now;
+        self.relinked_at
+            .retain(|_, at| !now.reached(at.after_ms(RELINK_WINDOW_MS)));
+        self.relinked_at.insert(from.clone(), now);
+        if self.relinked_at.len() * 2 >= context.board.live_view(now).neighbors.len() {
+            context.board.links_silent_at = Some(now);
+            context.publish();
+        }
+    }
+
+    /// Repeats the probes of silent peers over new links.
+    fn relink_silent(&mut self, context: &mut ControlContext<'_>) {
+        let now = context.now;
+        let heartbeat = context.heartbeat(true);
+        let due = self
+            .probes_sent
+            .iter_mut()
+            .filter(|(_, probe)| !probe.is_relinked && now.reached(probe.due_at()));
+        for (name, probe) in due {
+            probe.is_relinked = true;
+            context.actions.push(Action::ResetLink { vm: name.clone() });
+            context.send_to(name, heartbeat.clone());
+        }
+    }
+
     fn handle_heartbeat(
         &self,
         from: &VmName,
@@ -221,7 +289,8 @@
             .get(name)
             .is_some_and(|vm| vm.is_live(context.now) && !vm.leaving);
         if is_live {
-            self.probes_sent.entry(name.clone()).or_insert(context.now);
+            let probe = SentProbe::new(context.now);
+            self.probes_sent.entry(name.clone()).or_insert(probe);
             context.send_to(name, context.heartbeat(true));
         }
     }
@@ -288,7 +357,7 @@
         let silent: Vec<VmName> = self
             .probes_sent
             .iter()
-            .filter(|(_, sent_at)| context.now.reached(sent_at.after_ms(SILENCE_LIMIT_MS)))
+            .filter(|(_, probe)| context.now.reached(probe.sent_at.after_ms(SILENCE_LIMIT_MS)))
             .map(|(name, _)| name.clone())
             .collect();
         let covers_most = |context: &ControlContext<'_>| {
@@ -300,13 +369,15 @@
         for name in silent {
             self.suspect(&name, context);
         }
+        self.relink_silent(context);
         if context.now.reached(self.next_probe) {
             self.next_probe = context.now.after_ms(PROBE_INTERVAL_MS);
             self.drop_expired(context);
             self.retry_suspected(context);
             let heartbeat = context.heartbeat(true);
             for name in context.board.live_view(context.now).neighbors.iter() {
-                self.probes_sent.entry(name.clone()).or_insert(context.now);
+                let probe = SentProbe::new(context.now);
+                self.probes_sent.entry(name.clone()).or_insert(probe);
                 context.send_to(name, heartbeat.clone());
             }
         }
@@ -402,10 +473,7 @@
     }
 
     fn wake_at(&self, _board: &Blackboard, _now: Moment) -> Option<Moment> {
-        let silences = self
-            .probes_sent
-            .values()
-            .map(|sent_at| sent_at.after_ms(SILENCE_LIMIT_MS));
+        let silences = self.probes_sent.values().map(SentProbe::due_at);
         silences.chain([self.next_probe]).min()
     }
 }
--- a/src/peers/hub.rs
+++ b/src/peers/hub.rs
@@ -114,16 +114,17 @@
         async_std::task::spawn(async move { link::dial(hub, vm, address, queue).await });
     }
 
-    /// Adds a link. Messages go to the link that was added first, so that two VMs that dial each other at the
-    /// same time do not close both links; the other link is only read from.
+    /// Adds a link. Messages go to the link that was added last: a peer that opens one has found the earlier
+    /// one silent or closed. The earlier link is read from until it is idle, so that two VMs that dial each
+    /// other at the same time do not close both links.
     pub fn add_link(&self, vm: &VmName) -> LinkQueue {
         let id = self.next_link.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = unbounded();
-        let mut links = self.lock_links();
-        if links.get(vm).is_none_or(|handle| handle.sender.is_closed()) {
-            let sender = sender.clone();
-            links.insert(vm.clone(), LinkHandle { id, sender });
-        }
+        let handle = LinkHandle {
+            id,
+            sender: sender.clone(),
+        };
+        self.lock_links().insert(vm.clone(), handle);
         LinkQueue { id, sender, receiver }
     }
 
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -105,6 +105,30 @@
     assert_eq!(fleet.disagreement(), None);
 }
 
+#[test]
+fn nodes_whose_links_go_silent_are_not_suspected() {
+    for (seed, percent) in [(31, 70), (32, 100), (33, 30)] {
+        let mut fleet = SimulatedFleet::new(60, seed);
+        fleet.run_ms(AGREE_MS);
+        fleet.silence_links(percent);
+        for _ in 0..60 {
+            fleet.run_ms(100);
+            assert_eq!(fleet.disagreement(), None, "{percent} in 100 links silent");
+        }
+    }
+}
+
+#[test]
+fn a_node_whose_links_go_silent_takes_its_other_connections_for_half_open() {
+    let mut fleet = SimulatedFleet::new(30, 34);
+    fleet.run_ms(AGREE_MS);
+    let began_at = fleet.clock_of(9);
+    fleet.silence_links(100);
+    fleet.run_ms(3_000);
+    let silent_at = fleet.board(9).links_silent_at;
+    assert!(silent_at.is_some_and(|at| at > began_at), "{silent_at:?}");
+}
+
 #[test]
 fn a_frozen_node_is_suspected_and_refutes_that_once_it_runs_again() {
     let mut fleet = SimulatedFleet::new(30, 3);
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -63,6 +63,8 @@
     now: Moment,
     last_incarnation: u128,
     links: BTreeSet<(usize, usize)>,
+    /// Links that are open at both ends and carry nothing; a new link takes their place once one end resets them.
+    silent_links: BTreeSet<(usize, usize)>,
     flights: Vec<Flight>,
     is_cut: Box<dyn Fn(usize, usize) -> bool>,
     lost_percent: u32,
@@ -126,6 +128,7 @@
             now: START,
             last_incarnation: 0,
             links: BTreeSet::new(),
+            silent_links: BTreeSet::new(),
             flights: Vec::new(),
             is_cut: Box::new(|_, _| false),
             lost_percent: 0,
@@ -155,6 +158,16 @@
         self.nodes[index] = start_node(index, self.last_incarnation, self.now);
     }
 
+    /// Lets this share of the open links go silent for good, in both directions.
+    pub fn silence_links(&mut self, percent: u32) {
+        let pairs = self.links.iter().filter(|(from, to)| from < to);
+        for (from, to) in pairs.copied().collect::<Vec<_>>() {
+            if self.random.random_range(0..100) < percent {
+                self.silent_links.extend([(from, to), (to, from)]);
+            }
+        }
+    }
+
     /// Lets a node drain, which its heartbeats then say.
     pub fn begin_leaving(&mut self, index: usize) {
         let now = self.clock_of(index);
@@ -401,8 +414,10 @@
             .map(|(_, to)| *to)
             .collect();
         for other in ended {
-            self.links.remove(&(index, other));
-            self.links.remove(&(other, index));
+            for link in [(index, other), (other, index)] {
+                self.links.remove(&link);
+                self.silent_links.remove(&link);
+            }
             self.handle_event(
                 other,
                 &Event::LinkLost {
@@ -440,8 +455,10 @@
                         .strip_prefix("vm-")
                         .and_then(|number| number.parse().ok())
                         .expect("node names end with a number");
-                    self.links.remove(&(index, other));
-                    self.links.remove(&(other, index));
+                    for link in [(index, other), (other, index)] {
+                        self.links.remove(&link);
+                        self.silent_links.remove(&link);
+                    }
                 }
                 _ => {}
             }
@@ -468,7 +485,8 @@
 
     fn deliver(&mut self, from: usize, to: usize, flight: Flight) {
         let is_lost = self.random.random_range(0..100) < self.lost_percent;
-        if is_lost || (self.is_cut)(from, to) || self.nodes[to].state == NodeState::Frozen {
+        let is_silent = self.silent_links.contains(&(from, to));
+        if is_lost || is_silent || (self.is_cut)(from, to) || self.nodes[to].state == NodeState::Frozen {
             return;
         }
         let is_current = self.nodes[from].core.board.own.incarnation == flight.incarnation;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -30,6 +30,7 @@
 mod replica_words;
 mod request_limits;
 mod shared_budget;
+mod silent_links;
 mod soak;
 mod sources;
 mod store;
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -37,6 +37,12 @@
 impl GatewayNode {
     /// Starts a node with these nodes as its seeds.
     pub fn start(store: &StandInStore, name: &str, seeds: &[&GatewayNode]) -> Self {
+        let seeds: Vec<String> = seeds.iter().map(|node| node.peer_address().to_string()).collect();
+        Self::start_with_seeds(store, name, &seeds)
+    }
+
+    /// Starts a node with the nodes at these addresses as its seeds.
+    pub fn start_with_seeds(store: &StandInStore, name: &str, seeds: &[String]) -> Self {
         let process = std::process::id();
         let number = NODES.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::new(
@@ -47,10 +53,7 @@
         );
         let folder = std::env::temp_dir().join(format!("dotterelspan-node-{process}-{number}"));
         std::fs::create_dir_all(&folder).expect("a folder can be made");
-        let seeds: Vec<String> = seeds
-            .iter()
-            .map(|node| format!("\"{}\"", node.peer_address()))
-            .collect();
+        let seeds: Vec<String> = seeds.iter().map(|address| format!("\"{address}\"")).collect();
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"a\"\nseeds = [{seeds}]\n{FIRST_START}\n\n[listen]\nfrontend = \"{ip}:8720\"\nready = \"{ip}:8722\"\n\
              control = \"{ip}:8724\"\ndirectory = \"{ip}:8728\"\n\n[limits]\ncpuShare = 1.0\nmemoryMb = 64\nmaxFds = 1024\n\n\
