--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.."
 program=target/review/release/review_stand_in
 [ -x "$program" ] && [ -x target/release/dotterelspan ] || exit 2
-timeout -k 2 118 "$program" holders review/1
+timeout -k 2 118 "$program" stopping review/1
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/stand_in/src/engine.rs
+++ b/review/stand_in/src/engine.rs
@@ -25,9 +25,6 @@
     pub prefill_tokens_per_ms: u64,
     /// Events of a complete stream; zero for as many as the request's largest number of output tokens.
     pub events: u64,
-    /// Tokens in each event but the last, which has one token. The id of an event is the number of tokens up to
-    /// its end.
-    pub event_tokens: u64,
     /// Time between two events, in milliseconds.
     pub event_gap_ms: u64,
     /// How long a change of the phase takes, in milliseconds.
@@ -310,20 +307,13 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for number in 1..=events {
-            let event_id = match number == events {
-                true => (number - 1) * self.pace.event_tokens + 1,
-                false => number * self.pace.event_tokens,
-            };
-            if event_id <= last_event {
-                continue;
-            }
+        for number in last_event + 1..=events {
             std::thread::sleep(Duration::from_millis(self.pace.event_gap_ms));
-            let event = format!("id: {event_id}\ndata: token of {id}\n\n");
+            let event = format!("id: {number}\ndata: token of {id}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
                 self.record.line(&format!(
-                    "engine {}: request {id} broken off at event {event_id}",
+                    "engine {}: request {id} broken off at event {number}",
                     self.id
                 ));
                 return false;
--- a/review/stand_in/src/holders.rs
+++ b/review/stand_in/src/holders.rs
@@ -18,7 +18,6 @@
     slots: 64,
     prefill_tokens_per_ms: 33,
     events: 20,
-    event_tokens: 1,
     event_gap_ms: 40,
     switch_ms: 6_000,
 };
--- a/review/stand_in/src/leaving.rs
+++ b/review/stand_in/src/leaving.rs
@@ -27,7 +27,6 @@
     slots: 64,
     prefill_tokens_per_ms: 10,
     events: 40,
-    event_tokens: 1,
     event_gap_ms: 50,
     switch_ms: 0,
 };
--- a/review/stand_in/src/main.rs
+++ b/review/stand_in/src/main.rs
@@ -37,9 +37,7 @@
         eprintln!("usage: review_stand_in SCENARIO FOLDER");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE")
-        .is_ok_and(|value| value == "0")
-        .eq(&false);
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let scratch = std::env::temp_dir().join(format!("review-{scenario}-{}", std::process::id()));
     let scenario: fn(&Path, &Record, bool) -> Verdict = match &**scenario {
         "holders" => holders::run,
--- a/review/stand_in/src/stopping.rs
+++ b/review/stand_in/src/stopping.rs
@@ -19,7 +19,6 @@
     slots: 4,
     prefill_tokens_per_ms: 33,
     events: 0,
-    event_tokens: 1,
     event_gap_ms: 50,
     switch_ms: 0,
 };
@@ -27,8 +26,8 @@
 /// Output tokens of a short request (1 s) and of a long one (9 s).
 const TOKENS: (u64, u64) = (20, 180);
 
-/// Long requests that come at once, as many as the decode engines have slots.
-const LONG_REQUESTS: usize = 8;
+/// Long requests that come at once, two more than the decode engines have slots.
+const LONG_REQUESTS: usize = 10;
 
 /// `graceS` and `lossSlackMs` of the settings.
 const GRACE: Duration = Duration::from_secs(8);
@@ -41,7 +40,7 @@
     let route = |name: &str, prefix: &str| {
         json!({
             "name": name, "hostname": "ficu95.example", "pathPrefix": prefix, "kind": "streaming", "timeoutMs": LIMIT_MS,
-            "targetLatencyMs": 8000, "targetGapMs": 300, "priority": 1, "service": "ash-reader", "attempts": 2,
+            "targetLatencyMs": 10000, "targetGapMs": 300, "priority": 1, "service": "ash-reader", "attempts": 2,
             "sessionAffinity": true, "resumable": false,
         })
     };
@@ -112,7 +111,7 @@
     })
 }
 
-/// Two machines and two decode engines with eight slots. Short requests come all the time; then eight long ones, which
+/// Two machines and two decode engines with eight slots. Short requests come all the time; then ten long ones, which
 /// take all slots for some seconds, and one machine is stopped as planned.
 pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> Verdict {
     let store = Store::start(record);
