Answer requests that wait on a node that stops as planned

The requests waited for an engine and had reached no replica.

Cause: nothing connected a wait with the exit. Waits ended with the request's deadline, and the drain exits at its limit whatever is active. `check_leaving` looks once, when a request arrives.

On the same code eight of nine new tests on a real node failed, one for each wait: engines, a turn at a limited replica, a trial run, a body that is still being read, a prompt that is being run, a call that its replica still runs, callers of HTTP/1.0 and with a pipelined request. The ninth, streams that get an engine in time, passed before and passes now. A SIGHUP and a second SIGTERM changed nothing.

Change: - The drain's times are announced to all tasks. A request that has certainly not run is refused when the exit is due, half a second before the process goes; one that may be running gets 502 (`left_during_run`) 300 ms later, as its outcome is unknown; a stream that has begun is cut as before. This holds for whatever a request waits for. - A request whose body is not complete when the node accepts no more is refused then, and the rest of its body is discarded so that the answer isn't destroyed by a reset. - Owners of engines are told when a requesting node exits. They refuse what can't be complete by then: on arrival, when the stop is ordered, and while it waits. - A turn at a limited replica that lies too close to the exit is given up at once.

Ruled out: an exit that waits longer (the platform kills the process at the end of the grace); refusing all that waits when the stop is ordered (engines may be free in time; a test holds that these are served).

--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -156,6 +156,7 @@
         is_retry: false,
         avoid: Vec::new(),
         excluded: Vec::new(),
+        cut_at: None,
         may_be_late: false,
     }
 }
--- a/src/controllers/slots/client.rs
+++ b/src/controllers/slots/client.rs
@@ -58,6 +58,8 @@
 /// Grants slots of the groups that this VM owns, and requests slots for this VM's own requests.
 pub struct SlotController {
     policy: PlacementPolicy,
+    /// Whether the exit of this VM cuts the generations that it forwards.
+    cuts_runs_on_exit: bool,
     pub(super) group_size: usize,
     chooser: LocalChooser,
     budget: RetryBudget,
@@ -75,6 +77,7 @@
     pub fn new(policy: PlacementPolicy, group_size: usize, seed: u64) -> Self {
         Self {
             policy,
+            cuts_runs_on_exit: false,
             group_size,
             chooser: LocalChooser::new(seed),
             budget: RetryBudget::default(),
@@ -87,9 +90,42 @@
         }
     }
 
+    /// Makes requests subject to the exit of this VM, which cuts the generations that it forwards. By default
+    /// they go on at their engines.
+    pub fn cutting_runs_on_exit(mut self) -> Self {
+        self.cuts_runs_on_exit = true;
+        self
+    }
+
+    /// When this VM cuts its generations; `None` if it does not.
+    fn cut_at(&self, board: &Blackboard) -> Option<Moment> {
+        let drain = board.drain.filter(|_| self.cuts_runs_on_exit)?;
+        Some(drain.exit_at)
+    }
+
+    /// Tells the owners of pending requests when this VM exits, so that they refuse those which can't be complete
+    /// by then.
+    fn announce_exit(&mut self, context: &mut ControlContext<'_>) {
+        let cut_at = self.cut_at(context.board);
+        if cut_at.is_none() {
+            return;
+        }
+        for pending in self.pending.values_mut() {
+            pending.ask.cut_at = cut_at;
+        }
+        let requests: Vec<RequestId> = self.pending.keys().cloned().collect();
+        for request in requests {
+            self.retry_request(&request, context);
+        }
+    }
+
     /// Refuses a request, or starts its placement by the controller's policy.
-    fn place(&mut self, ticket: ReplyTicket, ask: &PlacementRequest, context: &mut ControlContext<'_>) {
-        if let Some(refusal) = self.refuse(ask, context) {
+    fn place(&mut self, ticket: ReplyTicket, ask: PlacementRequest, context: &mut ControlContext<'_>) {
+        let ask = PlacementRequest {
+            cut_at: self.cut_at(context.board),
+            ..ask
+        };
+        if let Some(refusal) = self.refuse(&ask, context) {
             context.actions.push(Action::Reply {
                 ticket,
                 reply: Reply::Refused(refusal),
@@ -97,11 +133,11 @@
             return;
         }
         if self.policy != PlacementPolicy::Owner {
-            self.choose_locally(ticket, ask, self.policy, context);
+            self.choose_locally(ticket, &ask, self.policy, context);
             return;
         }
-        let groups = self.rank_groups(ask, context);
-        self.request_from_owner(ticket, ask.clone(), groups, None, context);
+        let groups = self.rank_groups(&ask, context);
+        self.request_from_owner(ticket, ask, groups, None, context);
     }
 
     /// Refuses a request that is quarantined, past its deadline, or a retry beyond the workspace's retry
@@ -421,6 +457,7 @@
             EventKind::PrefillDone,
             EventKind::PlacementDone,
             EventKind::LoadReported,
+            EventKind::LeaveOrdered,
             EventKind::PeerMessage,
         ]
     }
@@ -433,7 +470,8 @@
                 self.serve_waiting(context);
                 self.sweep(context);
             }
-            Event::PlacementWanted { ticket, request } => self.place(*ticket, request, context),
+            Event::PlacementWanted { ticket, request } => self.place(*ticket, request.clone(), context),
+            Event::LeaveOrdered { .. } => self.announce_exit(context),
             Event::PrefillDone { request, end } => self.finish_prefill(request, *end, context),
             Event::PlacementDone { request, result } => {
                 self.finish(request, *result, context);
--- a/src/controllers/slots/ledger/estimate.rs
+++ b/src/controllers/slots/ledger/estimate.rs
@@ -95,13 +95,43 @@
 
     /// Estimated time from the grant of slots to the complete answer if it has `max_tokens`, in milliseconds.
     pub(super) fn service_ms(&self, request: &PlacementRequest) -> u64 {
-        let token_gap_us = self
-            .decode
-            .values()
-            .map(|replica| replica.token_gap_us)
-            .filter(|gap_us| *gap_us > 0)
-            .min();
-        self.prefill_ms(request) + token_gap_us.unwrap_or(0) * u64::from(request.max_tokens) / 1_000
+        self.generation_ms(request, request.max_tokens)
+    }
+
+    /// Estimated time from the grant of slots to the complete answer if it has so many tokens, in milliseconds;
+    /// without the time for the tokens while no engine's speed is measured.
+    fn generation_ms(&self, request: &PlacementRequest, tokens: u32) -> u64 {
+        let gaps = self.decode.values().map(|replica| replica.token_gap_us);
+        let token_gap_us = gaps.filter(|gap_us| *gap_us > 0).min().unwrap_or(0);
+        self.prefill_ms(request) + token_gap_us * u64::from(tokens) / 1_000
+    }
+
+    /// Refuses a request that has to wait with `ahead` others before it and can't be complete when its VM exits.
+    pub(super) fn refuse_cut(
+        &self,
+        request: &PlacementRequest,
+        ahead: usize,
+        now: Moment,
+    ) -> Option<RefusalNotice> {
+        request.cut_at?;
+        self.refuse_cut_after(request, self.expected_wait_ms(ahead, now), now)
+    }
+
+    /// Refuses a request that can't be complete when its VM exits if it gets its engines after `wait_ms`. Its
+    /// caller may retry at another VM at once.
+    pub(super) fn refuse_cut_after(
+        &self,
+        request: &PlacementRequest,
+        wait_ms: u64,
+        now: Moment,
+    ) -> Option<RefusalNotice> {
+        let needed_ms = wait_ms + self.generation_ms(request, request.expected_tokens);
+        let left_ms = now.until_ms(request.cut_at?);
+        if needed_ms <= left_ms {
+            return None;
+        }
+        let detail = format!("about {needed_ms} ms are needed and the VM exits in {left_ms} ms");
+        Some(RefusalNotice::new(ResultCode::Leaving, detail).retry_after_ms(0))
     }
 
     /// Refuses a request before any prefill is spent on it if it can't be complete by its deadline, or if its
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -188,8 +188,14 @@
                 permits: lease.permits,
             };
         }
-        if self.queue.contains(&ask.request) {
-            return SlotVerdict::Queued;
+        if let Some(ahead) = self.queue.set_cut_at(&ask.request, ask.cut_at) {
+            return match self.refuse_cut(ask, ahead, now) {
+                Some(refusal) => {
+                    self.queue.remove(&ask.request);
+                    SlotVerdict::Refused(refusal)
+                }
+                None => SlotVerdict::Queued,
+            };
         }
         // The requesting VM may not know yet that the request is quarantined.
         if let Some(refusal) = refuse_quarantined(ask, board, now) {
@@ -202,6 +208,9 @@
         if let Some(refusal) = self.refuse_limited(ask, ahead, now) {
             return SlotVerdict::Refused(refusal);
         }
+        if let Some(refusal) = self.refuse_cut_after(ask, 0, now) {
+            return SlotVerdict::Refused(refusal);
+        }
         if ahead == 0
             && let Some(granted) = self.place(ask, holder.clone(), board, now)
         {
@@ -215,6 +224,9 @@
             let notice = RefusalNotice::new(ResultCode::QueueFull, format!("{ahead} requests wait"));
             return SlotVerdict::Refused(notice.retry_after_ms(jittered_retry_ms(ask, 0, now)));
         }
+        if let Some(refusal) = self.refuse_cut(ask, ahead, now) {
+            return SlotVerdict::Refused(refusal);
+        }
         if let Some(refusal) = self.refuse_overloaded(ask, ahead, now) {
             return SlotVerdict::Refused(refusal);
         }
@@ -401,7 +413,8 @@
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort(&self.held_by_workspace, |waiting| self.is_late(&waiting.ask, now));
         self.queue = queue;
-        let mut decisions = self.refuse_late(now);
+        let mut decisions = self.refuse_queued_cut(now);
+        decisions.extend(self.refuse_late(now));
         self.reset_deferred_tokens();
         let waiting: Vec<_> = self.queue.iter().cloned().collect();
         for entry in waiting {
@@ -439,6 +452,24 @@
                 .all(|(name, replica)| replica.running >= MAX_ENGINE_PREFILLS || !self.has_permit(name, now))
     }
 
+    /// Removes the queued requests that can't be complete any more when their VMs exit, and returns their refusals.
+    fn refuse_queued_cut(&mut self, now: Moment) -> Vec<QueueDecision> {
+        let mut queue = std::mem::take(&mut self.queue);
+        let mut decisions = Vec::new();
+        queue.extract_where(|waiting| {
+            let refusal = self.refuse_cut_after(&waiting.ask, 0, now);
+            let is_refused = refusal.is_some();
+            decisions.extend(refusal.map(|refusal| QueueDecision {
+                holder: waiting.holder.clone(),
+                request: waiting.ask.request.clone(),
+                verdict: SlotVerdict::Refused(refusal),
+            }));
+            is_refused
+        });
+        self.queue = queue;
+        decisions
+    }
+
     /// Removes the queued requests that have become too late, and returns their refusals.
     fn refuse_late(&mut self, now: Moment) -> Vec<QueueDecision> {
         let mut queue = std::mem::take(&mut self.queue);
--- a/src/controllers/slots/mod.rs
+++ b/src/controllers/slots/mod.rs
@@ -73,6 +73,9 @@
     /// Engines that the requesting VM must not send to, since they requested backoff or are leaving; they are
     /// never granted. The owner may not know of this yet.
     pub excluded: Vec<Arc<str>>,
+    /// When the requesting VM exits as planned, which cuts a generation that still runs; `None` if it stays, or if
+    /// its generations go on without it.
+    pub cut_at: Option<Moment>,
 }
 
 impl PlacementRequest {
--- a/src/controllers/slots/queue.rs
+++ b/src/controllers/slots/queue.rs
@@ -44,11 +44,6 @@
         self.waiting.is_empty()
     }
 
-    /// Whether this request is queued.
-    pub fn contains(&self, request: &RequestId) -> bool {
-        self.waiting.iter().any(|waiting| waiting.ask.request == *request)
-    }
-
     /// Number of requests that are served before a new one of this priority.
     pub fn ahead_of(&self, priority: u32) -> usize {
         self.waiting
@@ -72,6 +67,16 @@
         });
     }
 
+    /// Sets when a request's VM exits; returns the number of requests before it, or `None` if it is not queued.
+    pub fn set_cut_at(&mut self, request: &RequestId, cut_at: Option<Moment>) -> Option<usize> {
+        let position = self
+            .waiting
+            .iter()
+            .position(|waiting| waiting.ask.request == *request)?;
+        self.waiting[position].ask.cut_at = cut_at;
+        Some(position)
+    }
+
     /// Removes one request; returns whether it was queued.
     pub fn remove(&mut self, request: &RequestId) -> bool {
         let before = self.waiting.len();
--- a/src/controllers/slots/retry.rs
+++ b/src/controllers/slots/retry.rs
@@ -25,7 +25,8 @@
         }
     }
 
-    fn retry_request(&mut self, request: &RequestId, context: &mut ControlContext<'_>) {
+    /// Sends a pending request again to its group's present owner, or abandons an owner that does not answer.
+    pub(super) fn retry_request(&mut self, request: &RequestId, context: &mut ControlContext<'_>) {
         let Some(pending) = self.pending.get_mut(request) else {
             return;
         };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -264,6 +264,7 @@
         let (request, mut socket) = (self.request, self.socket);
         let has_body = request.head.method != "HEAD";
         let bytes = write_answer(&*self.context.protocol, head, body, has_body, request.persistence);
+        request.exposure.begin_answer();
         match until(request.deadline, socket.write_all(&bytes)).await {
             Some(Ok(())) => {
                 let outcome = match head.status {
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,5 +1,6 @@
 //! Serves one caller's connection: reads requests in turn, and detects a caller that disconnects.
 
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,9 +12,12 @@
 use super::body::{ReadFailure, read_body, read_head};
 use super::context::CallerGuard;
 use super::exchange::{AnswerOutcome, refuse_unrouted, serve_request};
+use super::last_answer::wait_for_accept_end;
 use crate::clock;
 use crate::http::RequestHead;
-use crate::transport::HttpStream;
+use crate::prelude::*;
+use crate::register::CallerLimits;
+use crate::transport::{HttpStream, until};
 
 /// Maximum number of bytes that are read ahead while a request is served; enough for another request's head.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
@@ -22,6 +26,9 @@
 /// either.
 const READ_AHEAD_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long the rest of a request that was refused before it was read is discarded, in milliseconds.
+const DISCARD_MS: u64 = 300;
+
 /// Serves the requests of one connection until it is closed.
 pub async fn serve_caller(context: Arc<GatewayContext>, stream: TcpStream, _guard: CallerGuard) {
     let mut stream = HttpStream::new(stream);
@@ -29,10 +36,10 @@
         let limits = context.snapshot().register.limits;
         let idle_until = clock::now().after_ms(limits.idle_timeout_ms);
         let request = match read_head(&mut stream, &limits, idle_until).await {
-            Ok(head) => {
-                let body = read_body(&mut stream, &head, &limits).await;
-                body.map(|body| (head, body))
-            }
+            Ok(head) => match read_body_until_exit(&context, &mut stream, &head, &limits).await {
+                Ok(body) => body.map(|body| (head, body)),
+                Err(notice) => return refuse_unread(&context, &mut stream, &head, &notice).await,
+            },
             Err(failure) => Err(failure),
         };
         match request {
@@ -59,6 +66,54 @@
     }
 }
 
+/// Reads a request's body. The error is the request's answer if this VM accepts no more requests before the body is
+/// complete.
+async fn read_body_until_exit(
+    context: &GatewayContext,
+    stream: &mut HttpStream,
+    head: &RequestHead,
+    limits: &CallerLimits,
+) -> Result<Result<Option<Vec<u8>>, ReadFailure>, RefusalNotice> {
+    let reading = std::pin::pin!(read_body(stream, head, limits));
+    let exiting = std::pin::pin!(wait_for_accept_end(&context.control, &context.own.name));
+    match select(reading, exiting).await {
+        Either::Left((body, _)) => Ok(body),
+        Either::Right((notice, _)) => Err(notice),
+    }
+}
+
+/// Refuses a request whose body was not read completely. The rest is read and discarded for a while, since a
+/// connection that is closed with unread bytes is reset, which may destroy the answer.
+async fn refuse_unread(
+    context: &GatewayContext,
+    stream: &mut HttpStream,
+    head: &RequestHead,
+    notice: &RefusalNotice,
+) {
+    let socket = stream.socket().clone();
+    let request_id = context.protocol.read_request(head).id;
+    let revision = context.snapshot().revision;
+    refuse_unrouted(
+        &socket,
+        notice,
+        ConnectionPersistence::Close,
+        &request_id,
+        revision,
+    )
+    .await;
+    // An error means that the caller has closed the connection.
+    if socket.shutdown(Shutdown::Write).is_ok() {
+        until(clock::now().after_ms(DISCARD_MS), discard_rest(stream)).await;
+    }
+}
+
+/// Reads and discards whatever a caller sends until it closes its connection.
+async fn discard_rest(stream: &mut HttpStream) {
+    while let Ok(1..) = stream.fill().await {
+        stream.discard();
+    }
+}
+
 /// Serves one request; cancels it if its caller disconnects.
 async fn serve_one(
     context: &Arc<GatewayContext>,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,9 +4,12 @@
 
 use async_std::net::TcpStream;
 use futures::AsyncWriteExt;
+use futures::future::{Either, select};
 
 use super::answer::{ConnectionPersistence, refusal_status, write_refusal};
 use super::call::serve_call;
+use super::exposure::RunExposure;
+use super::last_answer::wait_for_last_answer;
 use super::split::serve_stream;
 use super::trace::{RequestOutcome, RequestTrace};
 use super::{GatewayContext, RequestFacts};
@@ -61,6 +64,8 @@
     pub persistence: ConnectionPersistence,
     /// Progress and outcome of the request, for the log and the metrics.
     pub trace: RequestTrace,
+    /// Whether the request may have run, and whether its answer has begun.
+    pub exposure: RunExposure,
 }
 
 impl CallerRequest {
@@ -129,6 +134,7 @@
         deadline,
         persistence,
         trace,
+        exposure: RunExposure::default(),
     };
     spdlog::info!(
         "event=routed request={} fingerprint={:016x} parts={} route={} kind={} service={} limit_ms={} attempts={} \
@@ -145,9 +151,29 @@
         snapshot.accepted_at.until_ms(received_at)
     );
     context.budget().record_request(&request.service, received_at);
-    match request.rule.kind {
-        RouteKind::Idempotent | RouteKind::RunOnce => serve_call(context, socket, &request).await,
-        RouteKind::Stream { .. } => serve_stream(context, socket, &request).await,
+    match serve_until_exit(context, socket, &request).await {
+        Ok(outcome) => outcome,
+        Err(notice) => refuse(socket, &request, &notice).await,
+    }
+}
+
+/// Serves a request by its kind of route. The error is its answer if the process exits before it has another one.
+async fn serve_until_exit(
+    context: &Arc<GatewayContext>,
+    socket: &TcpStream,
+    request: &CallerRequest,
+) -> Result<AnswerOutcome, RefusalNotice> {
+    let serving = std::pin::pin!(async {
+        match request.rule.kind {
+            RouteKind::Idempotent | RouteKind::RunOnce => serve_call(context, socket, request).await,
+            RouteKind::Stream { .. } => serve_stream(context, socket, request).await,
+        }
+    });
+    let own = &context.own.name;
+    let exiting = std::pin::pin!(wait_for_last_answer(&context.control, &request.exposure, own));
+    match select(serving, exiting).await {
+        Either::Left((outcome, _)) => Ok(outcome),
+        Either::Right((notice, _)) => Err(notice),
     }
 }
 
@@ -224,6 +250,7 @@
         RunEffect::Ran | RunEffect::Unknown => RequestOutcome::Failed,
     };
     let notice = &with_default_retry_after(notice);
+    request.exposure.begin_answer();
     request.trace.end(outcome, refusal_status(notice));
     request.trace.record().code = notice.code.number();
     log_refusal(&request.facts.id, &request.rule.name, notice, request.revision);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -196,6 +196,7 @@
         is_retry: false,
         avoid: criteria.avoid.to_vec(),
         excluded: context.with_selector(|selector| selector.withheld(&request.service, clock::now())),
+        cut_at: None,
     };
     let (events, last_event_at) = {
         let record = request.trace.record();
--- a/src/gateway/rate_permit.rs
+++ b/src/gateway/rate_permit.rs
@@ -79,8 +79,8 @@
     }
 }
 
-/// Waits for the time slot of a permit. Returns false as soon as it turns out that all replicas reject requests,
-/// unless the slot comes within [`MIN_WAIT_MS`].
+/// Waits for the time slot of a permit. Returns false as soon as it turns out that all replicas reject requests, or
+/// that this VM exits before the call is answered, unless the slot comes within [`MIN_WAIT_MS`].
 async fn wait_for_turn(context: &GatewayContext, request: &CallerRequest, not_before: Moment) -> bool {
     loop {
         let now = clock::now();
@@ -89,7 +89,8 @@
             async_std::task::sleep(now.remaining(not_before)).await;
             return true;
         }
-        if context.with_selector(|selector| selector.rejects_all(&request.service, now)) {
+        let (answer_ms, rejects_all) = find_prospects(context, request, now);
+        if rejects_all || is_cut(context, not_before.after_ms(answer_ms)) {
             return false;
         }
         async_std::task::sleep(Duration::from_millis(MIN_WAIT_MS)).await;
@@ -98,14 +99,11 @@
 
 /// Returns when a call must be sent to be answered within its latency objective. A call that is already late
 /// waits for [`MIN_WAIT_MS`] at most, and so does one whose replicas all reject most requests, since its send
-/// would probably be rejected too.
+/// would probably be rejected too. On a VM that is leaving, the call must also be answered before the exit.
 fn latest_start(context: &GatewayContext, request: &CallerRequest) -> Moment {
     let now = clock::now();
     let objective_ms = request.rule.latency_objective_ms;
-    let (answer_ms, rejects_all) = context.with_selector(|selector| {
-        let service = &request.service;
-        (selector.answer_ms(service), selector.rejects_all(service, now))
-    });
+    let (answer_ms, rejects_all) = find_prospects(context, request, now);
     let earliest = now.after_ms(MIN_WAIT_MS);
     let start_by = if rejects_all {
         earliest
@@ -114,7 +112,24 @@
             .received_at
             .after_ms(objective_ms.saturating_sub(answer_ms))
     };
-    start_by.max(earliest).min(request.deadline)
+    let start_by = start_by.max(earliest).min(request.deadline);
+    match context.snapshot().exit_at {
+        Some(exit_at) => start_by.min(Moment(exit_at.0.saturating_sub(answer_ms))),
+        None => start_by,
+    }
+}
+
+/// Returns how long the request's service usually takes for a call, in milliseconds, and whether its replicas reject
+/// most calls.
+fn find_prospects(context: &GatewayContext, request: &CallerRequest, now: Moment) -> (u64, bool) {
+    let service = &request.service;
+    context.with_selector(|selector| (selector.answer_ms(service), selector.rejects_all(service, now)))
+}
+
+/// Whether this VM exits before a call that ends at this time.
+fn is_cut(context: &GatewayContext, ends_at: Moment) -> bool {
+    let exit_at = context.snapshot().exit_at;
+    exit_at.is_some_and(|exit_at| ends_at > exit_at)
 }
 
 /// Sends a request with its permit, which is returned if no byte of the request was sent.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,6 +10,7 @@
 use super::answer_end::{BrokenEnd, check_end, is_event_stream};
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerOutcome, CallerRequest};
+use super::exposure::RunExposure;
 use super::loss::{LostSend, ReplicaContact, RunStage, report_loss};
 use super::send::SendAdmission;
 use super::sse::EventTracker;
@@ -28,6 +29,7 @@
     persistence: ConnectionPersistence,
     is_chunked: bool,
     deadline: Moment,
+    exposure: &'a RunExposure,
     pending: Vec<u8>,
 }
 
@@ -36,7 +38,7 @@
     pub fn new(
         context: &GatewayContext,
         socket: &'a TcpStream,
-        request: &CallerRequest,
+        request: &'a CallerRequest,
         head: &ResponseHead,
     ) -> Self {
         let is_chunked = request.head.is_http11;
@@ -56,6 +58,7 @@
             },
             is_chunked,
             deadline: request.deadline,
+            exposure: &request.exposure,
             pending,
         }
     }
@@ -73,6 +76,7 @@
 
     async fn send(&mut self, bytes: &[u8]) -> bool {
         let mut socket = self.socket;
+        self.exposure.begin_answer();
         matches!(until(self.deadline, socket.write_all(bytes)).await, Some(Ok(())))
     }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -10,7 +10,7 @@
 use super::relay::{BrokenAnswer, record_broken_answer};
 use super::sse::ends_inside_event;
 use super::upstream::{ConnectionChoice, ExchangeError, UpstreamAnswer, UpstreamRequest, needs_watch};
-use super::verdict::{AnswerVerdict, classify_answer, outcome_word};
+use super::verdict::{AnswerVerdict, classify_answer, is_not_run, outcome_word};
 use super::{GatewayContext, SendOrder, SendPurpose};
 use crate::blackboard::ReplicaId;
 use crate::clock;
@@ -88,6 +88,7 @@
         deadline: request.deadline,
     };
     record_send(request, lease.id());
+    let exposure = request.exposure.begin_send();
     let outcome = exchange_permitted(context, upstream_request, rate_permit.as_ref()).await;
     let verdict = outcome
         .as_ref()
@@ -104,6 +105,9 @@
         lease.elapsed_ms(),
         request.trace.elapsed_ms()
     );
+    if is_not_run(&verdict) {
+        exposure.withdraw();
+    }
     match outcome {
         Ok(answer) => {
             let verdict = classify_answer(&answer, &request.facts.id);
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -20,7 +20,7 @@
 use super::upstream::{
     ExchangeError, UpstreamAnswer, UpstreamRequest, choose_dedicated_connection, exchange,
 };
-use super::verdict::{AnswerVerdict, classify_answer, outcome_word};
+use super::verdict::{AnswerVerdict, classify_answer, is_not_run, outcome_word};
 use super::{GatewayContext, SendOrder, SendPurpose};
 use crate::blackboard::ReplicaId;
 use crate::clock;
@@ -263,6 +263,7 @@
         }
         record_send(request, &replica.id);
         placement.set_decode_sent(true);
+        let exposure = request.exposure.begin_send();
         let outcome = exchange(self.context, upstream_request).await;
         let verdict = outcome
             .as_ref()
@@ -277,6 +278,9 @@
             began_at.until_ms(clock::now()),
             request.received_at.until_ms(clock::now())
         );
+        if is_not_run(&verdict) {
+            exposure.withdraw();
+        }
         if outcome.as_ref().is_err_and(ExchangeError::is_unsent) {
             placement.set_decode_sent(false);
         } else {
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -40,6 +40,14 @@
     }
 }
 
+/// Whether an outcome shows that the send has not run the request and never will.
+pub fn is_not_run(outcome: &Result<AnswerVerdict, &ExchangeError>) -> bool {
+    match outcome {
+        Ok(verdict) => matches!(verdict, AnswerVerdict::NotRun | AnswerVerdict::Misdirected),
+        Err(error) => error.is_unsent(),
+    }
+}
+
 /// Returns the word for an outcome in logs.
 pub fn outcome_word(outcome: &Result<AnswerVerdict, &ExchangeError>) -> &'static str {
     match outcome {
--- a/src/peers/convert/slots.rs
+++ b/src/peers/convert/slots.rs
@@ -64,6 +64,7 @@
         first_token_deadline_ms: now.until_ms(request.first_token_deadline),
         may_be_late: request.may_be_late,
         parts: request.features.parts().iter().map(|part| part.hash).collect(),
+        cut_in_ms: request.cut_at.map(|cut_at| now.until_ms(cut_at)),
     }
 }
 
@@ -98,6 +99,7 @@
             may_skip_prefill: frame.may_skip_prefill,
             first_token_deadline: now.after_ms(frame.first_token_deadline_ms),
             may_be_late: frame.may_be_late,
+            cut_at: frame.cut_in_ms.map(|cut_in_ms| now.after_ms(cut_in_ms)),
         },
     })
 }
--- a/src/peers/wire/slots.rs
+++ b/src/peers/wire/slots.rs
@@ -74,6 +74,9 @@
     /// Hashes of the parts of the prompt that other requests may share.
     #[prost(fixed64, repeated, tag = "19")]
     pub parts: Vec<u64>,
+    /// Time until the requesting VM exits and cuts the generation, in milliseconds; unset if it does not.
+    #[prost(uint64, optional, tag = "20")]
+    pub cut_in_ms: Option<u64>,
 }
 
 /// A refusal with its result code.
--- a/src/result_code/mod.rs
+++ b/src/result_code/mod.rs
@@ -107,6 +107,7 @@
     DeadlineDuringRun = 4003, "deadline_during_run", 504, Unknown, "The deadline came while the work was under way; it was cancelled.", "Send it again with a later deadline.";
     Cancelled = 4004, "cancelled", 499, Unknown, "The caller cancelled the request or went away.", "Nothing, unless the work is still wanted.";
     UpstreamRefused = 4005, "upstream_refused", 502, NotRun, "Every upstream that was tried refused the request before running it.", "Come back after Retry-After seconds.";
+    LeftDuringRun = 4006, "left_during_run", 502, Unknown, "This VM exited as planned while the work was under way.", "Use another address; work that may be repeated may be sent again.";
     RegisterSyntax = 6001, "register_syntax", 0, NotRun, "The register is not well-formed TOML.", "Correct the line named.";
     RegisterUnknownField = 6002, "register_unknown_field", 0, NotRun, "The register has a field that does not exist.", "Use the suggested name, or remove the field.";
     RegisterMissingField = 6003, "register_missing_field", 0, NotRun, "A field that must be there is missing.", "Add the field.";
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -11,8 +11,9 @@
 use super::Snapshot;
 use super::catch_up::{MAX_WAIT, SuspensionTracker};
 use super::clock_watch::ClockWatch;
+use super::departure::ExitNotice;
 use super::lock;
-use crate::blackboard::ReplicaId;
+use crate::blackboard::{DrainFacts, ReplicaId};
 use crate::clock;
 use crate::controllers::message::{KeyCall, PeerMessage};
 use crate::controllers::readers::reads_store;
@@ -82,6 +83,7 @@
     event_tally: Arc<EventTally>,
     subscriptions: Arc<FastSet<EventKind>>,
     suspensions: Arc<SuspensionTracker>,
+    exit_notice: Arc<ExitNotice>,
 }
 
 impl ControlHandle {
@@ -101,6 +103,7 @@
             event_tally: Arc::new(std::array::from_fn(|_| AtomicU64::default())),
             subscriptions: Arc::new(core.subscriptions()),
             suspensions: Arc::new(SuspensionTracker::new(clock::now())),
+            exit_notice: Arc::default(),
         };
         let thread = ControlThread {
             core,
@@ -110,6 +113,7 @@
             active_requests: handle.active_requests.clone(),
             event_tally: handle.event_tally.clone(),
             suspensions: handle.suspensions.clone(),
+            exit_notice: handle.exit_notice.clone(),
             output: Box::new(output),
         };
         std::thread::Builder::new()
@@ -174,6 +178,11 @@
         self.snapshot.load_full()
     }
 
+    /// Waits until this process was ordered to leave and returns the times of its drain.
+    pub async fn drain_announced(&self) -> DrainFacts {
+        self.exit_notice.announced().await
+    }
+
     /// Counts a request as active until the guard is dropped.
     pub fn track_request(&self) -> ActiveRequestGuard {
         self.active_requests.fetch_add(1, Ordering::Relaxed);
@@ -230,6 +239,7 @@
     active_requests: Arc<AtomicU64>,
     event_tally: Arc<EventTally>,
     suspensions: Arc<SuspensionTracker>,
+    exit_notice: Arc<ExitNotice>,
     output: Box<dyn Fn(ControlOutput) + Send>,
 }
 
@@ -297,6 +307,9 @@
     fn publish(&self, now: Moment) {
         self.snapshot
             .store(Arc::new(Snapshot::from_board(&self.core.board, now)));
+        if let Some(drain) = self.core.board.drain {
+            self.exit_notice.announce(drain);
+        }
     }
 
     fn execute(&self, action: Action) {
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -98,11 +98,10 @@
         Box::new(QuarantineController::default()),
         Box::new(RateLimitController::new(MAX_GROUP_ENGINES)),
         Box::new(RebalanceController::default()),
-        Box::new(SlotController::new(
-            PlacementPolicy::Owner,
-            MAX_GROUP_ENGINES,
-            own.incarnation as u64,
-        )),
+        Box::new(
+            SlotController::new(PlacementPolicy::Owner, MAX_GROUP_ENGINES, own.incarnation as u64)
+                .cutting_runs_on_exit(),
+        ),
     ];
     let mut board = Blackboard::new(own);
     board.is_rebalancer = settings.is_rebalancer();
--- a/src/traffic/generate/placement.rs
+++ b/src/traffic/generate/placement.rs
@@ -49,6 +49,7 @@
             may_skip_prefill: false,
             is_retry,
             excluded: Vec::new(),
+            cut_at: None,
             may_be_late: work.may_wait || is_retry,
             avoid: avoid.to_vec(),
         };
--- a/src/transport/http_stream.rs
+++ b/src/transport/http_stream.rs
@@ -148,6 +148,11 @@
         self.start += used;
     }
 
+    /// Drops the bytes that were read and not yet consumed.
+    pub fn discard(&mut self) {
+        self.start = self.end;
+    }
+
     /// Frees the buffer if it is empty, for a connection that will be idle.
     pub fn shrink(&mut self) {
         if self.buffered().is_empty() {
--- a/tests/crest.rs
+++ b/tests/crest.rs
@@ -189,6 +189,7 @@
             is_retry: false,
             avoid: Vec::new(),
             excluded: Vec::new(),
+            cut_at: None,
         };
         Caller {
             ask,
--- a/tests/engine_limits.rs
+++ b/tests/engine_limits.rs
@@ -98,6 +98,7 @@
         is_retry: false,
         avoid: Vec::new(),
         excluded: Vec::new(),
+        cut_at: None,
     }
 }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -35,4 +35,5 @@
 mod sources;
 mod store;
 mod stories;
+mod waits_at_stop;
 mod wire;
