Answer callers of the entry role before it exits

What callers saw: connections that were closed without an answer when an entry exited at the end of its drain, for generations that waited for an engine and for calls that their service still ran.

Cause: nothing connected a wait with the exit; `accept_until` is looked at on arrival only.

Change: a generation without engines is refused when the exit is due, with the addresses of other entries; a call, and a stream without a token, is told 300 ms later that its outcome is unknown. A stream whose caller has a token stays open without its end, since the caller resumes elsewhere while the engine goes on.

--- a/src/gateway/last_answer.rs
+++ b/src/gateway/last_answer.rs
@@ -2,11 +2,7 @@
 
 use super::exposure::RunExposure;
 use crate::prelude::*;
-use crate::runtime::{ControlHandle, wait_until};
-
-/// How long after the exit was due requests that may be running are waited for, in milliseconds; the process then
-/// still has time to write their answers.
-const LAST_RUN_MS: u64 = 300;
+use crate::runtime::{ControlHandle, LAST_RUN_MS, wait_until};
 
 /// Waits until this VM accepts no more requests because the process exits as planned, and returns the answer to a
 /// request that was not read completely by then.
--- a/src/runtime/departure.rs
+++ b/src/runtime/departure.rs
@@ -12,6 +12,10 @@
 use crate::clock;
 use crate::prelude::*;
 
+/// How long after the exit was due requests that may be running are waited for, in milliseconds; the process then
+/// still has time to write their answers.
+pub const LAST_RUN_MS: u64 = 300;
+
 /// Longest single wait for the exit. The timer does not advance while the process is suspended, the clock does.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -16,7 +16,7 @@
 
 pub use catch_up::SuspensionTracker;
 pub use control::{ActiveRequestGuard, ControlHandle, ControlOutput};
-pub use departure::{ExitNotice, wait_until};
+pub use departure::{ExitNotice, LAST_RUN_MS, wait_until};
 pub use gateway_node::{GatewayAdapter, SettingsReader, run_gateway};
 pub use lock::lock;
 pub use node::{NodeError, run_node};
--- a/src/traffic/generate/session.rs
+++ b/src/traffic/generate/session.rs
@@ -19,6 +19,7 @@
 use crate::traffic::TrafficContext;
 use crate::traffic::caller_watch::wait_for_disconnect;
 use crate::traffic::diagnosis::UpstreamProbe;
+use crate::traffic::last_answer::wait_for_last_run;
 use crate::traffic::request::GenerateWork;
 
 /// Limit for the attempts at one request.
@@ -27,6 +28,14 @@
 /// Retry-After once all attempts failed, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// How the serving of a stream ended.
+enum SessionEnding {
+    /// It is complete or refused; `None` if the caller disconnected.
+    Served(Option<Result<(), RefusalNotice>>),
+    /// The process exits; the notice is for a caller that has no token yet.
+    Exit(RefusalNotice),
+}
+
 /// The state of the stream to one caller.
 pub struct StreamSession {
     pub(super) context: Arc<TrafficContext>,
@@ -79,18 +88,29 @@
     /// Serves the stream until it is complete or refused, its deadline passes or the caller disconnects.
     pub async fn run(mut self, source: StreamSource, socket: TcpStream) {
         let limit = clock::now().remaining(self.work.deadline);
-        let session_result = {
+        let context = self.context.clone();
+        let ending = {
             let serving = std::pin::pin!(timeout(limit, self.serve(source)));
             let disconnecting = std::pin::pin!(wait_for_disconnect(&socket));
-            match select(serving, disconnecting).await {
-                Either::Left((outcome, _)) => outcome.unwrap_or_else(|_| {
-                    Some(Err(
+            let exiting = std::pin::pin!(wait_for_last_run(&context));
+            match select(serving, select(disconnecting, exiting)).await {
+                Either::Left((Ok(result), _)) => SessionEnding::Served(result),
+                Either::Left((Err(_), _)) => {
+                    SessionEnding::Served(Some(Err(
                         RefusalNotice::new(ResultCode::DeadlineDuringRun, "").retry_after_ms(0)
-                    ))
-                }),
-                Either::Right(_) => None,
+                    )))
+                }
+                Either::Right((Either::Left(_), _)) => SessionEnding::Served(None),
+                Either::Right((Either::Right((notice, _)), _)) => SessionEnding::Exit(notice),
             }
         };
+        let session_result = match ending {
+            SessionEnding::Served(result) => result,
+            SessionEnding::Exit(notice) if self.delivered == 0 => Some(Err(notice)),
+            // The caller has a token to resume with at another entry, and the engine goes on meanwhile. The
+            // stream is left open, since it is not complete.
+            SessionEnding::Exit(_) => std::future::pending().await,
+        };
         match session_result {
             Some(Ok(())) => self.send_complete().await,
             Some(Err(notice)) => self.send_refusal(&notice).await,
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod diagnosis;
 mod generate;
 mod key;
+mod last_answer;
 mod listener;
 mod reaper;
 mod request;
--- a/src/traffic/routes.rs
+++ b/src/traffic/routes.rs
@@ -1,13 +1,17 @@
 //! Routes callers' requests by method and path.
 
+use std::future::Future;
 use std::net::Shutdown;
+use std::pin::pin;
 use std::sync::Arc;
 
 use async_std::net::TcpStream;
+use futures::future::{Either, select};
 use http_types::{Method, Request, Response};
 use serde::Deserialize;
 
 use super::answer::{json_response, refusal_response, text_response};
+use super::last_answer::{leaving_notice, wait_for_exit, wait_for_last_run};
 use super::{TrafficContext, call, generate, key};
 use crate::clock;
 use crate::controllers::resolve::rank_entries;
@@ -77,9 +81,7 @@
     if accept_until.is_none_or(|until| !clock::now().reached(until)) {
         return Ok(());
     }
-    let mut notice = RefusalNotice::new(ResultCode::Leaving, &*context.own.name).retry_after_ms(0);
-    notice.use_instead = context.other_entries("");
-    Err(notice)
+    Err(leaving_notice(context, ResultCode::Leaving))
 }
 
 fn refuse_when_full(context: &TrafficContext) -> Result<(), RefusalNotice> {
@@ -106,9 +108,36 @@
     }
     let _guard = context.control.track_request();
     match path {
-        "/v1/generate" => generate::generate(context, socket, request).await,
-        "/v1/call" => call::call(context, request).await,
-        _ => key::issue_key(context, request).await,
+        "/v1/generate" => {
+            // A generation that is resumed has run before.
+            let is_resumed = request.header("last-event-id").is_some();
+            let serving = pin!(generate::generate(context, socket, request));
+            answer_before(serving, pin!(wait_for_exit(context)))
+                .await
+                .map_err(|notice| match is_resumed && notice.code == ResultCode::Leaving {
+                    true => notice.in_doubt(),
+                    false => notice,
+                })
+        }
+        "/v1/call" => {
+            let serving = pin!(call::call(context, request));
+            answer_before(serving, pin!(wait_for_last_run(context))).await
+        }
+        _ => {
+            let serving = pin!(key::issue_key(context, request));
+            answer_before(serving, pin!(wait_for_exit(context))).await
+        }
+    }
+}
+
+/// Serves a request; the notice is its answer if the process exits first.
+async fn answer_before(
+    serving: impl Future<Output = Result<Response, RefusalNotice>> + Unpin,
+    exiting: impl Future<Output = RefusalNotice> + Unpin,
+) -> Result<Response, RefusalNotice> {
+    match select(serving, exiting).await {
+        Either::Left((result, _)) => result,
+        Either::Right((notice, _)) => Err(notice),
     }
 }
 
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -70,6 +70,55 @@
     });
 }
 
+// Guards against a stop that closes the connections of callers whose generations wait for an engine, or whose calls
+// still run.
+#[test]
+fn callers_that_wait_at_an_entry_are_answered_before_it_exits() {
+    block_on(async {
+        let plan = FleetPlan::small()
+            .with_entry_arguments(&["--resolve-keep-ms", "200", "--drain-limit-ms", "1500"])
+            .with_engine_arguments(&["--step-us", "200000"]);
+        let plan = FleetPlan {
+            slots: 2,
+            service_arguments: ["--latency-ms", "10000"].map(str::to_owned).to_vec(),
+            ..plan
+        };
+        let mut fleet = Fleet::start(plan).await;
+        let leaving = fleet.entries[0].routed.clone();
+        let start = |index: usize| {
+            let payload = format!("load {index}");
+            let body = generate_body("kitamura", "ash-reader", "ledger", &payload, 300, 60_000);
+            let address = leaving.clone();
+            spawn(
+                async move { http::open(&address, http::post_request(&address, "/v1/generate", &body)).await },
+            )
+        };
+        let mut streams: Vec<_> = (0..40).map(start).collect();
+        let key = get_key(&leaving, "kitamura", "desk", "book", 60_000)
+            .await
+            .expect("a key");
+        let calls = [("book", Some(&*key)), ("lookup", None)].map(|(operation, key)| {
+            let body = call_body("kitamura", "desk", operation, "slow", key, 20_000);
+            let address = leaving.clone();
+            spawn(async move { http::post(&address, "/v1/call", &body).await })
+        });
+        sleep(Duration::from_millis(300)).await;
+        fleet.entries[0].process.terminate();
+        let mut refused_count = 0;
+        for stream in streams.drain(..) {
+            let response = stream.await.expect("a head");
+            refused_count += usize::from(response.status() == 503);
+        }
+        assert!(refused_count > 0, "some waited for an engine");
+        for call in calls {
+            let answer = call.await.expect("an answer");
+            assert_eq!(answer.body["effect"], "outcome unknown", "{answer:?}");
+        }
+        let status = fleet.entries[0].process.wait_for_exit(FLEET_TIMEOUT).await;
+        assert_eq!(status.expect("the entry exits by itself").code(), Some(0));
+    });
+}
+
 #[test]
 fn peers_know_the_outcomes_of_the_keys_of_an_owner_that_has_left() {
     block_on(async {
