Send no stream to an engine that the exit of the node would cut

What callers saw: a stream that was sent late in a planned stop, since its prompt took long, began and was cut by the exit.

Cause: between the grant of engines and the send to the decode engine nothing looked at the exit. Accepting, waiting and sending are three decisions; the first two have been held against the exit so far.

Change: before the send, the time for the expected tokens at a slow engine (of the latest streams' token gaps) has to fit before the exit; else the request is refused with Retry-After 0.

Evidence: the new test failed before (200, cut) and passes now. Beside it a test that streams which wait are served through a SIGHUP and a configuration that moves their routes: passes before and after, so no cause there.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -47,6 +47,8 @@
     latencies: Mutex<FastMap<Arc<str>, LatencyWindow>>,
     /// Time from reading a request to the end of its answer by route, in milliseconds.
     spans: Mutex<FastMap<Arc<str>, LatencyWindow>>,
+    /// Time between two tokens of a stream by service, in microseconds.
+    token_gap_us: Mutex<FastMap<Arc<str>, LatencyWindow>>,
     /// Prefill time per prompt token by service, in microseconds.
     prefill_token_us: Mutex<FastMap<Arc<str>, LatencyWindow>>,
     callers: AtomicUsize,
@@ -86,6 +88,7 @@
             budget: Mutex::new(budget),
             latencies: Mutex::default(),
             spans: Mutex::default(),
+            token_gap_us: Mutex::default(),
             prefill_token_us: Mutex::default(),
             callers: AtomicUsize::default(),
             next_request: AtomicU64::default(),
@@ -195,6 +198,22 @@
         Some(token_us * u64::from(tokens) / 1_000)
     }
 
+    /// Records the mean time between two tokens of a complete stream, in microseconds.
+    pub fn record_token_gap(&self, service: &Arc<str>, token_gap_us: u64) {
+        let mut token_gaps = lock(&self.token_gap_us);
+        token_gaps
+            .entry(service.clone())
+            .or_default()
+            .record(token_gap_us);
+    }
+
+    /// Estimates how long a slow engine takes to generate so many tokens, in milliseconds; `None` while too few
+    /// streams are recorded.
+    pub fn slow_generation_ms(&self, service: &Arc<str>, tokens: u32) -> Option<u64> {
+        let token_gap_us = lock(&self.token_gap_us).get(service)?.slow_latency()?;
+        Some(token_gap_us * u64::from(tokens) / 1_000)
+    }
+
     /// Admits and counts a caller's connection; `None` if there are too many.
     pub fn admit_caller(self: &Arc<Self>) -> Option<CallerGuard> {
         /// Share of the sockets that callers may use, in percent; a request may need two upstream
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -152,7 +152,11 @@
     pub fn record_token_gap(&mut self, events: u64, span_ms: u64) {
         let event_tokens = self.context.event_tokens(&self.decode.service);
         let tokens = events.saturating_sub(1) * event_tokens;
-        self.guard.result.token_gap_us = (span_ms * 1_000).checked_div(tokens).unwrap_or_default();
+        let token_gap_us = (span_ms * 1_000).checked_div(tokens).unwrap_or_default();
+        self.guard.result.token_gap_us = token_gap_us;
+        if token_gap_us > 0 {
+            self.context.record_token_gap(&self.decode.service, token_gap_us);
+        }
     }
 
     /// Records the outcome at the decode engine.
@@ -260,7 +264,7 @@
 }
 
 /// Estimates how many tokens a request generates.
-fn expected_tokens(facts: &RequestFacts) -> u32 {
+pub(super) fn expected_tokens(facts: &RequestFacts) -> u32 {
     let usual = u64::from(facts.output_tokens) * EXPECTED_OUTPUT_PERCENT / 100;
     let expected = facts.expected_tokens.map_or(usual, u64::from);
     expected.min(u64::from(facts.output_tokens)) as u32
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -10,7 +10,7 @@
 use super::exchange::{AnswerOutcome, CallerRequest, DEFAULT_RETRY_AFTER_MS, refuse};
 use super::loss::{LostSend, ReplicaContact, RunStage, report_loss};
 use super::paid_sends::BudgetCharges;
-use super::place::{EnginePlacement, PlacementCriteria};
+use super::place::{EnginePlacement, PlacementCriteria, expected_tokens};
 use super::prompt::{PrefillStep, PrefilledPrompt};
 use super::relay::AnswerWriter;
 use super::send::record_send;
@@ -28,7 +28,7 @@
 use crate::controllers::slots::EngineOutcome;
 use crate::http::BodyFraming;
 use crate::prelude::*;
-use crate::runtime::RunPermit;
+use crate::runtime::{LAST_RUN_MS, RunPermit};
 use crate::transport::until;
 
 /// Number of prefill engine crashes during one request's prompt after which the request is abandoned. The
@@ -181,7 +181,7 @@
             // The refused prefill used the last send.
             return None;
         }
-        if !self.may_still_run(&permit).await {
+        if !self.may_still_run(&permit).await || !self.ends_before_exit() {
             return None;
         }
         let is_now_extra = !is_charged && self.arrivals.is_next_extra();
@@ -204,6 +204,25 @@
         }
     }
 
+    /// Whether the rest of the stream is expected to be generated before this VM exits; keeps the refusal otherwise.
+    fn ends_before_exit(&mut self) -> bool {
+        let Some(exit_at) = self.context.snapshot().exit_at else {
+            return true;
+        };
+        let request = self.request;
+        let done_tokens = request.trace.record().events * self.context.event_tokens(&request.service);
+        let done_tokens = u32::try_from(done_tokens).unwrap_or(u32::MAX);
+        let tokens = expected_tokens(&request.facts).saturating_sub(done_tokens);
+        let needed_ms = self.context.slow_generation_ms(&request.service, tokens);
+        let ends_at = clock::now().after_ms(needed_ms.unwrap_or_default());
+        let is_in_time = ends_at <= exit_at.after_ms(LAST_RUN_MS);
+        if !is_in_time {
+            let notice = RefusalNotice::new(ResultCode::Leaving, &*self.context.own.name);
+            self.refusal = Some(notice.retry_after_ms(0));
+        }
+        is_in_time
+    }
+
     /// Whether another engine may serve the stream: nothing was sent to the caller yet, or the events have
     /// ids to resume after.
     fn can_resume(&self) -> bool {
--- a/tests/platform/waits_at_stop.rs
+++ b/tests/platform/waits_at_stop.rs
@@ -64,7 +64,7 @@
 
 /// A node whose routes have time, with its replicas.
 struct PatientNode {
-    _store: StandInStore,
+    store: StandInStore,
     node: GatewayNode,
     replicas: Vec<StandInReplica>,
     /// Tokens that callers expect of a generation.
@@ -86,7 +86,7 @@
         let node = GatewayNode::start(&store, "vm-1", &[]);
         node.wait_ready();
         Self {
-            _store: store,
+            store,
             node,
             replicas,
             expected_tokens: 40,
@@ -346,6 +346,53 @@
     fleet.assert_refused(vec![caller]);
 }
 
+// Guards against a stream that is sent to an engine although it will be cut there: its prompt took so long that the
+// exit comes before the end of the stream.
+#[test]
+fn a_stream_that_would_run_past_the_exit_is_refused_once_its_prompt_is_run() {
+    const TOKEN_US: u64 = 6_000;
+    const EVENT_PAUSE_MS: u64 = 600;
+    let mut fleet = PatientNode::start(&[
+        ("llm", Some("prefill"), ReplicaBehavior::Well),
+        (
+            "llm",
+            Some("decode"),
+            ReplicaBehavior::PacedEvents(EVENT_PAUSE_MS),
+        ),
+    ]);
+    fleet.expected_tokens = STREAM_EVENTS;
+    let measured = fleet.send_many("/stream", "measured", ENGINE_SLOTS);
+    assert!(join(measured).iter().all(|ending| ending.status() == 200));
+    fleet.replicas[0].set_behavior(ReplicaBehavior::PacedPrompts(TOKEN_US));
+    let caller = fleet.send("/stream", "long-prompt");
+    wait_until("the prompt runs", || {
+        !fleet.replicas[0].seen("long-prompt").is_empty()
+    });
+    fleet.stop();
+    fleet.assert_refused(vec![caller]);
+}
+
+// Guards against waiting streams that end without an answer because the settings were read again or their route was
+// moved to another service.
+#[test]
+fn streams_that_wait_are_served_through_changes_of_settings_and_routes() {
+    let fleet = PatientNode::with_engines(ReplicaBehavior::PacedEvents(QUICK_MS));
+    let waiters = fleet.queue_streams(&["/stream", "/stream/single", "/stream/resume"]);
+    fleet.node.signal("HUP");
+    let mut document = patient_config();
+    document["version"] = 2.into();
+    for route in document["routes"].as_array_mut().expect("a list") {
+        route["service"] = "desk".into();
+    }
+    fleet.store.put("op/config", &document.to_string());
+    wait_until("the routes are moved", || {
+        fleet.node.log().contains("event=register_accepted revision=2")
+    });
+    for ending in join(waiters) {
+        assert_eq!(ending.status(), 200, "{ending:?} {}", fleet.node.log());
+    }
+}
+
 // Guards against a stop that says nothing to the callers of requests which their replicas still run, and against a
 // refusal that says they have not run.
 #[test]
