Bound the memory that callers' bodies take

The bodies were within the published limit.

Cause: the memory of the settings was used nowhere. Each connection could hold a complete body, in a buffer that grew by doubling.

Change: bodies are kept in blocks of 64 KB that are used again and never freed, and hold at most half of the process's memory. A request whose body has a length that does not fit is refused before the body is read, one in chunks once it outgrows the bound, with 503 and Retry-After. The rest is discarded for a second, so that the answer is not lost by a reset. The first 8 KB of a body are not counted: long bodies never keep short ones out.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -11,7 +11,7 @@
 
 pub use engine::EngineView;
 pub use feature::{FeatureKind, FeatureSet, RequestFeature, join_hashes};
-pub use fingerprint::{Fingerprint, hash_parts};
+pub use fingerprint::{Fingerprint, hash_parts, hash_with_segments};
 pub use offer_tally::{OfferOutcome, OfferTally};
 pub use rate_limit::{RateLimit, RateLimitMap, RequestRate, SharedRateLimits, find_limit};
 pub use replica::{ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole};
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -1,8 +1,12 @@
 //! Reads callers' requests within the configured limits.
 
+use std::sync::Arc;
+
 use async_std::net::TcpStream;
 use futures::AsyncWriteExt;
 
+use super::body_memory::{BodyMemory, CallerBody};
+use super::exchange::DEFAULT_RETRY_AFTER_MS;
 use crate::clock;
 use crate::http::{
     BodyDecoder, BodyFraming, CONTINUE_RESPONSE, HeadLimits, HttpError, RequestHead, frame_request,
@@ -59,16 +63,24 @@
     stream: &mut HttpStream,
     head: &RequestHead,
     limits: &CallerLimits,
-) -> Result<Option<Vec<u8>>, ReadFailure> {
+    memory: &Arc<BodyMemory>,
+) -> Result<Option<CallerBody>, ReadFailure> {
     let framing = frame_request(head).map_err(|error| to_failure(error.into(), limits))?;
     let expected = match framing {
         BodyFraming::Length(length) => length,
-        BodyFraming::Empty => return Ok(head.headers.contains("content-length").then(Vec::new)),
+        BodyFraming::Empty => return Ok(head.headers.contains("content-length").then(CallerBody::default)),
         BodyFraming::Chunked | BodyFraming::UntilClose => limits.body_bytes as u64,
     };
     if framing != BodyFraming::Chunked && expected > limits.body_bytes as u64 {
         return Err(to_failure(HttpError::BodyTooLarge.into(), limits));
     }
+    let mut body = memory.begin_body();
+    if let BodyFraming::Length(length) = framing {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        if !body.reserve(length) {
+            return Err(overloaded_notice().into());
+        }
+    }
     if head.headers.has_token("expect", "100-continue") && stream.buffered().is_empty() {
         let mut socket: &TcpStream = stream.socket();
         let written = socket.write_all(CONTINUE_RESPONSE).await;
@@ -76,18 +88,30 @@
     }
     let deadline = clock::now().after_ms(BODY_BASE_TIMEOUT_MS + expected / MIN_BODY_BYTES_PER_MS);
     let mut decoder = BodyDecoder::new(framing);
-    match until(
-        deadline,
-        stream.read_complete_body(&mut decoder, limits.body_bytes),
-    )
-    .await
-    {
-        Some(Ok(body)) => Ok(Some(body)),
+    let reading = async {
+        while let Some(piece) = stream.read_body(&mut decoder).await? {
+            if body.len() + piece.len() > limits.body_bytes {
+                return Err(StreamError::from(HttpError::BodyTooLarge));
+            }
+            if !body.push(&piece) {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    };
+    match until(deadline, reading).await {
+        Some(Ok(true)) => Ok(Some(body)),
+        Some(Ok(false)) => Err(overloaded_notice().into()),
         Some(Err(error)) => Err(to_failure(error, limits)),
         None => Err(RefusalNotice::new(ResultCode::BodyTooSlow, "").into()),
     }
 }
 
+/// Refuses a request whose body does not fit in memory beside those of others.
+fn overloaded_notice() -> RefusalNotice {
+    RefusalNotice::new(ResultCode::Overloaded, "").retry_after_ms(DEFAULT_RETRY_AFTER_MS)
+}
+
 fn to_failure(error: StreamError, limits: &CallerLimits) -> ReadFailure {
     let StreamError::Malformed { source } = error else {
         return ReadFailure::Gone;
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -10,6 +10,7 @@
 use super::GatewayContext;
 use super::answer::ConnectionPersistence;
 use super::body::{ReadFailure, read_body, read_head};
+use super::body_memory::CallerBody;
 use super::context::CallerGuard;
 use super::exchange::{AnswerOutcome, refuse_unrouted, serve_request};
 use super::last_answer::wait_for_accept_end;
@@ -27,7 +28,7 @@
 const READ_AHEAD_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How long the rest of a request that was refused before it was read is discarded, in milliseconds.
-const DISCARD_MS: u64 = 300;
+const DISCARD_MS: u64 = 1_000;
 
 /// Serves the requests of one connection until it is closed.
 pub async fn serve_caller(context: Arc<GatewayContext>, stream: TcpStream, _guard: CallerGuard) {
@@ -37,8 +38,11 @@
         let idle_until = clock::now().after_ms(limits.idle_timeout_ms);
         let request = match read_head(&mut stream, &limits, idle_until).await {
             Ok(head) => match read_body_until_exit(&context, &mut stream, &head, &limits).await {
-                Ok(body) => body.map(|body| (head, body)),
-                Err(notice) => return refuse_unread(&context, &mut stream, &head, &notice).await,
+                Ok(body) => Ok((head, body)),
+                Err(ReadFailure::Refused(notice)) => {
+                    return refuse_unread(&context, &mut stream, &head, &notice).await;
+                }
+                Err(failure) => Err(failure),
             },
             Err(failure) => Err(failure),
         };
@@ -66,19 +70,18 @@
     }
 }
 
-/// Reads a request's body. The error is the request's answer if this VM accepts no more requests before the body is
-/// complete.
+/// Reads a request's body; it is refused if this VM accepts no more requests before the body is complete.
 async fn read_body_until_exit(
     context: &GatewayContext,
     stream: &mut HttpStream,
     head: &RequestHead,
     limits: &CallerLimits,
-) -> Result<Result<Option<Vec<u8>>, ReadFailure>, RefusalNotice> {
-    let reading = std::pin::pin!(read_body(stream, head, limits));
+) -> Result<Option<CallerBody>, ReadFailure> {
+    let reading = std::pin::pin!(read_body(stream, head, limits, &context.body_memory));
     let exiting = std::pin::pin!(wait_for_accept_end(&context.control, &context.own.name));
     match select(reading, exiting).await {
-        Either::Left((body, _)) => Ok(body),
-        Either::Right((notice, _)) => Err(notice),
+        Either::Left((body, _)) => body,
+        Either::Right((notice, _)) => Err(notice.into()),
     }
 }
 
@@ -119,7 +122,7 @@
     context: &Arc<GatewayContext>,
     stream: &mut HttpStream,
     head: RequestHead,
-    body: Option<Vec<u8>>,
+    body: Option<CallerBody>,
 ) -> ConnectionPersistence {
     let socket = stream.socket().clone();
     let facts = context.protocol.read_request(&head);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwap;
 
 use super::WireProtocol;
+use super::body_memory::BodyMemory;
 use super::metrics::GatewayMetrics;
 use super::pool::ConnectionPool;
 use super::statements::UnknownAttributes;
@@ -38,6 +39,8 @@
     pub metrics: GatewayMetrics,
     /// Idle connections to replicas.
     pub pool: ConnectionPool,
+    /// Memory that callers' bodies take.
+    pub body_memory: Arc<BodyMemory>,
     /// Reported attributes of replicas that the adapter does not know.
     pub unknown_attributes: UnknownAttributes,
     /// Requests lost on connections that may not have reached a replica.
@@ -75,6 +78,7 @@
             selector: ReplicaSelector::new(own.zone.clone(), own.incarnation as u64),
             replicas: Arc::default(),
         };
+        let body_memory = BodyMemory::new(settings.capacity.memory_bytes);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             own,
@@ -82,6 +86,7 @@
             protocol,
             metrics,
             pool: ConnectionPool::default(),
+            body_memory,
             unknown_attributes: UnknownAttributes::default(),
             unproven_losses: UnprovenLosses::default(),
             selector: Mutex::new(selector),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,13 +7,14 @@
 use futures::future::{Either, select};
 
 use super::answer::{ConnectionPersistence, refusal_status, write_refusal};
+use super::body_memory::CallerBody;
 use super::call::serve_call;
 use super::exposure::RunExposure;
 use super::last_answer::wait_for_last_answer;
 use super::split::serve_stream;
 use super::trace::{RequestOutcome, RequestTrace};
 use super::{GatewayContext, RequestFacts};
-use crate::blackboard::{FeatureSet, RequestFeature, hash_parts, join_hashes};
+use crate::blackboard::{FeatureSet, RequestFeature, hash_with_segments, join_hashes};
 use crate::clock;
 use crate::http::RequestHead;
 use crate::prelude::*;
@@ -41,7 +42,7 @@
     /// Request head as sent by the caller.
     pub head: RequestHead,
     /// Request body; empty if there is none.
-    pub body: Vec<u8>,
+    pub body: CallerBody,
     /// Whether the request has a body, which may be empty.
     pub has_body: bool,
     /// The platform's facts, read from the head.
@@ -95,7 +96,7 @@
     socket: &TcpStream,
     head: RequestHead,
     facts: RequestFacts,
-    body: Option<Vec<u8>>,
+    body: Option<CallerBody>,
 ) -> AnswerOutcome {
     let received_at = clock::now();
     context.control.catch_up().await;
@@ -177,15 +178,18 @@
     }
 }
 
-fn find_features(head: &RequestHead, facts: &RequestFacts, body: &[u8], service: &str) -> FeatureSet {
+fn find_features(head: &RequestHead, facts: &RequestFacts, body: &CallerBody, service: &str) -> FeatureSet {
     let host = head.host().unwrap_or_default();
-    let content = hash_parts(&[
-        head.method.as_bytes(),
-        host.as_bytes(),
-        head.target.as_bytes(),
-        &facts.credentials,
-        body,
-    ]);
+    let content = hash_with_segments(
+        &[
+            head.method.as_bytes(),
+            host.as_bytes(),
+            head.target.as_bytes(),
+            &facts.credentials,
+        ],
+        body.len(),
+        body.segments(),
+    );
     let model = match facts.model.as_str() {
         "" => service,
         model => model,
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -28,7 +28,7 @@
         replica,
         method: "GET",
         head: context.protocol.write_health_check(replica, path),
-        body: b"",
+        body: None,
         request_id: "",
         stage: None,
         has_permit: true,
--- a/src/gateway/life_check.rs
+++ b/src/gateway/life_check.rs
@@ -167,7 +167,7 @@
                 .context
                 .protocol
                 .write_health_check(self.replica, path.unwrap_or(DEFAULT_HEALTH_PATH)),
-            body: b"",
+            body: None,
             request_id: "",
             stage: None,
             has_permit: rate_permit.is_some(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod answer_end;
 mod body;
+mod body_memory;
 mod call;
 mod caller;
 mod context;
--- a/src/gateway/order.rs
+++ b/src/gateway/order.rs
@@ -25,7 +25,7 @@
         replica,
         method: "POST",
         head,
-        body: b"",
+        body: None,
         request_id: "",
         stage: None,
         has_permit: false,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -80,7 +80,7 @@
         replica: lease.replica(),
         method: &request.head.method,
         head: context.protocol.write_request(&request.head, &order),
-        body: &request.body,
+        body: Some(&request.body),
         request_id: &request.facts.id,
         stage: Some(RunStage::Call),
         has_permit: rate_permit.is_some(),
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -266,7 +266,7 @@
             replica: &replica,
             method: &request.head.method,
             head: self.context.protocol.write_request(&request.head, &order),
-            body: &request.body,
+            body: Some(&request.body),
             request_id: &request.facts.id,
             stage: Some(RunStage::Decode),
             has_permit: placement.permits.decode,
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,6 +5,7 @@
 use futures::future::{Either, select};
 use snafu::Snafu;
 
+use super::body_memory::CallerBody;
 use super::exchange::CallerRequest;
 use super::life_check::WitnessConnection;
 use super::loss::{ReplicaContact, RunStage};
@@ -121,8 +122,8 @@
     pub method: &'a str,
     /// Request head, ready to be sent; a small body is appended before sending.
     pub head: Vec<u8>,
-    /// Request body; empty if there is none.
-    pub body: &'a [u8],
+    /// Request body; `None` if there is none.
+    pub body: Option<&'a CallerBody>,
     /// Id that identifies the response as this request's; empty if any response counts as its own.
     pub request_id: &'a str,
     /// Work that the replica does for a caller; `None` for requests of the gateway itself.
@@ -305,8 +306,9 @@
     };
     let asked_at = clock::now();
     let mut is_body_sent = true;
-    let mut head = if request.body.len() <= SMALL_BODY_BYTES {
-        request.head.extend_from_slice(request.body);
+    let segments = || request.body.into_iter().flat_map(CallerBody::segments);
+    let mut head = if segments().map(<[u8]>::len).sum::<usize>() <= SMALL_BODY_BYTES {
+        segments().for_each(|segment| request.head.extend_from_slice(segment));
         // A replica that closed the connection may have sent a response before.
         let written = stream.write(&request.head).await;
         match stream.read_response(ANSWER_HEAD_LIMITS).await {
@@ -375,7 +377,10 @@
 ) -> Result<(ResponseHead, bool), StreamError> {
     let writing = async {
         socket.write_all(&request.head).await?;
-        socket.write_all(request.body).await
+        for segment in request.body.into_iter().flat_map(CallerBody::segments) {
+            socket.write_all(segment).await?;
+        }
+        Ok::<(), std::io::Error>(())
     };
     let writing = std::pin::pin!(writing);
     let reading = std::pin::pin!(stream.read_response(ANSWER_HEAD_LIMITS));
