Send nothing to an engine whose statistics were dropped

Cause: the check before a send asks whether the replica has stopped, and a replica without statistics counted as one that has not. Statistics are dropped 1.6 s after a replica left the list, so the check held only until then. A generation whose prompt takes longer was granted its decode engine before the removal.

Change: a replica without statistics has stopped. The request goes to another engine with its prompt.

Related paths: plain calls choose and send at once, and the same check stands before each send; health checks and orders don't ask it.

--- a/src/controllers/dispatch/selector.rs
+++ b/src/controllers/dispatch/selector.rs
@@ -242,10 +242,11 @@
         first
     }
 
-    /// Whether a replica is leaving and gets no more requests from callers.
+    /// Whether a replica is leaving and gets no more requests from callers. One without statistics is no longer
+    /// listed, since these are dropped once it has stopped.
     pub fn is_stopped(&self, record: &ReplicaRecord, now: Moment) -> bool {
         let stats = self.replica_stats.get(&record.id);
-        stats.is_some_and(|stats| {
+        stats.is_none_or(|stats| {
             stats.record.started_epoch_ms == record.started_epoch_ms && stats.is_stopped(now)
         })
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod deadly_part;
 mod decisions;
 mod endless;
+mod engine_removal;
 mod equal_reads;
 mod faults;
 mod fixture;
