--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -138,7 +138,10 @@
                 format!("It was refused with code {}.", ended.field("code")),
             ),
         },
-        "failed" => cause_of_failure(timeline, ended),
+        "failed" => match timeline.last("refused") {
+            Some(refused) if refused.field("reason") == "left_during_run" => cause_of_refusal(refused),
+            _ => cause_of_failure(timeline, ended),
+        },
         "cut" => cause_of_cut(timeline, ended),
         _ => cause_of_disconnect(timeline, ended),
     }
@@ -236,6 +239,7 @@
         "rate_limited" => FailureCause::RateLimited,
         "upstream_failed" | "outcome_unknown" => FailureCause::ReplicaBroke,
         "deadline_during_run" => FailureCause::ReplicaSilent,
+        "leaving" | "left_during_run" => FailureCause::VmExited,
         _ => FailureCause::BadRequest,
     };
     let detail = refused.field("detail");
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -36,6 +36,11 @@
         ),
         ("served", ended("served", "first_ms=60 events=5 idle_ms=10")),
         ("queue full", refusal("queue_full", 3002)),
+        ("refused as its node left", refusal("leaving", 2005)),
+        (
+            "running as its node left",
+            refusal("left_during_run", 4006).replace("outcome=refused", "outcome=failed"),
+        ),
         ("no replica", refusal("no_upstream", 2004)),
         ("fresh process", refusal("no_register", 2006)),
         (
