Look at the exit first where a request's chance before it is estimated

The owner's pass over its queue estimated the time of each waiting request before it looked whether the request's VM exits at all, which is rare. The outcome is the same. Found by reading.

--- a/src/controllers/slots/ledger/estimate.rs
+++ b/src/controllers/slots/ledger/estimate.rs
@@ -125,8 +125,8 @@
         wait_ms: u64,
         now: Moment,
     ) -> Option<RefusalNotice> {
-        let needed_ms = wait_ms + self.generation_ms(request, request.expected_tokens);
         let left_ms = now.until_ms(request.cut_at?);
+        let needed_ms = wait_ms + self.generation_ms(request, request.expected_tokens);
         if needed_ms <= left_ms {
             return None;
         }
