Keep one record of whether a request may have run

A send is withdrawn from the exposure exactly where the handlers' flags stayed unset (not run, misdirected, unsent, withheld, without a permit), so they ask the exposure now. - The refusal of a leaving VM was built in four places: `GatewayContext::leaving_notice`. - The tokens that a stream has generated were counted twice, once with an overflow that saturates: `generated_tokens`. - The loop over a caller's requests matched the failure of a head and of a body through one nested result; each is handled where it occurs. - `runtime/departure.rs` holds `ExitNotice` and is named after it.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -40,8 +40,6 @@
     charges: BudgetCharges,
     /// Number of sends that failed before a byte left.
     unsent_attempts: usize,
-    /// Whether the call may have run.
-    may_have_run: bool,
     /// The latest error response that a replica signed as its own.
     own_error: Option<(ResponseHead, Vec<u8>)>,
     /// Refusal of the quarantine, if the call may not run any more.
@@ -93,7 +91,7 @@
         let rule = &request.rule;
         progress.sends < rule.attempts
             && progress.unsent_attempts < MAX_UNSENT_ATTEMPTS
-            && (!progress.may_have_run || rule.kind.may_repeat())
+            && (!request.exposure.may_have_run() || rule.kind.may_repeat())
             && !clock::now().reached(request.deadline)
     }
 
@@ -236,18 +234,16 @@
     fn record_failure(&mut self, result: SendResult) {
         let progress = &mut self.progress;
         match result {
-            SendResult::Answer(..) | SendResult::LongAnswer(..) => {}
-            SendResult::OwnError(head, body) => {
-                progress.may_have_run = true;
-                progress.own_error = Some((head, body));
-            }
-            SendResult::NotRun { was_sent: true } => {}
+            SendResult::OwnError(head, body) => progress.own_error = Some((head, body)),
             SendResult::NotRun { was_sent: false } => self.uncount_send(),
             SendResult::Unpermitted(replica) => {
                 progress.tried.retain(|tried| *tried != replica);
                 self.uncount_send();
             }
-            SendResult::MayHaveRun => progress.may_have_run = true,
+            SendResult::Answer(..)
+            | SendResult::LongAnswer(..)
+            | SendResult::NotRun { was_sent: true }
+            | SendResult::MayHaveRun => {}
         }
     }
 
@@ -290,7 +286,7 @@
             .context
             .with_selector(|selector| selector.first_backoff_end(&request.service, ReplicaRole::Plain, now));
         let retry_ms = backoff_ends_at.map_or(DEFAULT_RETRY_AFTER_MS, |ends_at| now.until_ms(ends_at));
-        let notice = match (progress.may_have_run, is_late) {
+        let notice = match (request.exposure.may_have_run(), is_late) {
             (true, true) => RefusalNotice::new(ResultCode::DeadlineDuringRun, ""),
             (true, false) => failed_notice(progress.quarantine_notice.as_ref()),
             (false, false) if progress.quarantine_notice.is_some() => {
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -36,35 +36,25 @@
     loop {
         let limits = context.snapshot().register.limits;
         let idle_until = clock::now().after_ms(limits.idle_timeout_ms);
-        let request = match read_head(&mut stream, &limits, idle_until).await {
-            Ok(head) => match read_body_until_exit(&context, &mut stream, &head, &limits).await {
-                Ok(body) => Ok((head, body)),
-                Err(ReadFailure::Refused(notice)) => {
-                    return refuse_unread(&context, &mut stream, &head, &notice).await;
-                }
-                Err(failure) => Err(failure),
-            },
-            Err(failure) => Err(failure),
-        };
-        match request {
-            Ok((head, body)) => {
-                if serve_one(&context, &mut stream, head, body).await != ConnectionPersistence::Keep {
-                    return;
-                }
-            }
+        let head = match read_head(&mut stream, &limits, idle_until).await {
+            Ok(head) => head,
             Err(ReadFailure::Gone) => return,
             Err(ReadFailure::Refused(notice)) => {
                 let revision = context.snapshot().revision;
-                refuse_unrouted(
-                    stream.socket(),
-                    &notice,
-                    ConnectionPersistence::Close,
-                    "-",
-                    revision,
-                )
-                .await;
+                let persistence = ConnectionPersistence::Close;
+                refuse_unrouted(stream.socket(), &notice, persistence, "-", revision).await;
                 return;
             }
+        };
+        let body = match read_body_until_exit(&context, &mut stream, &head, &limits).await {
+            Ok(body) => body,
+            Err(ReadFailure::Gone) => return,
+            Err(ReadFailure::Refused(notice)) => {
+                return refuse_unread(&context, &mut stream, &head, &notice).await;
+            }
+        };
+        if serve_one(&context, &mut stream, head, body).await != ConnectionPersistence::Keep {
+            return;
         }
         stream.shrink();
     }
@@ -78,7 +68,7 @@
     limits: &CallerLimits,
 ) -> Result<Option<CallerBody>, ReadFailure> {
     let reading = std::pin::pin!(read_body(stream, head, limits, &context.body_memory));
-    let exiting = std::pin::pin!(wait_for_accept_end(&context.control, &context.own.name));
+    let exiting = std::pin::pin!(wait_for_accept_end(context));
     match select(reading, exiting).await {
         Either::Left((body, _)) => body,
         Either::Right((notice, _)) => Err(notice.into()),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -115,6 +115,11 @@
         self.control.snapshot()
     }
 
+    /// The refusal of a request that this VM does not serve because it leaves; another VM may take it at once.
+    pub fn leaving_notice(&self) -> RefusalNotice {
+        RefusalNotice::new(ResultCode::Leaving, &*self.own.name).retry_after_ms(0)
+    }
+
     /// Returns the number of tokens per event in a service's streams; 1 if the service has no engine rule.
     pub fn event_tokens(&self, service: &str) -> u64 {
         let snapshot = self.snapshot();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -170,8 +170,7 @@
             RouteKind::Stream { .. } => serve_stream(context, socket, request).await,
         }
     });
-    let own = &context.own.name;
-    let exiting = std::pin::pin!(wait_for_last_answer(&context.control, &request.exposure, own));
+    let exiting = std::pin::pin!(wait_for_last_answer(context, &request.exposure));
     match select(serving, exiting).await {
         Either::Left((outcome, _)) => Ok(outcome),
         Either::Right((notice, _)) => Err(notice),
@@ -244,7 +243,7 @@
     if !now.reached(accept_until) && now.after_ms(span_ms) <= exit_at {
         return Ok(());
     }
-    Err(RefusalNotice::new(ResultCode::Leaving, &*context.own.name).retry_after_ms(0))
+    Err(context.leaving_notice())
 }
 
 /// Answers a routed request with a refusal.
--- a/src/gateway/exposure.rs
+++ b/src/gateway/exposure.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
-/// What became of a request so far.
+/// Whether a request may have run, and whether its answer has begun.
 #[derive(Debug, Default)]
 pub struct RunExposure {
     /// Sends that may have run the request, including those in progress.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -222,8 +222,7 @@
     last_event_at: Moment,
 ) -> PlacementRequest {
     let rule = &request.rule;
-    let done_tokens = events.saturating_mul(context.event_tokens(&request.service));
-    let done_tokens = u32::try_from(done_tokens).unwrap_or(u32::MAX);
+    let done_tokens = generated_tokens(context, &request.service, events);
     PlacementRequest {
         priority: STARTED_PRIORITY,
         may_be_late: true,
@@ -263,6 +262,12 @@
     );
 }
 
+/// Returns how many tokens a stream has generated in so many events.
+pub(super) fn generated_tokens(context: &GatewayContext, service: &str, events: u64) -> u32 {
+    let tokens = events.saturating_mul(context.event_tokens(service));
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
 /// Estimates how many tokens a request generates.
 pub(super) fn expected_tokens(facts: &RequestFacts) -> u32 {
     let usual = u64::from(facts.output_tokens) * EXPECTED_OUTPUT_PERCENT / 100;
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -10,7 +10,7 @@
 use super::exchange::{AnswerOutcome, CallerRequest, DEFAULT_RETRY_AFTER_MS, refuse};
 use super::loss::{LostSend, ReplicaContact, RunStage, report_loss};
 use super::paid_sends::BudgetCharges;
-use super::place::{EnginePlacement, PlacementCriteria, expected_tokens};
+use super::place::{EnginePlacement, PlacementCriteria, expected_tokens, generated_tokens};
 use super::prompt::{PrefillStep, PrefilledPrompt};
 use super::relay::AnswerWriter;
 use super::send::record_send;
@@ -55,7 +55,6 @@
         prefilled_prompt: None,
         crashed_prefills: 0,
         unpermitted_attempts: 0,
-        may_have_run: false,
         writer: None,
         content_type: None,
         sent_events: EventSequence::default(),
@@ -101,8 +100,6 @@
     crashed_prefills: u32,
     /// Number of attempts that failed because an engine turned out to need a rate permit.
     unpermitted_attempts: u32,
-    /// Whether a decode engine may have begun to run the request.
-    may_have_run: bool,
     /// Writer of the answer; `None` until the first events or the end of an answer arrive.
     writer: Option<AnswerWriter<'a>>,
     /// Media type of the answer that the caller reads.
@@ -118,8 +115,7 @@
         loop {
             match self.attempt().await {
                 Some(AttemptOutcome::Done(outcome)) => return outcome,
-                Some(AttemptOutcome::NotRun) => {}
-                Some(AttemptOutcome::Broken) => self.may_have_run = true,
+                Some(AttemptOutcome::NotRun | AttemptOutcome::Broken) => {}
                 None => return self.abandon().await,
             }
         }
@@ -131,7 +127,7 @@
         let may_send = self.sends < rule.attempts
             && self.crashed_prefills < MAX_CRASHED_PREFILLS
             && self.unpermitted_attempts < MAX_UNPERMITTED_ATTEMPTS
-            && (!self.may_have_run || rule.kind.may_repeat())
+            && (!self.request.exposure.may_have_run() || rule.kind.may_repeat())
             && self.can_resume()
             && !clock::now().reached(self.request.deadline);
         if !may_send {
@@ -210,15 +206,14 @@
             return true;
         };
         let request = self.request;
-        let done_tokens = request.trace.record().events * self.context.event_tokens(&request.service);
-        let done_tokens = u32::try_from(done_tokens).unwrap_or(u32::MAX);
+        let events = request.trace.record().events;
+        let done_tokens = generated_tokens(self.context, &request.service, events);
         let tokens = expected_tokens(&request.facts).saturating_sub(done_tokens);
         let needed_ms = self.context.slow_generation_ms(&request.service, tokens);
         let ends_at = clock::now().after_ms(needed_ms.unwrap_or_default());
         let is_in_time = ends_at <= exit_at.after_ms(LAST_RUN_MS);
         if !is_in_time {
-            let notice = RefusalNotice::new(ResultCode::Leaving, &*self.context.own.name);
-            self.refusal = Some(notice.retry_after_ms(0));
+            self.refusal = Some(self.context.leaving_notice());
         }
         is_in_time
     }
@@ -539,7 +534,7 @@
             return AnswerOutcome::Cut;
         }
         let is_late = clock::now().reached(request.deadline);
-        let notice = match (self.may_have_run, is_late) {
+        let notice = match (request.exposure.may_have_run(), is_late) {
             (true, true) => RefusalNotice::new(ResultCode::DeadlineDuringRun, ""),
             (true, false) => failed_notice(self.quarantine_notice()),
             (false, true) => RefusalNotice::new(ResultCode::DeadlineTooNear, ""),
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -11,7 +11,7 @@
 use super::Snapshot;
 use super::catch_up::{MAX_WAIT, SuspensionTracker};
 use super::clock_watch::ClockWatch;
-use super::departure::ExitNotice;
+use super::exit_notice::ExitNotice;
 use super::lock;
 use crate::blackboard::{DrainFacts, ReplicaId};
 use crate::clock;
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -3,7 +3,7 @@
 mod catch_up;
 mod clock_watch;
 mod control;
-mod departure;
+mod exit_notice;
 mod gateway_node;
 mod lock;
 mod node;
@@ -16,7 +16,7 @@
 
 pub use catch_up::SuspensionTracker;
 pub use control::{ActiveRequestGuard, ControlHandle, ControlOutput};
-pub use departure::{ExitNotice, LAST_RUN_MS, wait_until};
+pub use exit_notice::{ExitNotice, LAST_RUN_MS, wait_until};
 pub use gateway_node::{GatewayAdapter, SettingsReader, run_gateway};
 pub use lock::lock;
 pub use node::{NodeError, run_node};
