Drop what results repeat of a request's exposure

Change: both have one variant for "no response to pass on"; a send of which no byte left stays apart, since it is not counted.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -235,15 +235,12 @@
         let progress = &mut self.progress;
         match result {
             SendResult::OwnError(head, body) => progress.own_error = Some((head, body)),
-            SendResult::NotRun { was_sent: false } => self.uncount_send(),
+            SendResult::Unsent => self.uncount_send(),
             SendResult::Unpermitted(replica) => {
                 progress.tried.retain(|tried| *tried != replica);
                 self.uncount_send();
             }
-            SendResult::Answer(..)
-            | SendResult::LongAnswer(..)
-            | SendResult::NotRun { was_sent: true }
-            | SendResult::MayHaveRun => {}
+            SendResult::Answer(..) | SendResult::LongAnswer(..) | SendResult::Unanswered => {}
         }
     }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -33,12 +33,12 @@
     LongAnswer(Box<UpstreamAnswer>, Vec<u8>, Box<SendAdmission>),
     /// An error response that the replica signed as its own.
     OwnError(ResponseHead, Vec<u8>),
-    /// The request has certainly not run; `was_sent` is whether any byte of it left.
-    NotRun { was_sent: bool },
+    /// No byte of the request left.
+    Unsent,
     /// Nothing was sent: the replica now reports a rate limit and the send has no permit.
     Unpermitted(ReplicaId),
-    /// The request may have run at the replica.
-    MayHaveRun,
+    /// There is no response to pass on; the request's exposure tells whether it may have run.
+    Unanswered,
 }
 
 /// The slot and permits that one send holds.
@@ -120,11 +120,11 @@
         }
         Err(ExchangeError::Unsent { .. }) => {
             lease.finish(SendOutcome::Failed);
-            SendResult::NotRun { was_sent: false }
+            SendResult::Unsent
         }
         Err(ExchangeError::Withheld) => {
             lease.finish(SendOutcome::Refused);
-            SendResult::NotRun { was_sent: false }
+            SendResult::Unsent
         }
         Err(ExchangeError::Unpermitted) => {
             let replica = lease.id().clone();
@@ -148,11 +148,11 @@
                 };
                 report_loss(context, request, lost).await;
             }
-            SendResult::MayHaveRun
+            SendResult::Unanswered
         }
         Err(ExchangeError::Deadline) => {
             drop(lease);
-            SendResult::MayHaveRun
+            SendResult::Unanswered
         }
     }
 }
@@ -178,15 +178,15 @@
             let replica = lease.id().clone();
             context.control.send_event(Event::ReplicaReplaced { replica });
             lease.finish(SendOutcome::Failed);
-            return SendResult::NotRun { was_sent: true };
+            return SendResult::Unanswered;
         }
         AnswerVerdict::NotRun => {
             lease.finish(SendOutcome::Refused);
-            return SendResult::NotRun { was_sent: true };
+            return SendResult::Unanswered;
         }
         AnswerVerdict::Untrusted => {
             lease.finish(SendOutcome::Failed);
-            return SendResult::MayHaveRun;
+            return SendResult::Unanswered;
         }
         AnswerVerdict::Final | AnswerVerdict::OwnError => {}
     }
@@ -205,7 +205,7 @@
             if let Err(broken_end) = end {
                 let broken = BrokenAnswer::from_end(answer.framing, broken_end);
                 record_broken_answer(context, request, lease, &permit, broken).await;
-                return SendResult::MayHaveRun;
+                return SendResult::Unanswered;
             }
             let head = answer.head.clone();
             answer.release(context, lease.id());
@@ -220,9 +220,9 @@
         Some(Err(error)) => {
             let broken = BrokenAnswer::from_error(answer.framing, &error);
             record_broken_answer(context, request, lease, &permit, broken).await;
-            SendResult::MayHaveRun
+            SendResult::Unanswered
         }
-        None => SendResult::MayHaveRun,
+        None => SendResult::Unanswered,
     }
 }
 
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -69,10 +69,8 @@
 enum AttemptOutcome {
     /// The answer ended: it is complete, or the caller is gone.
     Done(AnswerOutcome),
-    /// The request has not run on the decode engine.
-    NotRun,
-    /// The request may have run, and the answer is not complete.
-    Broken,
+    /// There is no complete answer; the request's exposure tells whether it may have run.
+    Unanswered,
 }
 
 /// A request that runs on a decode engine.
@@ -115,7 +113,7 @@
         loop {
             match self.attempt().await {
                 Some(AttemptOutcome::Done(outcome)) => return outcome,
-                Some(AttemptOutcome::NotRun | AttemptOutcome::Broken) => {}
+                Some(AttemptOutcome::Unanswered) => {}
                 None => return self.abandon().await,
             }
         }
@@ -166,11 +164,11 @@
             PrefillStep::LeftToDecode => None,
             PrefillStep::Unpermitted => {
                 self.unpermitted_attempts += 1;
-                return Some(AttemptOutcome::NotRun);
+                return Some(AttemptOutcome::Unanswered);
             }
             PrefillStep::EngineCrashed => {
                 self.crashed_prefills += 1;
-                return Some(AttemptOutcome::NotRun);
+                return Some(AttemptOutcome::Unanswered);
             }
         };
         if self.sends >= rule.attempts {
@@ -314,20 +312,20 @@
                 placement.record_decode(EngineOutcome::Unreachable);
                 self.prefilled_prompt = prompt;
                 self.sends -= 1;
-                AttemptOutcome::NotRun
+                AttemptOutcome::Unanswered
             }
             Err(ExchangeError::Withheld) => {
                 placement.record_decode(EngineOutcome::Full);
                 self.prefilled_prompt = prompt;
                 self.sends -= 1;
-                AttemptOutcome::NotRun
+                AttemptOutcome::Unanswered
             }
             Err(ExchangeError::Unpermitted) => {
                 self.tried.retain(|tried| *tried != replica.id);
                 self.prefilled_prompt = prompt;
                 self.unpermitted_attempts += 1;
                 self.sends -= 1;
-                AttemptOutcome::NotRun
+                AttemptOutcome::Unanswered
             }
             Err(ExchangeError::Lost {
                 is_disconnect,
@@ -345,9 +343,9 @@
                     report_loss(self.context, request, lost).await;
                 }
                 placement.record_decode(EngineOutcome::Failed);
-                AttemptOutcome::Broken
+                AttemptOutcome::Unanswered
             }
-            Err(ExchangeError::Deadline) => AttemptOutcome::Broken,
+            Err(ExchangeError::Deadline) => AttemptOutcome::Unanswered,
         }
     }
 
@@ -363,18 +361,18 @@
             AnswerVerdict::Final => {}
             AnswerVerdict::OwnError | AnswerVerdict::Untrusted => {
                 placement.record_decode(EngineOutcome::Failed);
-                return AttemptOutcome::Broken;
+                return AttemptOutcome::Unanswered;
             }
             AnswerVerdict::NotRun => {
                 placement.record_decode(EngineOutcome::Full);
-                return AttemptOutcome::NotRun;
+                return AttemptOutcome::Unanswered;
             }
             AnswerVerdict::Misdirected => {
                 let replica = placement.decode.id.clone();
                 self.context
                     .control
                     .send_event(Event::ReplicaReplaced { replica });
-                return AttemptOutcome::NotRun;
+                return AttemptOutcome::Unanswered;
             }
         }
         // The caller has read the beginning of a stream, so only its continuation may follow.
@@ -387,7 +385,7 @@
         loop {
             if clock::now().reached(self.request.deadline) {
                 // `until` never times out while data is always available, so the deadline is checked here.
-                return AttemptOutcome::Broken;
+                return AttemptOutcome::Unanswered;
             }
             let piece = match until(self.request.deadline, answer.read()).await {
                 Some(Ok(Some(piece))) => piece,
@@ -420,7 +418,7 @@
                     }
                     return self.record_broken_stream(&mut placement, &answer, &error.to_string());
                 }
-                None => return AttemptOutcome::Broken,
+                None => return AttemptOutcome::Unanswered,
             };
             let events = splitter.push(&piece);
             if splitter.is_overlong() {
@@ -478,7 +476,7 @@
             answer.framing.as_str()
         );
         placement.record_decode(EngineOutcome::Failed);
-        AttemptOutcome::Broken
+        AttemptOutcome::Unanswered
     }
 
     /// Records events that are passed on, for the trace and the metrics.
