Read all items when a watch's answer is too long

Ruled out: a larger limit on bodies, which only moves the size at which it happens and costs memory. Change: an answer over the limit, or two watches in a row that time out, make the next read a range, which has the latest version only.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,7 @@
 use snafu::Snafu;
 
 use crate::clock;
-use crate::http::{BodyDecoder, HeadLimits, HeadWriter, frame_response};
+use crate::http::{BodyDecoder, HeadLimits, HeadWriter, HttpError, frame_response};
 use crate::prelude::*;
 use crate::transport::{HttpStream, StreamError, until};
 
@@ -51,6 +51,14 @@
     },
 }
 
+impl StoreError {
+    /// Whether the answer was longer than [`BODY_LIMIT_BYTES`], so that the same call would fail again.
+    pub fn is_too_large(&self) -> bool {
+        let too_large = HttpError::BodyTooLarge;
+        matches!(self, Self::Connection { source: StreamError::Malformed { source } } if *source == too_large)
+    }
+}
+
 /// One item of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreItem {
--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -14,6 +14,10 @@
 /// The revision of a list that never had an entry; zero stands for a list that was never read.
 const FIRST_REVISION: u64 = 1;
 
+/// How many watches in a row may time out before all items are read instead: a watch returns every version since
+/// its revision, which may be too much for the VM's link, and a range returns the latest only.
+const MAX_WATCH_TIMEOUTS: u32 = 2;
+
 /// How often a VM that does not follow the items checks whether it should.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -82,6 +86,8 @@
     backoff: Backoff,
     /// The store's revision from which the next watch continues; `None` when a full read is due.
     cursor: Option<u64>,
+    /// Watches in a row that timed out.
+    watch_timeouts: u32,
     /// The revision of the last change that was read.
     last_revision: u64,
     /// Whether this VM was a reader at the last check.
@@ -99,6 +105,7 @@
             control,
             backoff: Backoff::new(),
             cursor: None,
+            watch_timeouts: 0,
             last_revision: 0,
             was_due: false,
             next_watch_at: Moment::default(),
@@ -122,6 +129,7 @@
             match self.read().await {
                 Ok(reading) => {
                     self.backoff.reset();
+                    self.watch_timeouts = 0;
                     self.control.send_event((self.target.to_event)(true));
                     if !reading.items.is_empty() && !reading.is_full {
                         let batch_delay_ms = (self.target.timing.batch_delay_ms)(&self.control.snapshot());
@@ -138,6 +146,7 @@
                         "event=store_read_failed prefix={} reason=\"{error}\"",
                         self.target.prefix
                     );
+                    self.reconsider_cursor(&error);
                     self.control.send_event((self.target.to_event)(false));
                     self.backoff.pause().await;
                 }
@@ -145,6 +154,17 @@
         }
     }
 
+    /// Makes the next read a full one if a watch from the cursor would probably fail again.
+    fn reconsider_cursor(&mut self, error: &StoreError) {
+        self.watch_timeouts = match error {
+            StoreError::TimedOut if self.cursor.is_some() => self.watch_timeouts + 1,
+            _ => 0,
+        };
+        if error.is_too_large() || self.watch_timeouts >= MAX_WATCH_TIMEOUTS {
+            self.cursor = None;
+        }
+    }
+
     async fn read(&mut self) -> Result<FollowedReading, StoreError> {
         let since = self.last_revision;
         let (reading, is_full) = match self.cursor {
--- a/tests/platform/config_spread.rs
+++ b/tests/platform/config_spread.rs
@@ -178,3 +178,23 @@
     let took = fleet.measure_until_served(&[0, 1, 2], NEW_REPLICA, IN_FORCE_WITHIN + PATIENCE);
     assert!(is_in_time(took, IN_FORCE_WITHIN), "{took:?}");
 }
+
+/// Length of a long version, in bytes, and how many of them make a watch's answer longer than a node reads.
+const LONG_VERSION_BYTES: usize = 380_000;
+const LONG_VERSIONS: u64 = 12;
+
+// Guards against a node that asks again and again for an answer that is too long, and keeps the old version meanwhile.
+#[test]
+fn a_node_alone_follows_though_the_versions_that_it_missed_are_longer_than_it_reads() {
+    let fleet = ConfigFleet::start(1);
+    fleet.proxies[0].set_mode(RouteMode::Partition, 0);
+    for version in 1..=LONG_VERSIONS {
+        let mut document = draft(FIRST_VERSION + version, NEW_SERVICE);
+        document["comment"] = "x".repeat(LONG_VERSION_BYTES).into();
+        fleet.publish(&document);
+    }
+    fleet.proxies[0].set_mode(RouteMode::Pass, 0);
+    let took = fleet.measure_until_served(&[0], NEW_REPLICA, CALM_AFTER + IN_FORCE_WITHIN + PATIENCE);
+    println!("in force after {took:?}");
+    assert!(is_in_time(took, CALM_AFTER + IN_FORCE_WITHIN), "{took:?}");
+}
