Follow changed seeds in who gives orders to engines

Cause: the VM that moves engines is the first seed, but a change of the seeds reached the settings only, not the blackboard. Change: changed seeds are an event. A VM that becomes the first seed, or was started again, gives no order for 9 s: 5 s in which the other one may notice its settings, 3 s between two holders, and a margin. While another VM's move is under way it gives none either.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -164,6 +164,17 @@
     pub handoff_at: Option<Moment>,
 }
 
+/// What the settings say of this VM's part among the seeds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeedFacts {
+    /// Whether this VM moves engines between the prefill and decode pools.
+    pub is_rebalancer: bool,
+    /// Whether this VM is one of the seeds.
+    pub is_seed: bool,
+    /// Number of other seeds.
+    pub other_seed_count: usize,
+}
+
 /// The state that controllers share.
 #[derive(Debug)]
 pub struct Blackboard {
--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -9,7 +9,7 @@
 use super::rate_limits::{LimitReport, PermitGrant, PermitRequest};
 use super::services::{ServiceRequest, ServiceResult};
 use super::slots::{EngineOutcome, PlacementRequest, PlacementResult, RequestId};
-use crate::blackboard::{Incarnation, ReplicaId, RequestFeature, TrialScope};
+use crate::blackboard::{Incarnation, ReplicaId, RequestFeature, SeedFacts, TrialScope};
 use crate::prelude::*;
 
 /// The sender of an offered register.
@@ -65,6 +65,11 @@
         /// Whether the service can be read now.
         is_reachable: bool,
     },
+    /// The seeds in the settings changed.
+    SeedsChanged {
+        /// This VM's part among the new seeds.
+        seeds: SeedFacts,
+    },
     /// A different replica answered at a replica's address.
     ReplicaReplaced {
         /// The replica that was expected there.
@@ -287,6 +292,7 @@
     ReplicasRead = "replicas_read",
     ListReachable = "list_reachable",
     ConfigReachable = "config_reachable",
+    SeedsChanged = "seeds_changed",
     ReplicaReplaced = "replica_replaced",
     ReplicaLeaving = "replica_leaving",
     VmsListed = "vms_listed",
--- a/src/controllers/rebalance.rs
+++ b/src/controllers/rebalance.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use super::message::PeerMessage;
-use crate::blackboard::{EngineView, ReplicaFacts, ReplicaId};
+use crate::blackboard::{EngineView, ReplicaFacts, ReplicaId, SeedFacts};
 use crate::prelude::*;
 use crate::register::EngineRole;
 
@@ -45,6 +45,11 @@
 /// Time between two checks of the pools, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 500;
 
+/// How long a VM waits after it has become the one that gives orders before it gives the first, in milliseconds. The
+/// other VM may notice its changed settings only after five seconds, and two VMs must not give orders to one engine
+/// within three seconds.
+const HOLDER_CHANGE_MS: u64 = 9_000;
+
 /// Low bits of a fencing token, which number the orders given at one revision of the store.
 const ORDER_NUMBER_BITS: u32 = 8;
 
@@ -89,9 +94,36 @@
     has_moved: bool,
     /// Whether the pools have reached their target sizes since this process started.
     has_settled: bool,
+    /// Until when another VM may still give orders, so that this one gives none.
+    other_holder_until: Moment,
 }
 
 impl RebalanceController {
+    /// Creates a controller for a process that starts now. Unless the whole deployment starts for the first
+    /// time, another VM may have given orders until now.
+    pub fn new(is_first_start: bool) -> Self {
+        Self {
+            other_holder_until: Moment(if is_first_start { 0 } else { HOLDER_CHANGE_MS }),
+            ..Self::default()
+        }
+    }
+
+    /// Takes over whether this VM gives orders from changed settings.
+    fn set_seeds(&mut self, seeds: SeedFacts, context: &mut ControlContext<'_>) {
+        let board = &mut context.board;
+        let was_rebalancer = std::mem::replace(&mut board.is_rebalancer, seeds.is_rebalancer);
+        board.is_seed = seeds.is_seed;
+        board.other_seed_count = seeds.other_seed_count;
+        if was_rebalancer != seeds.is_rebalancer {
+            self.other_holder_until = context.now.after_ms(HOLDER_CHANGE_MS);
+            context.log(format!(
+                "event=order_holder_changed gives_orders={}",
+                seeds.is_rebalancer
+            ));
+        }
+        context.publish();
+    }
+
     fn run_periodic(&mut self, context: &mut ControlContext<'_>) {
         let board = &context.board;
         // Fencing tokens are derived from the store's revision, which this process must have read itself:
@@ -100,6 +132,7 @@
             || board.store_revision == 0
             || board.list_revision == 0
             || board.drain.is_some()
+            || !context.now.reached(self.other_holder_until)
         {
             return;
         }
@@ -265,6 +298,8 @@
             fencing_token,
             until: context.now.after_ms(span_ms),
         });
+        // The engine that another VM has ordered is moving, so pools are not balanced before it has moved.
+        self.other_holder_until = self.other_holder_until.max(context.now.after_ms(span_ms));
         mark_busy(engine, span_ms, context);
         context.send_to_neighbors(&PeerMessage::EngineBusy {
             engine: engine.clone(),
@@ -281,12 +316,18 @@
 
 impl Controller for RebalanceController {
     fn subscriptions(&self) -> &'static [EventKind] {
-        &[EventKind::Tick, EventKind::PeerJoined, EventKind::PeerMessage]
+        &[
+            EventKind::Tick,
+            EventKind::SeedsChanged,
+            EventKind::PeerJoined,
+            EventKind::PeerMessage,
+        ]
     }
 
     fn handle(&mut self, event: &Event, context: &mut ControlContext<'_>) {
         match event {
             Event::Tick { .. } => self.run_periodic(context),
+            Event::SeedsChanged { seeds } => self.set_seeds(*seeds, context),
             Event::PeerJoined { introduction } => self.send_latest_order(&introduction.name, context),
             Event::PeerMessage {
                 message:
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -80,6 +80,7 @@
     "log_dropped", Belief, ["lines"], "Lines were dropped since the last such line.";
     "not_granted", Failure, ["request", "place", "code", "queue_ms", "detail", "retry_after_ms"], "The owner of a service's engines refused a generation, at once or after a wait.";
     "order_given", Belief, ["engine", "role", "fencing_token", "outcome"], "A role order was sent to an engine; outcome is the status of its answer, or the error.";
+    "order_holder_changed", Belief, ["gives_orders"], "The seeds in the settings changed, and with them whether this VM moves engines between the pools.";
     "orphan_cancelled", Belief, ["engine", "request", "done"], "A request abandoned by its caller was cancelled.";
     "owner_silent", Belief, ["vm"], "The owner of a service's engines did not answer; this VM suspects it and closes the link to it.";
     "peer_accept_failed", Belief, ["reason"], "The operating system refused to accept a peer's link; retried after a pause.";
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -9,7 +9,7 @@
 
 use super::node::{NodeError, OutputTargets, listen, start_control};
 use super::signals::handle_signals;
-use crate::blackboard::OwnIdentity;
+use crate::blackboard::{OwnIdentity, SeedFacts};
 use crate::clock;
 use crate::controllers::ControlCore;
 use crate::controllers::discovery::DiscoveryController;
@@ -97,19 +97,28 @@
         Box::new(DrainController::default()),
         Box::new(QuarantineController::default()),
         Box::new(RateLimitController::new(MAX_GROUP_ENGINES)),
-        Box::new(RebalanceController::default()),
+        Box::new(RebalanceController::new(settings.is_first_start)),
         Box::new(
             SlotController::new(PlacementPolicy::Owner, MAX_GROUP_ENGINES, own.incarnation as u64)
                 .cutting_runs_on_exit(),
         ),
     ];
     let mut board = Blackboard::new(own);
-    board.is_rebalancer = settings.is_rebalancer();
-    board.is_seed = settings.is_seed();
-    board.other_seed_count = settings.other_seed_count();
+    let seeds = seed_facts(settings);
+    board.is_rebalancer = seeds.is_rebalancer;
+    board.is_seed = seeds.is_seed;
+    board.other_seed_count = seeds.other_seed_count;
     ControlCore::new(board, controllers)
 }
 
+fn seed_facts(settings: &GatewaySettings) -> SeedFacts {
+    SeedFacts {
+        is_rebalancer: settings.is_rebalancer(),
+        is_seed: settings.is_seed(),
+        other_seed_count: settings.other_seed_count(),
+    }
+}
+
 /// The sockets that a gateway listens on.
 struct GatewayListeners {
     callers: TcpListener,
@@ -225,7 +234,12 @@
     let outcome = match read() {
         Ok(settings) if settings == *context.settings() => "unchanged",
         Ok(settings) => {
+            let seeds = seed_facts(&settings);
+            let has_new_seeds = seeds != seed_facts(&context.settings());
             context.replace_settings(settings);
+            if has_new_seeds {
+                context.control.send_event(Event::SeedsChanged { seeds });
+            }
             "changed"
         }
         Err(reason) => {
