Parse workspaces, their API keys and quotas

Cause: a configuration may list workspaces, which nothing read. Change: names, digests of keys, priorities and quotas are decoded in the adapter and checked like routes; a configuration with two workspaces of one name, a shared or an empty key is refused without naming a key. Bounds on removed keys and quotas are settings. Nothing uses them yet.

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -7,7 +7,8 @@
 use super::amount::Amount;
 use crate::prelude::*;
 use crate::register::{
-    CallerLimits, EngineTraits, FaultReport, RegisterFault, RouteKind, RouteRule, RouteShare, ServiceRule,
+    CallerLimits, EngineTraits, FaultReport, KeyDigest, QuotaRule, QuotaUnit, RegisterFault, RouteKind,
+    RouteRule, RouteShare, ServiceRule, WorkspaceRule,
 };
 
 /// Attempts of a route that sets none: a single one, so that no request is sent twice without permission.
@@ -16,12 +17,17 @@
 /// The priority of a route that sets none: the lowest in use.
 const DEFAULT_PRIORITY: u32 = 9;
 
+/// The unit of quotas that count tokens.
+const TOKEN_UNIT: &str = "token_stream";
+
 /// The configuration document.
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 struct ConfigDocument {
     routes: Vec<RouteEntry>,
     services: Option<Vec<ServiceEntry>>,
     limits: Option<LimitsEntry>,
+    /// The customers whose requests are accepted; their requests then need API keys.
+    tenants: Option<Vec<TenantEntry>>,
 }
 
 /// A route: the requests that it matches, their time limits, and the services that they go to.
@@ -42,6 +48,22 @@
     service: Option<String>,
     traffic_split: Option<Vec<ShareEntry>>,
     resumable: Option<bool>,
+    /// Whether requests need no API key.
+    allow_anonymous: Option<bool>,
+}
+
+/// A customer, its API keys and its quota.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantEntry {
+    name: String,
+    api_keys: Option<Vec<String>>,
+    priority: Option<Amount>,
+    /// What the quota counts; any value but [`TOKEN_UNIT`] stands for requests.
+    unit: Option<String>,
+    plain_tokens: Option<Amount>,
+    rate_per_s: Option<Amount>,
+    burst: Option<Amount>,
 }
 
 /// The share of a route's requests that goes to one service.
@@ -88,11 +110,35 @@
 /// Parses a configuration document and checks its rules.
 pub fn parse_config(text: &str) -> Result<Register, FaultReport> {
     let document: ConfigDocument = serde_json::from_str(text).map_err(|error| to_fault_report(&error))?;
-    Register::from_rules(
+    let register = Register::from_rules(
         document.routes.into_iter().map(to_route).collect(),
         document.services.into_iter().flatten().map(to_service).collect(),
         document.limits.map_or_else(CallerLimits::default, to_limits),
-    )
+    )?;
+    match document.tenants {
+        Some(tenants) => register.with_callers(tenants.into_iter().map(to_workspace).collect()),
+        None => Ok(register),
+    }
+}
+
+fn to_workspace(entry: TenantEntry) -> WorkspaceRule {
+    let rate_per_s = entry.rate_per_s.map_or(0.0, Amount::to_f64);
+    let quota = QuotaRule {
+        unit: match entry.unit.as_deref() {
+            Some(TOKEN_UNIT) => QuotaUnit::Tokens,
+            _ => QuotaUnit::Requests,
+        },
+        rate_per_s,
+        burst: entry.burst.map_or(0.0, Amount::to_f64),
+        plain_tokens: entry.plain_tokens.map_or(0, Amount::to_u32),
+    };
+    let keys = entry.api_keys.unwrap_or_default();
+    WorkspaceRule {
+        name: entry.name.into(),
+        priority: entry.priority.map_or(DEFAULT_PRIORITY, Amount::to_u32),
+        quota: (rate_per_s > 0.0).then_some(quota),
+        keys: keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect(),
+    }
 }
 
 fn to_fault_report(error: &serde_json::Error) -> FaultReport {
@@ -143,6 +189,7 @@
         gap_objective_ms: entry.target_gap_ms.map_or(latency_objective_ms, Amount::to_u64),
         attempts: entry.attempts.map_or(DEFAULT_ATTEMPTS, Amount::to_u32).max(1),
         priority: entry.priority.map_or(DEFAULT_PRIORITY, Amount::to_u32),
+        allows_anonymous: entry.allow_anonymous.unwrap_or_default(),
         shares,
     }
 }
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -88,6 +88,17 @@
     retry_budget_ratio: f64,
     retry_window_s: f64,
     budget_slack: f64,
+    /// Whether removed API keys are bounded at all VMs.
+    #[serde(default)]
+    revoke_strict: bool,
+    #[serde(default)]
+    revoke_ms: u64,
+    #[serde(default)]
+    quota_window_s: f64,
+    #[serde(default)]
+    quota_overshoot: f64,
+    #[serde(default)]
+    quota_slack: f64,
     /// Whole seconds; the only name in the file that is not in camel case.
     #[serde(rename = "ttl_max_s")]
     ttl_max_s: f64,
@@ -143,6 +154,13 @@
                 retry_ratio: self.contract_params.retry_budget_ratio,
                 retry_slack: self.contract_params.budget_slack,
                 retry_window_ms: to_ms(self.contract_params.retry_window_s),
+                revoke_ms: self
+                    .contract_params
+                    .revoke_strict
+                    .then_some(self.contract_params.revoke_ms),
+                quota_window_ms: to_ms(self.contract_params.quota_window_s),
+                quota_overshoot: self.contract_params.quota_overshoot,
+                quota_slack: self.contract_params.quota_slack,
             },
         }
     }
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -4,15 +4,17 @@
 mod fields;
 mod route_check;
 mod routes;
+mod workspaces;
 
 pub use check::{FaultReport, parse_register};
 pub use route_check::is_one_line;
 pub use routes::{CallerLimits, EngineTraits, RouteKind, RouteRule, RouteShare, RouteTable, ServiceRule};
+pub use workspaces::{KeyDigest, QuotaRule, QuotaUnit, WorkspaceRule, WorkspaceTable};
 
 use std::sync::Arc;
 
 use crate::prelude::*;
-use route_check::check_rules;
+use route_check::{check_rules, check_workspaces};
 
 /// Number of a published register, which only grows. Zero means that none was accepted yet.
 pub type Revision = u64;
@@ -149,6 +151,8 @@
     pub services: FastMap<Arc<str>, ServiceRule>,
     /// Size and time limits on the requests of HTTP callers.
     pub limits: CallerLimits,
+    /// The workspaces of HTTP callers, who then need API keys; `None` where the configuration lists none.
+    pub callers: Option<WorkspaceTable>,
     /// Position of each upstream in the list, by name.
     index: FastMap<String, usize>,
 }
@@ -178,6 +182,19 @@
         ))
     }
 
+    /// Adds the workspaces of HTTP callers after checking them.
+    ///
+    /// # Errors
+    ///
+    /// The faults of workspaces that could not be served as written.
+    pub fn with_callers(self, rules: Vec<WorkspaceRule>) -> Result<Self, FaultReport> {
+        check_workspaces(&rules)?;
+        Ok(Self {
+            callers: Some(WorkspaceTable::new(rules)),
+            ..self
+        })
+    }
+
     /// Builds a register of routes, services and limits without checking them.
     pub fn from_routes(
         routes: RouteTable,
--- a/src/register/route_check.rs
+++ b/src/register/route_check.rs
@@ -3,7 +3,7 @@
 use std::collections::hash_map::Entry;
 
 use super::fields::suggest;
-use super::{CallerLimits, FaultReport, RegisterFault, RouteRule, ServiceRule};
+use super::{CallerLimits, FaultReport, KeyDigest, RegisterFault, RouteRule, ServiceRule, WorkspaceRule};
 use crate::prelude::*;
 
 /// Maximum number of faults reported for one register; more of them usually have one cause.
@@ -16,6 +16,14 @@
 }
 
 impl EntryFaults {
+    fn into_result(self) -> Result<(), FaultReport> {
+        if self.faults.is_empty() {
+            Ok(())
+        } else {
+            Err(FaultReport { faults: self.faults })
+        }
+    }
+
     fn is_full(&self) -> bool {
         self.faults.len() >= MAX_FAULTS
     }
@@ -72,11 +80,48 @@
         }
     }
     check_limits(limits, &mut found);
-    if found.faults.is_empty() {
-        Ok(())
-    } else {
-        Err(FaultReport { faults: found.faults })
+    found.into_result()
+}
+
+/// Checks that workspaces have names of their own and share no key. The result depends on the entries alone, so
+/// that all VMs agree on it.
+///
+/// # Errors
+///
+/// The faults, at most [`MAX_FAULTS`] of them. No fault contains a key.
+pub fn check_workspaces(rules: &[WorkspaceRule]) -> Result<(), FaultReport> {
+    let mut found = EntryFaults::default();
+    let mut names: FastSet<&str> = FastSet::default();
+    let mut holders: FastMap<KeyDigest, &str> = FastMap::default();
+    let empty_key = KeyDigest::of(b"");
+    for (index, rule) in rules.iter().enumerate() {
+        let place = || format!("workspace[{index}]");
+        if rule.name.is_empty() || !is_header_value(&rule.name) {
+            let reason = "the name must be one line of visible ASCII that is not empty".to_owned();
+            found.record(ResultCode::RegisterBadValue, place(), reason);
+        }
+        if !names.insert(&rule.name) {
+            let reason = format!("another workspace is named `{}`; rename one of them", rule.name);
+            found.record(ResultCode::RegisterDuplicate, place(), reason);
+        }
+        for key in &rule.keys {
+            if *key == empty_key {
+                let reason = "an API key is empty; remove it".to_owned();
+                found.record(ResultCode::RegisterBadValue, place(), reason);
+            }
+            let holder = holders.insert(*key, &rule.name);
+            if let Some(holder) = holder.filter(|holder| **holder != *rule.name) {
+                let reason = format!("`{holder}` has one of its API keys; give each workspace its own");
+                found.record(ResultCode::RegisterDuplicate, place(), reason);
+            }
+        }
     }
+    found.into_result()
+}
+
+/// Whether a text can be written into a header as it is.
+fn is_header_value(text: &str) -> bool {
+    text.bytes().all(|byte| byte.is_ascii_graphic())
 }
 
 fn check_services<'a>(
--- a/src/register/routes.rs
+++ b/src/register/routes.rs
@@ -66,6 +66,8 @@
     pub attempts: u32,
     /// Priority of its requests in queues; lower values go first.
     pub priority: u32,
+    /// Whether its requests need no API key where the configuration lists workspaces.
+    pub allows_anonymous: bool,
     /// The services that its requests are split between.
     pub shares: Vec<RouteShare>,
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -41,6 +41,15 @@
     pub retry_slack: f64,
     /// Window over which ratio and slack are counted, in milliseconds.
     pub retry_window_ms: u64,
+    /// How long after its removal an API key may still be accepted at any VM, in milliseconds; `None` if that
+    /// is bounded only at VMs that can read the configuration.
+    pub revoke_ms: Option<u64>,
+    /// Window over which a workspace's quota is counted, in milliseconds.
+    pub quota_window_ms: u64,
+    /// Share by which a quota may be exceeded in a window.
+    pub quota_overshoot: f64,
+    /// Units by which a quota may be exceeded in a window on top of the share, over all VMs together.
+    pub quota_slack: f64,
 }
 
 impl GatewaySettings {
--- a/tests/route_rules.rs
+++ b/tests/route_rules.rs
@@ -23,6 +23,7 @@
         gap_objective_ms: 100,
         attempts: 1,
         priority: 1,
+        allows_anonymous: false,
         shares: shares.collect(),
     }
 }
