--- a/tests/platform/config_spread.rs
+++ b/tests/platform/config_spread.rs
@@ -183,13 +183,26 @@
 const LONG_VERSION_BYTES: usize = 380_000;
 const LONG_VERSIONS: u64 = 12;
 
+/// The time after its start within which a node begins to watch the configuration.
+const WATCHES_AFTER: Duration = Duration::from_millis(2_000);
+
 // Guards against a node that asks again and again for an answer that is too long, and keeps the old version meanwhile.
 #[test]
 fn a_node_alone_follows_though_the_versions_that_it_missed_are_longer_than_it_reads() {
     let fleet = ConfigFleet::start(1);
+    // The first two versions are read before the node is cut off, so that it watches from there.
+    std::thread::sleep(WATCHES_AFTER);
+    fleet.publish(&draft(FIRST_VERSION + 1, OLD_SERVICE));
+    wait_until("the node watches the configuration", || {
+        fleet.nodes[0]
+            .log()
+            .contains(&format!("event=register_accepted revision={}", FIRST_VERSION + 1))
+    });
     fleet.proxies[0].set_mode(RouteMode::Partition, 0);
     for version in 1..=LONG_VERSIONS {
-        let mut document = draft(FIRST_VERSION + version, NEW_SERVICE);
+        let is_last = version == LONG_VERSIONS;
+        let service = if is_last { NEW_SERVICE } else { OLD_SERVICE };
+        let mut document = draft(FIRST_VERSION + 1 + version, service);
         document["comment"] = "x".repeat(LONG_VERSION_BYTES).into();
         fleet.publish(&document);
     }
