Wait in a test until the log has been written

Cause: odd_entries failed once beside other load: it reads the log right after the node is ready, while the writer may be up to 50 ms behind. Change: the test waits for the line. It still has to appear.

--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -154,7 +154,10 @@
     fleet.nodes[2].kill();
     fleet.nodes[2].spawn();
     fleet.nodes[2].wait_ready();
-    assert!(fleet.nodes[2].log().contains("event=replica_entry_unreadable"));
+    // The log is written a moment after the event.
+    wait_until("the malformed entries are in the log", || {
+        fleet.nodes[2].log().contains("event=replica_entry_unreadable")
+    });
     for node in &mut fleet.nodes {
         assert!(!node.log().contains("panicked"), "{}", node.log_path().display());
         assert!(!node.has_left(), "a node ended");
