Send enough requests for a retry in the test of API keys

Cause: the test needs one request that a replica refuses and another serves. Change: 80 requests; a replica that was not chosen for 32 is tried again.

--- a/tests/platform/api_keys.rs
+++ b/tests/platform/api_keys.rs
@@ -122,7 +122,8 @@
     publish_keys(&store, &node, 2, &[KEY]);
     let all: Vec<&StandInReplica> = replicas.iter().collect();
     let forged = "x-tenant-id: forged\r\nX-Tenant-Id: other\r\nConnection: X-Key, X-Tenant-Id\r\n";
-    for number in 0..20 {
+    // A replica that was not chosen for 32 requests gets the next one, so that some request is sent twice.
+    for number in 0..80 {
         let id = format!("q-{number}");
         let path = if number % 2 == 0 { "/read" } else { "/book" };
         let answer = read_with(&node, &id, path, &[&key_line(KEY), forged].concat());
