Separate an owner's tenure from the permits of rate limits

Quotas need the same fractions for owners that may not be alone. The view, the takeover and the handover move to controllers/owner_tenure.rs, with a rule for what an owner grants that reaches a majority.

--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -12,6 +12,7 @@
 pub mod member_count;
 pub mod membership;
 pub mod message;
+pub mod owner_tenure;
 pub mod owner_watch;
 pub mod ownership;
 pub mod quarantine;
--- a/src/controllers/ownership.rs
+++ b/src/controllers/ownership.rs
@@ -2,7 +2,7 @@
 //! enough.
 
 use super::membership::SUSPICION_MS;
-use super::rate_limits::OwnerView;
+use super::owner_tenure::OwnerView;
 use super::rendezvous;
 use crate::prelude::*;
 
@@ -43,9 +43,14 @@
 
 /// This VM's view of a key's owner and of the fleet.
 pub fn owner_view(key: &str, board: &Blackboard, now: Moment) -> OwnerView {
+    view_as_owner(find_owner(key, board, now) == board.own.name, board, now)
+}
+
+/// This VM's view of the fleet where it is already known whether it is a key's owner.
+pub fn view_as_owner(is_owner: bool, board: &Blackboard, now: Moment) -> OwnerView {
     let is_alone = board.vms.is_empty() && board.other_seed_count > 0;
     OwnerView {
-        is_owner: find_owner(key, board, now) == board.own.name,
+        is_owner,
         renewal: board.renewal,
         live_count: match is_alone && now.0 < ALONE_LIMIT_MS {
             true => 0,
--- a/src/controllers/rate_limits/meter.rs
+++ b/src/controllers/rate_limits/meter.rs
@@ -1,52 +1,21 @@
 //! Issues permits for requests to rate-limited replicas, within the limits.
 //!
-//! A leaky bucket (the generic cell rate algorithm, GCRA) spaces the requests to each replica. For a while there
-//! may be several owners: one was partitioned or suspended, or has just taken over from one that other VMs
-//! still consider alive. An owner that may not be the only one grants a fraction of each limit, such that all
-//! owners together stay within 1.5 times the limit.
+//! A leaky bucket (the generic cell rate algorithm, GCRA) spaces the requests to each replica. An owner that may
+//! not be the only one grants a fraction of each limit, such that all owners together stay within 1.5 times the
+//! limit.
 
 use crate::blackboard::{RateLimit, ReplicaId, RequestRate};
+use crate::controllers::owner_tenure::{MajorityPart, OwnerTenure, OwnerView};
 use crate::prelude::*;
 
 /// The burst tolerance, in milliseconds: send slots that were left unused within this time can be used later,
 /// so that a limit is fully used although requests arrive unevenly.
 const BURST_MS: u64 = 250;
 
-/// The time after a takeover within which VMs may not have detected yet which others are unreachable, in
-/// milliseconds.
-const DETECTION_MS: u64 = 2_500;
-
-/// The time after a takeover within which permits of the previous owner may still be used, in milliseconds.
-const TAKEOVER_MS: u64 = 4_000;
-
-/// How long a handover by the previous owner is valid, in milliseconds: this VM must become the owner within
-/// this time.
-const HANDOVER_MS: u64 = 3_000;
-
-/// The fraction of a limit that a fallback owner grants: by its own view another VM is the owner, but the
-/// requesting VM can't reach that one. There may be several fallback owners.
-const FALLBACK_FRACTION: (u64, u64) = (1, 8);
-
-/// The fraction that an owner grants in the first [`DETECTION_MS`] after a takeover, when it may not have
-/// detected yet that others took over too.
-const UNDETECTED_FRACTION: (u64, u64) = (1, 4);
-
-/// The fraction that an owner grants once it has detected which VMs are unreachable, until the end of the
-/// takeover.
-const DETECTED_FRACTION: (u64, u64) = (1, 2);
-
-/// How long after its first report a limit counts as new, in milliseconds. No owner can have granted much of
-/// a new limit, so that a takeover doesn't reduce it.
-const NEW_LIMIT_MS: u64 = 1_000;
-
 /// How long after its start a process can't distinguish a new limit from an old one, in milliseconds, since
 /// it hasn't received the other VMs' reports yet.
 const STARTUP_MS: u64 = 500;
 
-/// The longest usual time between two ownership checks, in milliseconds. After a longer gap the process may
-/// have been suspended, and another VM may have taken over meanwhile.
-const SUSPENSION_MS: u64 = 1_500;
-
 /// Microseconds in a millisecond.
 const US_PER_MS: u64 = 1_000;
 
@@ -60,20 +29,6 @@
     granted_at: Moment,
 }
 
-/// This VM's view of its ownership.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OwnerView {
-    /// Whether this VM is the owner by its own view of the cluster.
-    pub is_owner: bool,
-    /// How often this VM has refuted a suspicion of itself; an increase means that others considered it dead.
-    pub renewal: u32,
-    /// The number of VMs that it considers alive, including itself; zero at startup until it has contacted
-    /// others.
-    pub live_count: usize,
-    /// The number of VMs that may be running, including unreachable ones.
-    pub member_count: usize,
-}
-
 /// The upcoming send slots of one replica at a fixed interval. Schedules are ordered by their first slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SendSchedule {
@@ -105,72 +60,26 @@
 #[derive(Debug, Default)]
 pub struct PermitIssuer {
     meters: FastMap<ReplicaId, RateMeter>,
-    view: Option<OwnerView>,
-    checked_at: Moment,
-    /// When this VM last began to issue permits, became the owner, or may have lost ownership without
-    /// detecting it.
-    took_over_at: Moment,
-    /// When the previous owner last announced that it has stopped issuing permits.
-    handed_over_at: Option<Moment>,
+    tenure: OwnerTenure,
 }
 
 impl PermitIssuer {
     /// Updates the view of the ownership. Returns whether this VM has just lost it.
     pub fn update_view(&mut self, view: OwnerView, now: Moment) -> bool {
-        let was_owner = self.view.is_some_and(|known| known.is_owner);
-        let is_continuous = self.view.is_some_and(|known| {
-            known.renewal == view.renewal
-                && known.is_owner >= view.is_owner
-                && !now.reached(self.checked_at.after_ms(SUSPENSION_MS))
-        });
-        if !is_continuous {
-            self.took_over_at = now;
-        }
-        self.view = Some(view);
-        self.checked_at = now;
-        let has_lost_ownership = was_owner && !view.is_owner;
-        if has_lost_ownership {
-            self.handed_over_at = None;
-        }
-        has_lost_ownership
+        self.tenure.update_view(view, now).is_lost
     }
 
     /// Records that the previous owner has stopped issuing permits. The message may arrive before this VM
     /// sees itself as the owner.
     pub fn record_handover(&mut self, now: Moment) {
-        self.handed_over_at = Some(now);
-    }
-
-    fn is_handed_over(&self) -> bool {
-        let valid_until = self.handed_over_at.map(|at| at.after_ms(HANDOVER_MS));
-        valid_until.is_some_and(|until| until >= self.took_over_at)
+        self.tenure.record_handover(now);
     }
 
     /// The fraction of a limit that this VM may grant now.
     fn granted_fraction(&self, limit: &RateLimit, now: Moment) -> (u64, u64) {
-        let Some(view) = self.view else {
-            return FALLBACK_FRACTION;
-        };
-        if view.live_count == 0 {
-            return (0, 1);
-        }
-        let is_new = limit.first_reported_at.0 >= STARTUP_MS
-            && limit.first_reported_at.after_ms(NEW_LIMIT_MS) >= self.took_over_at;
-        let base_fraction = match self.took_over_at.until_ms(now) {
-            _ if !view.is_owner => FALLBACK_FRACTION,
-            _ if is_new || self.is_handed_over() => (1, 1),
-            ..DETECTION_MS => UNDETECTED_FRACTION,
-            DETECTION_MS..TAKEOVER_MS => DETECTED_FRACTION,
-            _ => (1, 1),
-        };
-        // Unless a majority of the VMs is reachable, other owners may grant the rest of the limit.
-        let is_majority = view.live_count * 2 > view.member_count;
-        let live_fraction = (view.live_count as u64, view.member_count.max(1) as u64);
-        if is_majority || base_fraction.0 * live_fraction.1 < live_fraction.0 * base_fraction.1 {
-            base_fraction
-        } else {
-            live_fraction
-        }
+        let is_new =
+            limit.first_reported_at.0 >= STARTUP_MS && self.tenure.covers_new(limit.first_reported_at);
+        self.tenure.fraction(MajorityPart::Whole, is_new, now)
     }
 
     /// The rate at which this VM may grant permits.
@@ -189,9 +98,9 @@
     /// When the next request may be sent to a replica, in microseconds of this process's clock. After a
     /// takeover unused send slots from before it are lost, so that it starts without a burst.
     fn next_us(&self, id: &ReplicaId, limit: &RateLimit, gap_us: u64) -> u64 {
-        let earliest_us = to_us(self.took_over_at.max(limit.first_reported_at)) + gap_us;
+        let earliest_us = to_us(self.tenure.took_over_at().max(limit.first_reported_at)) + gap_us;
         match self.meter(id, limit) {
-            Some(meter) if meter.granted_at >= self.took_over_at => meter.next_us,
+            Some(meter) if meter.granted_at >= self.tenure.took_over_at() => meter.next_us,
             Some(meter) => meter.next_us.max(earliest_us),
             None => earliest_us,
         }
--- a/src/controllers/rate_limits/mod.rs
+++ b/src/controllers/rate_limits/mod.rs
@@ -14,8 +14,9 @@
 
 use std::sync::Arc;
 
+pub use super::owner_tenure::OwnerView;
 pub use issuer::send_handover;
-pub use meter::{OwnerView, PermitIssuer, SendSchedule};
+pub use meter::{PermitIssuer, SendSchedule};
 pub use report::{LimitChange, LimitReport, LimitTable};
 
 use client::PendingPermit;
