Grant workspaces' quotas over all VMs by one owner each

A workspace's quota is kept by a token bucket at the owner by rendezvous hashing; VMs ask it for the tokens of each request, and for calls of a low cost for five at a time. Tokens of requests that reach no replica are returned. Owners that may not be alone grant a part.

--- a/src/controllers/event.rs
+++ b/src/controllers/event.rs
@@ -6,6 +6,7 @@
 use super::idempotency::{IdempotencyKey, KeyOutcome, KeyRequest, StoredAnswer};
 use super::message::{KeyCall, PeerMessage, VmIntroduction};
 use super::quarantine::{RunLoss, TrialNumber};
+use super::quotas::QuotaGrant;
 use super::rate_limits::{LimitReport, PermitGrant, PermitRequest};
 use super::services::{ServiceRequest, ServiceResult};
 use super::slots::{EngineOutcome, PlacementRequest, PlacementResult, RequestId};
@@ -198,6 +199,20 @@
         /// These features of the request.
         features: Arc<[RequestFeature]>,
     },
+    /// A request needs tokens of its workspace's quota.
+    QuotaWanted {
+        /// The task that waits for the reply.
+        ticket: ReplyTicket,
+        /// The workspace of the request.
+        workspace: Arc<str>,
+        /// Units that the request costs.
+        tokens: u64,
+    },
+    /// A request with tokens of a quota reached no replica.
+    QuotaReturned {
+        /// The grant that was not used.
+        grant: QuotaGrant,
+    },
     /// A caller asks for an idempotency key.
     KeyWanted {
         /// The task that waits for the reply.
@@ -309,6 +324,8 @@
     LimitStated = "limit_stated",
     PermitWanted = "permit_wanted",
     PermitReturned = "permit_returned",
+    QuotaWanted = "quota_wanted",
+    QuotaReturned = "quota_returned",
     RequestLost = "request_lost",
     TrialWanted = "trial_wanted",
     TrialDone = "trial_done",
--- a/src/controllers/message.rs
+++ b/src/controllers/message.rs
@@ -5,6 +5,7 @@
 use super::discovery::{ListRevision, ReplicaUpdate};
 use super::idempotency::{HandoffRecord, StoredAnswer};
 use super::quarantine::{CaseRecord, CrashReport, TrialNumber};
+use super::quotas::QuotaVerdict;
 use super::rate_limits::{LimitReport, PermitRequest, PermitVerdict};
 use super::slots::{
     EngineGroup, EngineOutcome, EnginePermits, HeldSlot, PlacementRequest, PlacementResult, RequestId,
@@ -362,6 +363,38 @@
         /// The replica that the permit is for.
         replica: ReplicaId,
     },
+    /// Requests tokens of a workspace's quota from its owner.
+    QuotaRequest {
+        /// The sender's number for this message, repeated in the answer.
+        number: u64,
+        /// The workspace.
+        workspace: Arc<str>,
+        /// Units requested, granted if the bucket holds plenty.
+        tokens: u64,
+        /// Units without which the request is refused; zero if no request waits for them.
+        least: u64,
+    },
+    /// The owner's answer to a request for tokens.
+    QuotaAnswer {
+        /// The number in the request.
+        number: u64,
+        /// The granted tokens, or when to come back.
+        verdict: QuotaVerdict,
+    },
+    /// Returns tokens that were not used to the owner.
+    QuotaReturned {
+        /// The workspace.
+        workspace: Arc<str>,
+        /// Units that were not used.
+        tokens: u64,
+    },
+    /// The sender, the former owner of a quota, grants no more of it.
+    QuotaHandedOver {
+        /// The workspace.
+        workspace: Arc<str>,
+        /// Units that were left in its bucket.
+        tokens: u64,
+    },
     /// Forwards a run-once call to the owner of its key.
     KeyCall(KeyCall),
     /// The owner's answer to a forwarded run-once call.
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -16,6 +16,7 @@
 pub mod owner_watch;
 pub mod ownership;
 pub mod quarantine;
+pub mod quotas;
 pub mod rate_limits;
 pub mod readers;
 pub mod reaping;
@@ -76,6 +77,15 @@
         /// The earliest time at which another request may succeed.
         retry_at: Moment,
     },
+    /// Tokens of a workspace's quota are granted to a request.
+    QuotaGranted(quotas::QuotaGrant),
+    /// A workspace's quota is used up.
+    QuotaRefused {
+        /// When the caller should come back.
+        retry_at: Moment,
+    },
+    /// No owner of the workspace's quota answered.
+    QuotaUnavailable,
     /// The request is refused with this notice.
     Refused(RefusalNotice),
 }
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -86,6 +86,10 @@
     "peer_accept_failed", Belief, ["reason"], "The operating system refused to accept a peer's link; retried after a pause.";
     "peer_frame_invalid", Belief, ["code", "vm", "bytes"], "A peer sent a malformed frame; the link was closed.";
     "peer_refused", Belief, ["code", "address", "reason"], "A connection to the peer port failed to prove that it has the deployment's key.";
+    "quota_granted", Progress, ["request", "workspace", "tokens", "owner", "elapsed_ms"], "A request received the tokens that it costs of its workspace's quota; owner is the VM that granted them.";
+    "quota_handed_over", Belief, ["workspace", "vm", "tokens"], "This VM no longer grants a workspace's quota; another VM owns it now, and tokens were left.";
+    "quota_refused", Progress, ["request", "workspace", "tokens", "reason", "retry_ms", "elapsed_ms"], "A request received no tokens: its workspace's quota is used up, or its owner did not answer.";
+    "quota_taken_over", Belief, ["workspace", "tokens"], "This VM grants a workspace's quota from now on, and begins with these tokens.";
     "permit_granted", Progress, ["request", "replica", "owner", "wait_ms", "elapsed_ms"], "A call received a permit for a replica that reports a rate limit, after a wait.";
     "permit_refused", Progress, ["request", "service", "candidates", "pause_ms", "elapsed_ms"], "A call received no permit in time for any of the replicas that report rate limits.";
     "prefilled", Progress, ["request", "replica", "outcome", "tokens", "elapsed_ms", "total_ms"], "A prefill engine processed a prompt, or failed to.";
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -4,6 +4,7 @@
 
 use super::exchange::CallerRequest;
 use super::loss::{LostSend, RunStage, report_loss};
+use super::quota_permit::count_quota_send;
 use super::upstream::{
     ConnectionChoice, ExchangeError, UpstreamRequest, choose_dedicated_connection, exchange_small,
 };
@@ -103,7 +104,7 @@
         deadline,
     };
     let began_at = clock::now();
-    match exchange_small(context, upstream_request).await {
+    match count_quota_send(request, exchange_small(context, upstream_request)).await {
         Ok((_, facts, _)) if facts.is_misdirected => {
             let replica = replica.id.clone();
             context.control.send_event(Event::ReplicaReplaced { replica });
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! Serves one request of a caller: finds its route, refuses it or dispatches it by the kind of route.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use async_std::net::TcpStream;
 use futures::AsyncWriteExt;
@@ -12,6 +12,7 @@
 use super::call::serve_call;
 use super::exposure::RunExposure;
 use super::last_answer::wait_for_last_answer;
+use super::quota_permit::charge_request;
 use super::split::serve_stream;
 use super::trace::{RequestOutcome, RequestTrace};
 use super::{GatewayContext, RequestFacts};
@@ -20,7 +21,7 @@
 use crate::http::RequestHead;
 use crate::prelude::*;
 use crate::register::{RouteKind, RouteRule, WorkspaceRule};
-use crate::runtime::Snapshot;
+use crate::runtime::{QuotaPermit, Snapshot};
 
 /// Default Retry-After, in milliseconds, if the duration of the refusal's cause is unknown.
 pub const DEFAULT_RETRY_AFTER_MS: u64 = 400;
@@ -77,6 +78,8 @@
     pub trace: RequestTrace,
     /// Whether the request may have run, and whether its answer has begun.
     pub exposure: RunExposure,
+    /// Tokens of the workspace's quota; empty if the request needs none.
+    pub quota: OnceLock<QuotaPermit>,
 }
 
 impl CallerRequest {
@@ -151,6 +154,7 @@
         persistence,
         trace,
         exposure: RunExposure::default(),
+        quota: OnceLock::new(),
     };
     if let Err(notice) = admit_request(context, &request).await {
         return refuse(socket, &request, &notice).await;
@@ -182,7 +186,8 @@
 
 /// Decides whether a routed request may be served, before anything is reserved or sent for it.
 async fn admit_request(context: &GatewayContext, request: &CallerRequest) -> Result<(), RefusalNotice> {
-    check_caller(context, request)
+    check_caller(context, request)?;
+    charge_request(context, request).await
 }
 
 /// Serves a request by its kind of route. The error is its answer if the process exits before it has another one.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,13 +1,18 @@
 //! The gateway's metrics: collected with OpenTelemetry, exported in the Prometheus text format.
 //!
 //! Labels are kinds of route, outcomes and other small enums, so that the number of time series does not grow
-//! with routes, workspaces or models. The metrics of rate limits alone are labeled by replica.
+//! with routes or models. The metrics of rate limits are labeled by replica, those of quotas by workspace, each
+//! up to a fixed number.
+
+use std::sync::Arc;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::limit_gauge::LimitGauge;
 use super::loss::RunStage;
+use super::quota_gauge::QuotaGauge;
+use super::quota_permit::QuotaDecision;
 use super::rate_permit::PermitDecision;
 use super::statements::UnknownAttributes;
 use super::trace::{RequestOutcome, TraceRecord};
@@ -64,6 +69,7 @@
     unknown_attributes: Gauge<u64>,
     permits: Counter<u64>,
     limits: LimitGauge,
+    quotas: QuotaGauge,
     control_events: ControlEventGauge,
 }
 
@@ -131,6 +137,7 @@
                 "Asks for permits to send to replicas that name limits, by fate.",
             ),
             limits: LimitGauge::new(&meters),
+            quotas: QuotaGauge::new(&meters),
             unknown_attributes: meters.gauge(
                 "unknown_statements",
                 "Statements of replicas on themselves that nothing reads, by name.",
@@ -288,6 +295,16 @@
         self.limits.count_arrival(replica);
     }
 
+    /// Counts a request that was charged to its workspace's quota, or refused.
+    pub fn count_quota(&self, workspace: &Arc<str>, decision: QuotaDecision, units: u64) {
+        self.quotas.count(workspace, decision, units);
+    }
+
+    /// Records how long a request waited for the tokens of its quota, in milliseconds.
+    pub fn record_quota_wait(&self, elapsed_ms: u64) {
+        self.quotas.record_wait(elapsed_ms);
+    }
+
     /// Counts an extra send that the retry budget did not cover.
     pub fn count_denied_send(&self) {
         self.denied_sends.add(1, &[]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,8 @@
 mod pool;
 mod prompt;
 mod protocol;
+mod quota_gauge;
+mod quota_permit;
 mod rate_permit;
 mod relay;
 mod replica_state;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,6 +6,7 @@
 use super::dispatch::DispatchLease;
 use super::exchange::CallerRequest;
 use super::loss::{LostSend, RunStage, report_loss};
+use super::quota_permit::count_quota_send;
 use super::rate_permit::exchange_permitted;
 use super::relay::{BrokenAnswer, record_broken_answer};
 use super::sse::ends_inside_event;
@@ -91,7 +92,8 @@
     };
     record_send(request, lease.id());
     let exposure = request.exposure.begin_send();
-    let outcome = exchange_permitted(context, upstream_request, rate_permit.as_ref()).await;
+    let send = exchange_permitted(context, upstream_request, rate_permit.as_ref());
+    let outcome = count_quota_send(request, send).await;
     let verdict = outcome
         .as_ref()
         .map(|answer| classify_answer(answer, &request.facts.id));
--- a/src/gateway/split.rs
+++ b/src/gateway/split.rs
@@ -12,6 +12,7 @@
 use super::paid_sends::BudgetCharges;
 use super::place::{EnginePlacement, PlacementCriteria, expected_tokens, generated_tokens};
 use super::prompt::{PrefillStep, PrefilledPrompt};
+use super::quota_permit::count_quota_send;
 use super::relay::AnswerWriter;
 use super::send::record_send;
 use super::sse::{EventSplitter, begins_event, count_events, ends_inside_event};
@@ -278,7 +279,7 @@
         record_send(request, &replica.id);
         placement.set_decode_sent(true);
         let exposure = request.exposure.begin_send();
-        let outcome = exchange(self.context, upstream_request).await;
+        let outcome = count_quota_send(request, exchange(self.context, upstream_request)).await;
         let verdict = outcome
             .as_ref()
             .map(|answer| classify_answer(answer, &request.facts.id));
--- a/src/peers/convert/mod.rs
+++ b/src/peers/convert/mod.rs
@@ -4,6 +4,7 @@
 mod keys;
 mod members;
 mod quarantine;
+mod quotas;
 mod rate_limits;
 mod replicas;
 mod slots;
@@ -17,6 +18,7 @@
     to_crash_report_frame, to_runs_passed, to_runs_passed_frame, to_trial_answer, to_trial_done,
     to_trial_done_frame, to_trial_request, to_trial_request_frame, trial_answer_body,
 };
+use quotas::{quota_answer_body, quota_request_body, to_quota_answer, to_quota_request, to_tokens_frame};
 use rate_limits::{
     limits_content_body, permit_answer_body, permit_request_body, permit_returned_body, to_limit_frame,
     to_limit_report, to_limits_content, to_permit_answer, to_permit_request, to_permit_returned,
@@ -155,6 +157,19 @@
             FrameBody::LimitsHandedOver(LimitsHandedOverFrame { key: key.clone() })
         }
         PeerMessage::PermitReturned { service, replica } => permit_returned_body(service, replica),
+        PeerMessage::QuotaRequest {
+            number,
+            workspace,
+            tokens,
+            least,
+        } => quota_request_body(*number, workspace, *tokens, *least),
+        PeerMessage::QuotaAnswer { number, verdict } => quota_answer_body(*number, *verdict),
+        PeerMessage::QuotaReturned { workspace, tokens } => {
+            FrameBody::QuotaReturned(to_tokens_frame(workspace, *tokens))
+        }
+        PeerMessage::QuotaHandedOver { workspace, tokens } => {
+            FrameBody::QuotaHandedOver(to_tokens_frame(workspace, *tokens))
+        }
         PeerMessage::KeyCall(call) => FrameBody::KeyCall(to_key_call_frame(call, now)),
         PeerMessage::KeyAnswer { call_id, answer } => {
             FrameBody::KeyAnswer(to_key_answer_frame(*call_id, answer))
@@ -281,6 +296,16 @@
         FrameBody::PermitAnswer(frame) => Ok(to_permit_answer(frame)),
         FrameBody::LimitsHandedOver(frame) => Ok(PeerMessage::LimitsHandedOver { key: frame.key }),
         FrameBody::PermitReturned(frame) => Ok(to_permit_returned(frame)),
+        FrameBody::QuotaRequest(frame) => Ok(to_quota_request(frame)),
+        FrameBody::QuotaAnswer(frame) => Ok(to_quota_answer(&frame)),
+        FrameBody::QuotaReturned(frame) => Ok(PeerMessage::QuotaReturned {
+            workspace: frame.workspace.into(),
+            tokens: frame.tokens,
+        }),
+        FrameBody::QuotaHandedOver(frame) => Ok(PeerMessage::QuotaHandedOver {
+            workspace: frame.workspace.into(),
+            tokens: frame.tokens,
+        }),
         FrameBody::KeyCall(frame) => to_key_call(frame, now),
         FrameBody::KeyAnswer(frame) => to_key_answer(frame),
         FrameBody::Handoff(frame) => to_handoff(frame),
--- a/src/peers/wire/mod.rs
+++ b/src/peers/wire/mod.rs
@@ -3,6 +3,7 @@
 mod keys;
 mod members;
 mod quarantine;
+mod quotas;
 mod rate_limits;
 mod replicas;
 mod slots;
@@ -18,6 +19,7 @@
     CaseFrame, CasesContentFrame, CasesWantedFrame, ClearedFrame, CrashReportFrame, RunsPassedFrame,
     TrialAnswerFrame, TrialFrame,
 };
+pub use quotas::{QuotaAnswerFrame, QuotaRequestFrame, QuotaTokensFrame};
 pub use rate_limits::{
     LimitFrame, LimitsContentFrame, LimitsHandedOverFrame, LimitsWantedFrame, PermitAnswerFrame,
     PermitRequestFrame, PermitReturnedFrame,
@@ -36,7 +38,7 @@
     /// The content; `None` for a kind of frame that this version does not know.
     #[prost(
         oneof = "FrameBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36, 40, 41, 42, 43"
     )]
     pub body: Option<FrameBody>,
 }
@@ -152,4 +154,16 @@
     /// The sender issues no more permits for some rate-limited replicas.
     #[prost(message, tag = "36")]
     LimitsHandedOver(LimitsHandedOverFrame),
+    /// Requests tokens of a workspace's quota.
+    #[prost(message, tag = "40")]
+    QuotaRequest(QuotaRequestFrame),
+    /// The answer to a request for tokens.
+    #[prost(message, tag = "41")]
+    QuotaAnswer(QuotaAnswerFrame),
+    /// Tokens were not used.
+    #[prost(message, tag = "42")]
+    QuotaReturned(QuotaTokensFrame),
+    /// The sender grants no more tokens of a workspace's quota.
+    #[prost(message, tag = "43")]
+    QuotaHandedOver(QuotaTokensFrame),
 }
--- a/src/runtime/control.rs
+++ b/src/runtime/control.rs
@@ -301,7 +301,9 @@
         if actions.iter().any(|action| matches!(action, Action::Publish)) {
             self.publish(now);
         }
-        actions.into_iter().for_each(|action| self.execute(action));
+        let undelivered = actions.into_iter().filter_map(|action| self.execute(action));
+        let undelivered: Vec<Event> = undelivered.collect();
+        undelivered.iter().for_each(|event| self.handle(event));
     }
 
     fn publish(&self, now: Moment) {
@@ -312,9 +314,10 @@
         }
     }
 
-    fn execute(&self, action: Action) {
+    /// Carries out an action. Returns the event that follows if it can't be carried out.
+    fn execute(&self, action: Action) -> Option<Event> {
         match action {
-            Action::Reply { ticket, reply } => self.reply(ticket, reply),
+            Action::Reply { ticket, reply } => return self.reply(ticket, reply),
             Action::Send { to, address, message } => {
                 (self.output)(ControlOutput::Send { to, address, message })
             }
@@ -327,13 +330,20 @@
             Action::LogStep(line) => spdlog::info!("{line}"),
             Action::Exit => (self.output)(ControlOutput::Exit),
         }
+        None
     }
 
-    fn reply(&self, ticket: ReplyTicket, reply: Reply) {
+    /// Answers a waiting task. Tokens of a quota whose task has ended are returned; a cancelled waiter returns
+    /// other grants through its own guard.
+    fn reply(&self, ticket: ReplyTicket, reply: Reply) -> Option<Event> {
         let waiter = lock(&self.waiters).remove(&ticket);
-        if let Some(waiter) = waiter {
-            // A cancelled waiter returns its grant through its own guard.
-            let _ = waiter.send(reply);
+        let undelivered = match waiter {
+            Some(waiter) => waiter.send(reply).err(),
+            None => Some(reply),
+        };
+        match undelivered {
+            Some(Reply::QuotaGranted(grant)) => Some(Event::QuotaReturned { grant }),
+            _ => None,
         }
     }
 }
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -17,6 +17,7 @@
 use crate::controllers::member_count::MemberCountController;
 use crate::controllers::membership::MembershipController;
 use crate::controllers::quarantine::QuarantineController;
+use crate::controllers::quotas::{QuotaController, QuotaTolerance};
 use crate::controllers::rate_limits::RateLimitController;
 use crate::controllers::rebalance::RebalanceController;
 use crate::controllers::revision::RevisionController;
@@ -89,6 +90,10 @@
 }
 
 fn build_core(own: OwnIdentity, parse: RegisterParser, settings: &GatewaySettings) -> ControlCore {
+    let quota_tolerance = QuotaTolerance {
+        overshoot: settings.contract.quota_overshoot,
+        slack: settings.contract.quota_slack,
+    };
     let controllers: Vec<Box<dyn Controller>> = vec![
         Box::new(MembershipController::default()),
         Box::new(MemberCountController::default()),
@@ -97,6 +102,7 @@
         Box::new(DrainController::default()),
         Box::new(QuarantineController::default()),
         Box::new(RateLimitController::new(MAX_GROUP_ENGINES)),
+        Box::new(QuotaController::new(quota_tolerance, settings.is_first_start)),
         Box::new(RebalanceController::new(settings.is_first_start)),
         Box::new(
             SlotController::new(PlacementPolicy::Owner, MAX_GROUP_ENGINES, own.incarnation as u64)
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -5,6 +5,7 @@
 mod deaths;
 mod limits;
 mod parts;
+mod quotas;
 mod simulated_fleet;
 mod store_watch;
 
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -10,6 +10,7 @@
 use dotterelspan::controllers::membership::MembershipController;
 use dotterelspan::controllers::message::{PeerMessage, VmIntroduction};
 use dotterelspan::controllers::quarantine::QuarantineController;
+use dotterelspan::controllers::quotas::{QuotaController, QuotaTolerance};
 use dotterelspan::controllers::rate_limits::RateLimitController;
 use dotterelspan::controllers::readers::reads_store;
 use dotterelspan::controllers::revision::RevisionController;
@@ -79,13 +80,23 @@
     pub watched: WatchedStore,
     /// Whether the nodes watch the configuration.
     is_watching: bool,
+    /// The register that started nodes have.
+    register: Arc<Register>,
+    /// Number and bytes of delivered messages about quotas.
+    quota_traffic: (usize, usize),
 }
 
+/// The tolerance of quotas on all nodes.
+pub const QUOTA_TOLERANCE: QuotaTolerance = QuotaTolerance {
+    overshoot: 0.25,
+    slack: 190_000.0,
+};
+
 fn name_of(index: usize) -> String {
     format!("vm-{index}")
 }
 
-fn start_node(index: usize, start: u128, now: Moment) -> SimulatedNode {
+fn start_node(index: usize, start: u128, now: Moment, register: &Arc<Register>) -> SimulatedNode {
     let own = OwnIdentity {
         name: name_of(index).into(),
         zone: ["a", "b", "c"][index % 3].into(),
@@ -98,6 +109,7 @@
     let mut board = Blackboard::new(own);
     // Nodes start with a configuration, so that none reads the store only to get one.
     board.register.revision = 1;
+    board.register.register = register.clone();
     board.is_seed = index == 0;
     board.other_seed_count = usize::from(index > 0);
     let core = ControlCore::new(
@@ -109,6 +121,7 @@
             Box::new(DiscoveryController::default()),
             Box::new(QuarantineController::default()),
             Box::new(RateLimitController::new(GROUP_SIZE)),
+            Box::new(QuotaController::new(QUOTA_TOLERANCE, now == START)),
         ],
     );
     SimulatedNode {
@@ -138,10 +151,17 @@
             replies: Vec::new(),
             watched: WatchedStore::default(),
             is_watching: false,
+            register: Arc::default(),
+            quota_traffic: (0, 0),
         };
         for index in 0..count {
             fleet.last_incarnation += 1;
-            fleet.nodes.push(start_node(index, fleet.last_incarnation, START));
+            fleet.nodes.push(start_node(
+                index,
+                fleet.last_incarnation,
+                START,
+                &fleet.register.clone(),
+            ));
         }
         fleet
     }
@@ -155,7 +175,7 @@
     pub fn restart(&mut self, index: usize) {
         self.kill(index);
         self.last_incarnation += 1;
-        self.nodes[index] = start_node(index, self.last_incarnation, self.now);
+        self.nodes[index] = start_node(index, self.last_incarnation, self.now, &self.register);
     }
 
     /// Lets this share of the open links go silent for good, in both directions.
@@ -215,6 +235,22 @@
         }
     }
 
+    /// Puts a register in force on one node.
+    pub fn set_register(&mut self, index: usize, register: &Arc<Register>) {
+        self.nodes[index].core.board.register.register = register.clone();
+    }
+
+    /// Puts a register in force on all nodes, and on those that start later.
+    pub fn set_registers(&mut self, register: &Arc<Register>) {
+        self.register = register.clone();
+        (0..self.nodes.len()).for_each(|index| self.set_register(index, register));
+    }
+
+    /// Number and bytes of the messages about quotas delivered so far.
+    pub fn quota_traffic(&self) -> (usize, usize) {
+        self.quota_traffic
+    }
+
     /// Leaves a node's calls to the store, open and new, without answers.
     pub fn silence_store(&mut self, index: usize) {
         self.nodes[index].has_store = false;
@@ -509,11 +545,19 @@
             self.link(from, to);
         }
         let now = self.clock_of(to);
+        let frame_bytes = prost::Message::encoded_len(&flight.frame);
         let message = to_message(flight.frame, now).expect("a frame from `to_frame` is valid");
         match &message {
             PeerMessage::ReplicasContent(update) => {
                 self.entries_sent += update.present.len() + update.removed.len();
             }
+            PeerMessage::QuotaRequest { .. }
+            | PeerMessage::QuotaAnswer { .. }
+            | PeerMessage::QuotaReturned { .. }
+            | PeerMessage::QuotaHandedOver { .. } => {
+                self.quota_traffic.0 += 1;
+                self.quota_traffic.1 += frame_bytes;
+            }
             PeerMessage::VmsKnown(introductions) => self.introductions_sent[from] += introductions.len(),
             _ => {}
         }
