Test quotas on gateway processes

One process: ten requests to a service without replicas leave a quota of three unused, and a resumed stream is charged once.

--- a/tests/platform/limited_fleet.rs
+++ b/tests/platform/limited_fleet.rs
@@ -253,6 +253,19 @@
         span: Duration,
         tokens: u32,
     ) -> Self {
+        Self::start_lines(addresses, path, a_second, span, "q", &token_line(tokens))
+    }
+
+    /// Starts callers whose requests have ids with this prefix and these header lines.
+    pub fn start_lines(
+        addresses: Vec<SocketAddr>,
+        path: &'static str,
+        a_second: u32,
+        span: Duration,
+        prefix: &'static str,
+        lines: &str,
+    ) -> Self {
+        let lines: Arc<str> = lines.into();
         let answers: Arc<Mutex<Vec<CallerAnswer>>> = Arc::default();
         let kept = answers.clone();
         let thread = std::thread::spawn(move || {
@@ -265,9 +278,9 @@
                 }
                 std::thread::sleep(due.saturating_duration_since(Instant::now()));
                 let address = addresses[number as usize % addresses.len()];
-                let kept = kept.clone();
+                let (kept, lines) = (kept.clone(), lines.clone());
                 callers.push(std::thread::spawn(move || {
-                    let answer = call_with(address, path, &format!("q-{number}"), tokens);
+                    let answer = call_lines(address, path, &format!("{prefix}-{number}"), &lines);
                     kept.lock().expect("no holder panics").push(answer);
                 }));
             }
@@ -290,7 +303,14 @@
 }
 
 pub fn call_with(address: SocketAddr, path: &str, id: &str, tokens: u32) -> CallerAnswer {
-    let lines = &format!("X-Token-Count: {tokens},50\r\n");
+    call_lines(address, path, id, &token_line(tokens))
+}
+
+fn token_line(tokens: u32) -> String {
+    format!("X-Token-Count: {tokens},50\r\n")
+}
+
+fn call_lines(address: SocketAddr, path: &str, id: &str, lines: &str) -> CallerAnswer {
     let began = Instant::now();
     let answer = exchange(
         address,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -27,6 +27,7 @@
 mod planned_stop;
 mod prompt_parts;
 mod query_of_death;
+mod quotas;
 mod refusal_times;
 mod repeated_refusals;
 mod replica;
--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -23,6 +23,12 @@
 /// Budget slack in the settings: extra sends allowed beyond the ratio, for all nodes together.
 pub const BUDGET_SLACK: f64 = 10.0;
 
+/// The share by which a quota may be exceeded in a window, in the settings.
+pub const QUOTA_OVERSHOOT: f64 = 0.25;
+
+/// Tokens by which a quota may be exceeded in a window beyond that share, in the settings.
+pub const QUOTA_SLACK: f64 = 3_000.0;
+
 /// The setting with which the platform starts a deployment for the first time.
 const FIRST_START: &str = "bootstrap = true";
 
@@ -57,7 +63,8 @@
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"a\"\nseeds = [{seeds}]\n{FIRST_START}\n\n[listen]\nfrontend = \"{ip}:8720\"\nready = \"{ip}:8722\"\n\
              control = \"{ip}:8724\"\ndirectory = \"{ip}:8728\"\n\n[limits]\ncpuShare = 1.0\nmemoryMb = 64\nmaxFds = 1024\n\n\
-             [contractParams]\ngraceS = {GRACE_S}\nretryBudgetRatio = {RETRY_BUDGET_RATIO}\nretryWindowS = 10\nbudgetSlack = {BUDGET_SLACK}\nttl_max_s = 5\nrevokeStrict = true\nrevokeMs = 5000\n\n\
+             [contractParams]\ngraceS = {GRACE_S}\nretryBudgetRatio = {RETRY_BUDGET_RATIO}\nretryWindowS = 10\nbudgetSlack = {BUDGET_SLACK}\nttl_max_s = 5\nrevokeStrict = true\nrevokeMs = 5000\n\
+             quotaWindowS = 8\nquotaOvershoot = {QUOTA_OVERSHOOT}\nquotaSlack = {QUOTA_SLACK}\n\n\
              [platform]\naddress = \"{}\"\n",
             store.address,
             seeds = seeds.join(", "),
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -231,8 +231,8 @@
     crashing_arrivals: Arc<Mutex<Vec<Instant>>>,
     /// Arrival times and ids of requests with a deadly part in their prompts.
     deadly_part_arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
-    /// Arrival times of all requests.
-    arrived_at: Arc<Mutex<Vec<Instant>>>,
+    /// Arrival times of all requests, and the workspaces that they name.
+    arrived_at: Arc<Mutex<Vec<(Instant, String)>>>,
     /// The rate limit that it reports in its responses, and when it first did.
     limit: Arc<Mutex<NamedLimit>>,
     /// Whether its responses have an attribute header that the product does not know.
@@ -439,7 +439,15 @@
 
     /// Arrival times of all requests.
     pub fn arrived_at(&self) -> Vec<Instant> {
-        self.arrived_at.lock().expect("no holder panics").clone()
+        let arrived_at = self.arrived_at.lock().expect("no holder panics");
+        arrived_at.iter().map(|(at, _)| *at).collect()
+    }
+
+    /// Arrival times of a workspace's requests.
+    pub fn arrived_from(&self, workspace: &str) -> Vec<Instant> {
+        let arrived_at = self.arrived_at.lock().expect("no holder panics");
+        let own = arrived_at.iter().filter(|(_, name)| name == workspace);
+        own.map(|(at, _)| *at).collect()
     }
 
     /// The value of the limit header, if any; records the time of the first call that returns one.
@@ -456,10 +464,11 @@
         while let Some(request) = read_request(stream) {
             requests += 1;
             self.lock().push(request.clone());
+            let workspace = request.header("X-Tenant-Id").unwrap_or_default();
             self.arrived_at
                 .lock()
                 .expect("no holder panics")
-                .push(Instant::now());
+                .push((Instant::now(), workspace.to_owned()));
             if request.text().contains(CRASH_MARKER) {
                 let mut arrivals = self.crashing_arrivals.lock().expect("no holder panics");
                 arrivals.push(Instant::now());
