--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -27,6 +27,10 @@
     Quarantined,
     /// All replicas had reached the rate limits that they report.
     RateLimited,
+    /// Its workspace had used up its quota.
+    QuotaExceeded,
+    /// The VM that grants its workspace's quota did not answer.
+    QuotaUnavailable,
     /// The replica ran it and answered with an error.
     ReplicaError,
     /// The replica's answer broke off, or was not authenticated as its own.
@@ -58,6 +62,8 @@
             Self::BadRequest => "bad request",
             Self::Quarantined => "held back",
             Self::RateLimited => "limits of replicas",
+            Self::QuotaExceeded => "quota used up",
+            Self::QuotaUnavailable => "quota owner away",
             Self::ReplicaError => "replica's error",
             Self::ReplicaBroke => "replica broke off",
             Self::ReplicaSilent => "replica silent",
@@ -237,6 +243,8 @@
         "no_route" => FailureCause::NoRoute,
         "quarantined" => FailureCause::Quarantined,
         "rate_limited" => FailureCause::RateLimited,
+        "quota_exceeded" => FailureCause::QuotaExceeded,
+        "quota_owner_unreachable" => FailureCause::QuotaUnavailable,
         "upstream_failed" | "outcome_unknown" => FailureCause::ReplicaBroke,
         "deadline_during_run" => FailureCause::ReplicaSilent,
         "leaving" | "left_during_run" => FailureCause::VmExited,
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -136,15 +136,17 @@
 /// The request for tokens among the actions: the owner, the number, the tokens wanted and the least.
 fn asked(actions: &[Action]) -> Option<(VmName, u64, u64, u64)> {
     actions.iter().find_map(|action| match action {
-        Action::Send { to, message, .. } => match message {
-            PeerMessage::QuotaRequest {
-                number,
-                tokens,
-                least,
-                ..
-            } => Some((to.clone(), *number, *tokens, *least)),
-            _ => None,
-        },
+        Action::Send {
+            to,
+            message:
+                PeerMessage::QuotaRequest {
+                    number,
+                    tokens,
+                    least,
+                    ..
+                },
+            ..
+        } => Some((to.clone(), *number, *tokens, *least)),
         _ => None,
     })
 }
