Count quota events in the test of event sources

The test that each subscribed kind of event occurs needs a request of a workspace with a quota. A quota that appears within 5 s of a process's first configuration no longer counts as new, since the process may be catching up.

--- a/src/controllers/quotas/mod.rs
+++ b/src/controllers/quotas/mod.rs
@@ -22,6 +22,10 @@
 /// The interval between checks of the ownership, in milliseconds.
 const OWNER_CHECK_INTERVAL_MS: u64 = 250;
 
+/// How long after its first configuration with quotas a process considers those that appear as new to all VMs,
+/// in milliseconds. Before, it may be catching up with what the others have had for long.
+const CATCH_UP_MS: u64 = 5_000;
+
 /// The suffix of the keys from which the owners are computed.
 const KEY_SUFFIX: &str = "/quota";
 
@@ -101,8 +105,8 @@
             return;
         }
         let now = context.now;
-        // A quota that appears while this process has had a configuration for a while is new to all VMs.
-        let known_since = self.begun_at.map(|_| now);
+        let is_caught_up = |begun_at: &Moment| now.reached(begun_at.after_ms(CATCH_UP_MS));
+        let known_since = self.begun_at.filter(is_caught_up).map(|_| now);
         let rules = register.callers.iter().flat_map(|callers| callers.iter());
         let rules = rules.filter_map(|rule| Some((&rule.name, rule.quota.as_ref()?)));
         let mut quotas = FastMap::default();
--- a/tests/fleet_view/limits.rs
+++ b/tests/fleet_view/limits.rs
@@ -6,7 +6,6 @@
 
 use dotterelspan::blackboard::{ReplicaId, RequestRate};
 use dotterelspan::controllers::Reply;
-use dotterelspan::controllers::ownership::find_owner;
 use dotterelspan::controllers::rate_limits::{LimitReport, PermitRequest};
 use dotterelspan::prelude::*;
 use rand::rngs::StdRng;
@@ -85,12 +84,7 @@
 
     /// The node that issues permits, in the view of the first running node.
     fn owner(&self) -> usize {
-        let observer = (0..self.fleet.len()).find(|index| self.fleet.is_running(*index));
-        let observer = observer.expect("a running node");
-        let now = self.fleet.clock_of(observer);
-        let owner = find_owner("desk/permits", self.fleet.board(observer), now);
-        let number = owner.strip_prefix("vm-").and_then(|number| number.parse().ok());
-        number.expect("nodes have numbers")
+        self.fleet.owner_of("desk/permits")
     }
 
     /// Runs the callers' load for a span, and the scenario in each step.
@@ -291,11 +285,8 @@
 }
 
 fn restart_dead(simulation: &mut LimitSimulation) {
-    for index in 0..simulation.fleet.len() {
-        if !simulation.fleet.is_running(index) {
-            simulation.fleet.restart(index);
-            simulation.fleet.read(index, change(0, 10, &REPLICAS, &[]));
-        }
+    for index in simulation.fleet.restart_stopped() {
+        simulation.fleet.read(index, change(0, 10, &REPLICAS, &[]));
     }
 }
 
--- a/tests/fleet_view/quotas.rs
+++ b/tests/fleet_view/quotas.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use dotterelspan::controllers::Reply;
-use dotterelspan::controllers::ownership::find_owner;
 use dotterelspan::controllers::quotas::quota_key;
 use dotterelspan::prelude::*;
 use dotterelspan::register::{QuotaRule, QuotaUnit, WorkspaceRule};
@@ -115,12 +114,7 @@
 
     /// The node that owns the eager workspace's quota, in the view of the first running node.
     fn owner(&self) -> usize {
-        let observer = (0..self.fleet.len()).find(|index| self.fleet.is_running(*index));
-        let observer = observer.expect("a running node");
-        let now = self.fleet.clock_of(observer);
-        let owner = find_owner(&quota_key(EAGER), self.fleet.board(observer), now);
-        let number = owner.strip_prefix("vm-").and_then(|number| number.parse().ok());
-        number.expect("nodes have numbers")
+        self.fleet.owner_of(&quota_key(EAGER))
     }
 
     fn run_load(&mut self, span_ms: u64, scenario: Scenario) {
@@ -306,19 +300,11 @@
             simulation.fleet.kill(owner);
         }
         if passed_ms % 5_000 == 3_500 {
-            restart_dead(simulation);
+            simulation.fleet.restart_stopped();
         }
     });
 }
 
-fn restart_dead(simulation: &mut QuotaSimulation) {
-    for index in 0..simulation.fleet.len() {
-        if !simulation.fleet.is_running(index) {
-            simulation.fleet.restart(index);
-        }
-    }
-}
-
 /// Guards against each half of a partitioned fleet granting the whole quota.
 #[test]
 fn quotas_are_kept_while_halves_are_partitioned() {
@@ -344,7 +330,9 @@
 fn quotas_are_kept_while_all_nodes_restart_at_once() {
     run_scenario("all restarted", 20_000, |simulation, passed_ms| match passed_ms {
         6_000 => (0..simulation.fleet.len()).for_each(|index| simulation.fleet.kill(index)),
-        7_000 => restart_dead(simulation),
+        7_000 => {
+            simulation.fleet.restart_stopped();
+        }
         _ => {}
     });
 }
--- a/tests/fleet_view/simulated_fleet.rs
+++ b/tests/fleet_view/simulated_fleet.rs
@@ -9,6 +9,7 @@
 use dotterelspan::controllers::member_count::MemberCountController;
 use dotterelspan::controllers::membership::MembershipController;
 use dotterelspan::controllers::message::{PeerMessage, VmIntroduction};
+use dotterelspan::controllers::ownership::find_owner;
 use dotterelspan::controllers::quarantine::QuarantineController;
 use dotterelspan::controllers::quotas::{QuotaController, QuotaTolerance};
 use dotterelspan::controllers::rate_limits::RateLimitController;
@@ -178,6 +179,24 @@
         self.nodes[index] = start_node(index, self.last_incarnation, self.now, &self.register);
     }
 
+    /// Restarts all nodes that don't run, and returns which.
+    pub fn restart_stopped(&mut self) -> Vec<usize> {
+        let stopped: Vec<usize> = (0..self.nodes.len())
+            .filter(|index| !self.is_running(*index))
+            .collect();
+        stopped.iter().for_each(|index| self.restart(*index));
+        stopped
+    }
+
+    /// The owner of a key, in the view of the first running node.
+    pub fn owner_of(&self, key: &str) -> usize {
+        let observer = (0..self.nodes.len()).find(|index| self.is_running(*index));
+        let observer = observer.expect("a running node");
+        let owner = find_owner(key, self.board(observer), self.clock_of(observer));
+        let number = owner.strip_prefix("vm-").and_then(|number| number.parse().ok());
+        number.expect("nodes have numbers")
+    }
+
     /// Lets this share of the open links go silent for good, in both directions.
     pub fn silence_links(&mut self, percent: u32) {
         let pairs = self.links.iter().filter(|(from, to)| from < to);
--- a/tests/platform/decisions.rs
+++ b/tests/platform/decisions.rs
@@ -2,6 +2,7 @@
 
 use crate::fixture::Engines;
 use crate::node::{GatewayNode, wait_until};
+use crate::quotas::few_requests;
 use crate::replica::{CRASH_MARKER, ReplicaBehavior, StandInReplica};
 use crate::store::StandInStore;
 use crate::wire::request;
@@ -114,6 +115,13 @@
         call(node, "/read", "q-8", "x");
         !find_missing_kinds(node).contains(&"permit_returned".to_owned())
     });
+    // A request of a workspace with a quota, to a service without replicas.
+    engines.store.put("op/config", &few_requests(2));
+    wait_until("tokens of a quota were returned", || {
+        let lines = "X-Key: few-key\r\n";
+        node.ask(&request("POST", "shop.example", "/empty", "q-9", lines, "x"));
+        !find_missing_kinds(node).contains(&"quota_returned".to_owned())
+    });
     engines.store.put("op/config", "no configuration");
     peer.kill();
     wait_until("all kinds but the order to leave have occurred", || {
--- a/tests/platform/quotas.rs
+++ b/tests/platform/quotas.rs
@@ -148,7 +148,7 @@
 }
 
 /// A quota that counts requests: a bucket of three, which fills so slowly that none is added during a test.
-fn few_requests(version: u64) -> String {
+pub fn few_requests(version: u64) -> String {
     let mut document = config_document(version);
     document["tenants"] = json!([
         { "name": "few", "apiKeys": ["few-key"], "unit": "call", "ratePerS": 0.01, "burst": 2.8 },
