--- a/tests/control_thread.rs
+++ b/tests/control_thread.rs
@@ -8,7 +8,8 @@
 
 use dotterelspan::blackboard::{Blackboard, OwnIdentity};
 use dotterelspan::clock::Moment;
-use dotterelspan::controllers::{Action, ControlContext, ControlCore, Controller, Event, EventKind};
+use dotterelspan::controllers::quotas::QuotaGrant;
+use dotterelspan::controllers::{Action, ControlContext, ControlCore, Controller, Event, EventKind, Reply};
 use dotterelspan::runtime::{ControlHandle, ControlOutput, lock};
 
 /// Panics on one event and requests the process's exit on another.
@@ -107,3 +108,49 @@
     assert_eq!(value, Ok(7));
     assert_eq!(*lock(&guarded), 7);
 }
+
+/// Grants tokens to each request, and requests the process's exit once some are returned.
+struct GenerousController;
+
+impl Controller for GenerousController {
+    fn subscriptions(&self) -> &'static [EventKind] {
+        &[EventKind::QuotaWanted, EventKind::QuotaReturned]
+    }
+
+    fn handle(&mut self, event: &Event, context: &mut ControlContext<'_>) {
+        match event {
+            Event::QuotaWanted {
+                ticket,
+                workspace,
+                tokens,
+            } => {
+                let grant = QuotaGrant {
+                    workspace: workspace.clone(),
+                    tokens: *tokens,
+                    owner: context.board.own.name.clone(),
+                };
+                context.reply(*ticket, Reply::QuotaGranted(grant));
+            }
+            Event::QuotaReturned { grant } if grant.tokens == 7 => context.actions.push(Action::Exit),
+            _ => {}
+        }
+    }
+}
+
+/// Guards against tokens of a quota that stay charged to a request whose task has ended.
+#[test]
+fn tokens_that_no_task_waits_for_are_returned() {
+    let core = ControlCore::new(Blackboard::new(identity()), vec![Box::new(GenerousController)]);
+    let (sender, receiver) = channel();
+    let control = ControlHandle::start(core, move |output| {
+        // The receiver is gone once the test has ended.
+        let _ = sender.send(matches!(output, ControlOutput::Exit));
+    })
+    .expect("a thread can be started");
+    control.send_event(Event::QuotaWanted {
+        ticket: control.new_ticket(),
+        workspace: "huka".into(),
+        tokens: 7,
+    });
+    assert_eq!(receiver.recv_timeout(Duration::from_secs(5)), Ok(true));
+}
