Choose replicas that reject or never answer last

A replica that rejects every request seemed free to the owner and used up the retry budget: the test of API keys failed with a refused request. An abandoned send counts as an answer time, and measured times are valid for 2 s, so that a slow replica is tried again.

--- a/src/controllers/service_slots/ledger.rs
+++ b/src/controllers/service_slots/ledger.rs
@@ -9,7 +9,7 @@
 use crate::controllers::dispatch::{RefusedCaller, RetryPlanner};
 use crate::prelude::*;
 
-/// The assumed answer time while none is measured, in microseconds.
+/// The most that is assumed as the answer time of a replica without a recent answer, in microseconds.
 const DEFAULT_ANSWER_US: u64 = 20_000;
 
 /// The time that a request needs beyond the mean answer time to be in time, in milliseconds: messages, and
@@ -192,8 +192,10 @@
                 reported_at: now,
             });
         }
+        let usual_us = self.usual_work_us(now);
         if let Some(replica) = self.replicas.get_mut(&id) {
             match release.end {
+                SendEnd::Abandoned(elapsed_ms) => replica.record_abandoned(elapsed_ms, usual_us, now),
                 SendEnd::Answered(elapsed_ms) => replica.record_answer(elapsed_ms, now),
                 SendEnd::Rejected => replica.record_rejection(now),
                 SendEnd::Failed => replica.record_failure(now),
@@ -286,14 +288,14 @@
     fn choose(&self, waiting: &WaitingSend, board: &Blackboard, now: Moment) -> Option<ReplicaId> {
         let request = &waiting.request;
         let zone = zone_of(&waiting.key.0, board);
-        let usual_us = self.usual_work_us();
+        let usual_us = self.usual_work_us(now);
         let usable = self
             .replicas
             .iter()
             .filter(|(id, replica)| replica.has_room(now) && may_use(id, replica, request, board));
         let best = usable.min_by_key(|(id, replica)| {
             let cost_us = replica.cost_us(usual_us, &zone, now);
-            (replica.is_failed(now), cost_us, replica.occupied(now), *id)
+            (replica.is_last_choice(now), cost_us, replica.occupied(now), *id)
         });
         best.map(|(id, _)| id.clone())
     }
@@ -341,16 +343,16 @@
         }
     }
 
-    /// The mean answer time at the usual pace over the replicas that have answered, in microseconds.
-    fn usual_work_us(&self) -> u64 {
-        let known = self.replicas.values().filter_map(ReplicaSlots::work_us);
-        let (count, total) = known.fold((0, 0), |(count, total), work_us| (count + 1, total + work_us));
-        total.checked_div(count).unwrap_or(DEFAULT_ANSWER_US)
+    /// The answer time at the usual pace that is assumed of a replica without a recent answer, in microseconds: that
+    /// of the fastest other one, so that the replica is tried.
+    fn usual_work_us(&self, now: Moment) -> u64 {
+        let known = self.replicas.values().filter_map(|replica| replica.work_us(now));
+        known.min().unwrap_or(DEFAULT_ANSWER_US).min(DEFAULT_ANSWER_US)
     }
 
     /// Requests that the replicas answer in a thousand seconds while all slots are in use.
     fn throughput(&self, now: Moment) -> u64 {
-        let usual_us = self.usual_work_us();
+        let usual_us = self.usual_work_us(now);
         let staying = self.replicas.values().filter(|replica| !replica.is_leaving);
         let rates = staying
             .map(|replica| u64::from(replica.slots()) * 1_000_000_000 / replica.answer_us(usual_us, now));
--- a/src/controllers/service_slots/mod.rs
+++ b/src/controllers/service_slots/mod.rs
@@ -103,6 +103,8 @@
     Rejected,
     /// The replica was unreachable, or its answer broke off.
     Failed,
+    /// The send was given up without an answer after this many milliseconds.
+    Abandoned(u64),
     /// The send ended in a way that says nothing about the replica.
     Ended,
 }
--- a/src/controllers/service_slots/replica.rs
+++ b/src/controllers/service_slots/replica.rs
@@ -27,6 +27,14 @@
 /// The inverse of the smoothing factor of the moving average of answer times.
 const SMOOTHING_DIVISOR: u64 = 8;
 
+/// How long a measured answer time is valid, in milliseconds. A replica that was slow gets no requests while others
+/// have room, so that only the end of this time shows whether it has recovered.
+const WORK_VALID_MS: u64 = 2_000;
+
+/// An abandoned send counts as an answer time once it took this many times the expected one; callers that leave early
+/// say nothing about the replica.
+const ABANDONED_FACTOR: u64 = 2;
+
 /// A replica's pace when it works as usual, in percent.
 const USUAL_PACE_PERCENT: u64 = 100;
 
@@ -57,6 +65,8 @@
     load: Option<KnownLoad>,
     /// Moving average of the answer time at the usual pace, in microseconds; zero while unknown.
     work_us: u64,
+    /// When the latest answer time was recorded.
+    worked_at: Moment,
     reduced: Option<ReducedLimit>,
     failed_until: Moment,
 }
@@ -69,6 +79,7 @@
             granted: 0,
             load: None,
             work_us: 0,
+            worked_at: Moment::default(),
             reduced: None,
             failed_until: Moment::default(),
         }
@@ -144,8 +155,11 @@
         self.failed_until = now.after_ms(FAILED_MS);
     }
 
-    pub fn is_failed(&self, now: Moment) -> bool {
-        !now.reached(self.failed_until)
+    /// Whether a send to the replica failed or was rejected lately, so that it is used only where no other replica
+    /// has room. A replica that rejects all requests would otherwise seem free, and use up the retry budget.
+    pub fn is_last_choice(&self, now: Moment) -> bool {
+        let is_reduced = self.reduced.is_some_and(|reduced| !now.reached(reduced.until));
+        is_reduced || !now.reached(self.failed_until)
     }
 
     fn pace_percent(&self, now: Moment) -> u64 {
@@ -158,22 +172,32 @@
     /// Records the time that an answer took, in milliseconds.
     pub fn record_answer(&mut self, elapsed_ms: u64, now: Moment) {
         let newest = (elapsed_ms.max(1) * 1_000 * USUAL_PACE_PERCENT) / self.pace_percent(now);
-        self.work_us = match self.work_us {
-            0 => newest,
-            mean => (mean * (SMOOTHING_DIVISOR - 1) + newest) / SMOOTHING_DIVISOR,
+        self.work_us = match self.work_us(now) {
+            None => newest,
+            Some(mean) => (mean * (SMOOTHING_DIVISOR - 1) + newest) / SMOOTHING_DIVISOR,
         };
+        self.worked_at = now;
         self.failed_until = Moment::default();
     }
 
-    /// The measured answer time at the usual pace, in microseconds; `None` while unknown.
-    pub fn work_us(&self) -> Option<u64> {
-        (self.work_us > 0).then_some(self.work_us)
+    /// Records a send that was given up without an answer after this many milliseconds. `usual_us` is as in
+    /// [`Self::answer_us`].
+    pub fn record_abandoned(&mut self, elapsed_ms: u64, usual_us: u64, now: Moment) {
+        if elapsed_ms * 1_000 > self.answer_us(usual_us, now) * ABANDONED_FACTOR {
+            self.record_answer(elapsed_ms, now);
+        }
+    }
+
+    /// The measured answer time at the usual pace, in microseconds; `None` if none was measured lately.
+    pub fn work_us(&self, now: Moment) -> Option<u64> {
+        let is_valid = self.work_us > 0 && !now.reached(self.worked_at.after_ms(WORK_VALID_MS));
+        is_valid.then_some(self.work_us)
     }
 
-    /// The expected answer time of a request that runs at once, in microseconds. `usual_us` is that of the
-    /// service's other replicas.
+    /// The expected answer time of a request that runs at once, in microseconds. `usual_us` is
+    /// assumed where none was measured lately.
     pub fn answer_us(&self, usual_us: u64, now: Moment) -> u64 {
-        let work_us = self.work_us().unwrap_or(usual_us);
+        let work_us = self.work_us(now).unwrap_or(usual_us);
         (work_us * self.pace_percent(now) / USUAL_PACE_PERCENT).max(1)
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -161,7 +161,8 @@
         SendOutcome::Served(elapsed_ms) => SendEnd::Answered(elapsed_ms),
         SendOutcome::Refused => SendEnd::Rejected,
         SendOutcome::Failed => SendEnd::Failed,
-        SendOutcome::Errored | SendOutcome::Abandoned(_) => SendEnd::Ended,
+        SendOutcome::Abandoned(elapsed_ms) => SendEnd::Abandoned(elapsed_ms),
+        SendOutcome::Errored => SendEnd::Ended,
     }
 }
 
--- a/src/peers/convert/service_slots.rs
+++ b/src/peers/convert/service_slots.rs
@@ -104,6 +104,7 @@
         SendEnd::Rejected => (2, 0),
         SendEnd::Failed => (3, 0),
         SendEnd::Ended => (4, 0),
+        SendEnd::Abandoned(elapsed_ms) => (5, elapsed_ms),
     };
     FrameBody::SendSlotReleased(SendSlotReleasedFrame {
         number,
@@ -120,6 +121,7 @@
         2 => SendEnd::Rejected,
         3 => SendEnd::Failed,
         4 => SendEnd::Ended,
+        5 => SendEnd::Abandoned(frame.elapsed_ms),
         _ => return Err(InvalidFrame),
     };
     let load = frame.load.as_ref().map(to_load);
--- a/src/peers/wire/service_slots.rs
+++ b/src/peers/wire/service_slots.rs
@@ -92,10 +92,11 @@
     /// The number in the request.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// How the send ended: 0 unused, 1 answered, 2 rejected, 3 failed, 4 ended in another way.
+    /// How the send ended: 0 unused, 1 answered, 2 rejected, 3 failed, 4 ended in another way,
+    /// 5 abandoned.
     #[prost(uint32, tag = "2")]
     pub end: u32,
-    /// Time that the answer took, in milliseconds; zero unless it was answered.
+    /// Time until it was answered or abandoned, in milliseconds; zero otherwise.
     #[prost(uint64, tag = "3")]
     pub elapsed_ms: u64,
     /// The load that the replica reported; unset if it reported none.
--- a/tests/service_admission/ledger.rs
+++ b/tests/service_admission/ledger.rs
@@ -138,6 +138,52 @@
     assert_eq!(granted(&ledger.run(&board, later)).len(), 6, "{waiting} waited");
 }
 
+/// Guards against a replica that rejects all requests, seems free for that reason and uses up the retry budget.
+#[test]
+fn a_replica_that_rejected_a_request_comes_last_for_a_short_time() {
+    let board = board(2);
+    let mut ledger = ServiceLedger::new(&"desk".into());
+    let mut send = |number: u64, now: Moment| {
+        let decisions = ledger.request(key(number), &request(0, now.after_ms(900)), &board, now);
+        let SendVerdict::Granted { replica } = &decisions[0].verdict else {
+            panic!("{decisions:?}");
+        };
+        let end = match &**replica {
+            "i-0" => SendEnd::Rejected,
+            _ => SendEnd::Answered(30),
+        };
+        ledger.release(&key(number), release(end), &board, now);
+        end == SendEnd::Rejected
+    };
+    let rejected = (0..100).filter(|number| send(*number, NOW.after_ms(10 * number)));
+    assert!((1..=3).contains(&rejected.count()));
+}
+
+/// Guards against a replica without answers that is granted as if it were as fast as the others.
+#[test]
+fn a_replica_whose_sends_are_abandoned_is_avoided_until_its_measure_is_outdated() {
+    let board = board(2);
+    let mut ledger = ServiceLedger::new(&"desk".into());
+    let mut send = |number: u64, now: Moment| {
+        let decisions = ledger.request(key(number), &request(0, now.after_ms(900)), &board, now);
+        let SendVerdict::Granted { replica } = &decisions[0].verdict else {
+            panic!("{decisions:?}");
+        };
+        let end = match &**replica {
+            "i-0" => SendEnd::Abandoned(400),
+            _ => SendEnd::Answered(30),
+        };
+        ledger.release(&key(number), release(end), &board, now);
+        replica.clone()
+    };
+    assert_eq!(&*send(1, NOW), "i-0");
+    let next: FastSet<ReplicaId> = (2..50)
+        .map(|number| send(number, NOW.after_ms(30 * number)))
+        .collect();
+    assert_eq!(next, ["i-1".into()].into_iter().collect());
+    assert_eq!(&*send(50, NOW.after_ms(2_100)), "i-0", "it is tried again");
+}
+
 /// Guards against slots that are lost with the VM that held them, or with a release.
 #[test]
 fn grants_expire_with_their_requests_deadlines_and_unknown_releases_are_ignored() {
--- a/tests/service_admission/model.rs
+++ b/tests/service_admission/model.rs
@@ -568,7 +568,8 @@
             self.vms[vm].waiting.remove(&number);
             self.calls[call].slot = Some(number);
         }
-        self.release(call, SendEnd::Ended, None);
+        let elapsed_ms = (self.now_us - self.calls[call].sent_us) / 1_000;
+        self.release(call, SendEnd::Abandoned(elapsed_ms), None);
     }
 
     fn release(&mut self, call: usize, end: SendEnd, load: Option<ReplicaLoad>) {
