--- a/tests/platform/decisions.rs
+++ b/tests/platform/decisions.rs
@@ -122,6 +122,16 @@
         node.ask(&request("POST", "shop.example", "/empty", "q-9", lines, "x"));
         !find_missing_kinds(node).contains(&"quota_returned".to_owned())
     });
+    // With workspaces in the configuration, a call to busy replicas without limits needs a slot.
+    for desk in &desks {
+        desk.set_limit(None);
+        desk.set_load("4,0,4");
+    }
+    wait_until("a slot was released", || {
+        let lines = "X-Key: free-key\r\n";
+        node.ask(&request("POST", "shop.example", "/read", "q-10", lines, "x"));
+        !find_missing_kinds(node).contains(&"send_slot_done".to_owned())
+    });
     engines.store.put("op/config", "no configuration");
     peer.kill();
     wait_until("all kinds but the order to leave have occurred", || {
