Keep when a replica's start was listed and how long it stays slow

Cause: nothing told a replica that has just started from one that has run for long, and coldRemainingMs was not read. Change: the list entry has the end of the cold time, a span that counts from its arrival; a faulty one counts as absent and leaves the entry readable. A replica that appears after the first list, or with a later start, is kept as fresh since then; one that is listed again with the same start is not. Rewrites of the cold time change no entry and are not passed on; between VMs it goes as what remains, and only where the configuration has workspaces.

--- a/benches/controllers.rs
+++ b/benches/controllers.rs
@@ -105,11 +105,13 @@
             zone: "zone-0".into(),
             slots: 6,
             is_draining: false,
+            cold_until: None,
         };
         let facts = ReplicaFacts {
             record: Arc::new(record),
             stop_at: None,
             is_listed: true,
+            fresh_since: None,
         };
         Arc::make_mut(&mut board.replicas).insert(id.clone(), facts);
         let limit = RateLimit {
--- a/src/blackboard/replica.rs
+++ b/src/blackboard/replica.rs
@@ -40,6 +40,9 @@
     pub stop_at: Option<Moment>,
     /// Whether the list still contains the replica.
     pub is_listed: bool,
+    /// When this start of the replica was first listed; `None` if it was on the first list that this process
+    /// read, since its age is then unknown.
+    pub fresh_since: Option<Moment>,
 }
 
 /// A replica's entry in the list.
@@ -62,6 +65,23 @@
     pub slots: u32,
     /// Whether the entry marks the replica as leaving, so that it takes no new work.
     pub is_draining: bool,
+    /// Until when the replica is slow after its start, by the first entry of this start that says so. `None`
+    /// if no entry does.
+    pub cold_until: Option<Moment>,
+}
+
+impl ReplicaRecord {
+    /// Whether another entry says the same, apart from the end of the cold time. Replicas rewrite that often,
+    /// and VMs need no exact value, so only its first appearance counts as a change.
+    pub fn is_same_entry(&self, newer: &Self) -> bool {
+        let is_new_cold_time = self.cold_until.is_none() && newer.cold_until.is_some();
+        !is_new_cold_time
+            && *self
+                == Self {
+                    cold_until: self.cold_until,
+                    ..newer.clone()
+                }
+    }
 }
 
 /// The load that a replica reports with an answer.
--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -35,6 +35,9 @@
 /// per neighbor.
 const MAX_PUSHED_ENTRIES: usize = 10;
 
+/// The most starts of dropped replicas that are remembered, at some 50 bytes each.
+const MAX_DROPPED_STARTS: usize = 1_024;
+
 /// The revision of a state of the list, as the store numbers it; it only grows. Zero means that there was
 /// none yet.
 pub type ListRevision = u64;
@@ -94,6 +97,10 @@
     full_read_revision: ListRevision,
     /// Replicas that announced that they are leaving.
     leaving: LeavingTable,
+    /// Whether this process has applied a list, so that replicas which appear later have just started.
+    knows_fleet: bool,
+    /// Starts of replicas that were dropped: one that is listed again after an outage isn't fresh.
+    dropped_starts: FastMap<ReplicaId, u64>,
 }
 
 impl DiscoveryController {
@@ -163,7 +170,8 @@
                 update.revision,
             )));
         } else {
-            context.send_to_neighbors(&PeerMessage::ReplicasContent(update.clone()));
+            let update = without_unused(update.clone(), context.board);
+            context.send_to_neighbors(&PeerMessage::ReplicasContent(update));
         }
     }
 
@@ -212,9 +220,37 @@
             .removed
             .iter()
             .for_each(|id| self.mark_unlisted(id, "removed", context));
+        self.knows_fleet = true;
         context.publish();
     }
 
+    /// When a replica's start was first listed; `None` if it may have been running long before.
+    fn fresh_since(
+        &self,
+        record: &ReplicaRecord,
+        known: Option<&ReplicaFacts>,
+        now: Moment,
+    ) -> Option<Moment> {
+        let is_same_start = |known: &&ReplicaFacts| known.record.started_epoch_ms == record.started_epoch_ms;
+        match known.filter(is_same_start) {
+            Some(known) => known.fresh_since,
+            None => {
+                let was_dropped = self.dropped_starts.get(&record.id) == Some(&record.started_epoch_ms);
+                (self.knows_fleet && !was_dropped).then_some(now)
+            }
+        }
+    }
+
+    fn remember_dropped(&mut self, id: &ReplicaId, context: &ControlContext<'_>) {
+        if self.dropped_starts.len() >= MAX_DROPPED_STARTS {
+            self.dropped_starts.clear();
+        }
+        if let Some(facts) = context.board.replicas.get(id) {
+            self.dropped_starts
+                .insert(id.clone(), facts.record.started_epoch_ms);
+        }
+    }
+
     fn upsert(&self, record: &ReplicaRecord, context: &mut ControlContext<'_>) {
         let known = context.board.replicas.get(&record.id);
         if known.is_some_and(|known| known.record.started_epoch_ms > record.started_epoch_ms) {
@@ -231,11 +267,16 @@
             (true, None) => Some(announced_stop_at.unwrap_or(context.now.after_ms(STOP_DELAY_MS))),
         };
         let has_changed_role = known.is_some_and(|known| known.record.role != record.role);
-        let is_same = known
-            .is_some_and(|known| *known.record == *record && known.stop_at == stop_at && known.is_listed);
+        let is_same = known.is_some_and(|known| {
+            known.record.is_same_entry(record) && known.stop_at == stop_at && known.is_listed
+        });
         if is_same {
             return;
         }
+        let fresh_since = self.fresh_since(record, known, context.now);
+        let known_cold_until = known
+            .filter(|known| known.record.started_epoch_ms == record.started_epoch_ms)
+            .and_then(|known| known.record.cold_until);
         context.log(format!(
             "event=replica_listed replica={} service={} role={} address={} zone={} draining={} list_revision={}",
             record.id,
@@ -250,7 +291,10 @@
             // The engine has moved to the other pool and is available again.
             context.board.upstream_mut(&record.id).down_until = None;
         }
-        let record = Arc::new(record.clone());
+        let record = Arc::new(ReplicaRecord {
+            cold_until: known_cold_until.or(record.cold_until),
+            ..record.clone()
+        });
         let id = record.id.clone();
         Arc::make_mut(&mut context.board.replicas).insert(
             id,
@@ -258,6 +302,7 @@
                 record,
                 stop_at,
                 is_listed: true,
+                fresh_since,
             },
         );
     }
@@ -319,7 +364,8 @@
     }
 
     /// Drops a replica at whose address another one answered.
-    fn drop_replaced(&self, id: &ReplicaId, context: &mut ControlContext<'_>) {
+    fn drop_replaced(&mut self, id: &ReplicaId, context: &mut ControlContext<'_>) {
+        self.remember_dropped(id, context);
         if Arc::make_mut(&mut context.board.replicas).remove(id).is_some() {
             context.log(format!("event=replica_gone replica={id} reason=replaced"));
             context.publish();
@@ -376,6 +422,7 @@
             .map(|facts| facts.record.id.clone())
             .collect();
         for id in &gone {
+            self.remember_dropped(id, context);
             Arc::make_mut(&mut context.board.replicas).remove(id);
             context.log(format!("event=replica_gone replica={id} reason=off_the_list"));
         }
@@ -451,6 +498,7 @@
             return;
         }
         if let Some(changes) = self.history.changes_after(known).filter(|_| known > 0) {
+            let changes = without_unused(changes, context.board);
             context.send_to(peer, PeerMessage::ReplicasContent(changes));
             return;
         }
@@ -462,15 +510,27 @@
             present: listed.map(|facts| (*facts.record).clone()).collect(),
             removed: Vec::new(),
         };
+        let update = without_unused(update, context.board);
         context.send_to(peer, PeerMessage::ReplicasContent(update));
     }
 }
 
+/// Removes cold times from an update for peers where the configuration doesn't enable pace.
+fn without_unused(mut update: ReplicaUpdate, board: &Blackboard) -> ReplicaUpdate {
+    if !board.register.register.paces_replicas() {
+        update
+            .present
+            .iter_mut()
+            .for_each(|record| record.cold_until = None);
+    }
+    update
+}
+
 /// Entries that are unknown, changed, or listed again.
 fn find_changed(reading: &ReplicaUpdate, board: &Blackboard) -> Vec<ReplicaRecord> {
     let is_changed = |record: &&ReplicaRecord| {
         let known = board.replicas.get(&record.id);
-        known.is_none_or(|facts| *facts.record != **record || !facts.is_listed)
+        known.is_none_or(|facts| !facts.record.is_same_entry(record) || !facts.is_listed)
     };
     reading.present.iter().filter(is_changed).cloned().collect()
 }
--- a/src/peers/convert/mod.rs
+++ b/src/peers/convert/mod.rs
@@ -82,7 +82,7 @@
         PeerMessage::ReplicasWanted { revision } => {
             FrameBody::ReplicasWanted(ReplicasWantedFrame { revision: *revision })
         }
-        PeerMessage::ReplicasContent(update) => FrameBody::ReplicasContent(to_replicas_frame(update)),
+        PeerMessage::ReplicasContent(update) => FrameBody::ReplicasContent(to_replicas_frame(update, now)),
         PeerMessage::ReplicaLeaving {
             replica,
             started_epoch_ms,
@@ -237,7 +237,7 @@
         FrameBody::ReplicasWanted(frame) => Ok(PeerMessage::ReplicasWanted {
             revision: frame.revision,
         }),
-        FrameBody::ReplicasContent(frame) => to_replica_update(frame),
+        FrameBody::ReplicasContent(frame) => to_replica_update(frame, now),
         FrameBody::ReplicaLeaving(frame) => Ok(PeerMessage::ReplicaLeaving {
             replica: frame.replica.into(),
             started_epoch_ms: frame.started_epoch_ms,
--- a/src/peers/convert/replicas.rs
+++ b/src/peers/convert/replicas.rs
@@ -1,4 +1,5 @@
-//! Conversion of the list of replicas.
+//! Conversion of the list of replicas. The end of a cold time is sent as the remaining time, since the clocks
+//! of VMs differ.
 
 use std::sync::Arc;
 
@@ -7,8 +8,9 @@
 use crate::controllers::discovery::ReplicaUpdate;
 use crate::controllers::message::PeerMessage;
 use crate::peers::wire::{ReplicaFrame, ReplicasContentFrame};
+use crate::prelude::*;
 
-pub(super) fn to_replicas_frame(update: &ReplicaUpdate) -> ReplicasContentFrame {
+pub(super) fn to_replicas_frame(update: &ReplicaUpdate, now: Moment) -> ReplicasContentFrame {
     let to_frame = |record: &ReplicaRecord| ReplicaFrame {
         id: record.id.to_string(),
         started_epoch_ms: record.started_epoch_ms,
@@ -22,6 +24,7 @@
         zone: record.zone.to_string(),
         slots: record.slots,
         is_draining: record.is_draining,
+        cold_remaining_ms: record.cold_until.map_or(0, |until| now.until_ms(until)),
     };
     ReplicasContentFrame {
         revision: update.revision,
@@ -32,7 +35,7 @@
     }
 }
 
-pub(super) fn to_replica(frame: ReplicaFrame) -> Result<ReplicaRecord, InvalidFrame> {
+pub(super) fn to_replica(frame: ReplicaFrame, now: Moment) -> Result<ReplicaRecord, InvalidFrame> {
     Ok(ReplicaRecord {
         id: frame.id.into(),
         started_epoch_ms: frame.started_epoch_ms,
@@ -47,11 +50,19 @@
         zone: frame.zone.into(),
         slots: frame.slots,
         is_draining: frame.is_draining,
+        cold_until: (frame.cold_remaining_ms > 0).then(|| now.after_ms(frame.cold_remaining_ms)),
     })
 }
 
-pub(super) fn to_replica_update(frame: ReplicasContentFrame) -> Result<PeerMessage, InvalidFrame> {
-    let present: Result<Vec<_>, _> = frame.present.into_iter().map(to_replica).collect();
+pub(super) fn to_replica_update(
+    frame: ReplicasContentFrame,
+    now: Moment,
+) -> Result<PeerMessage, InvalidFrame> {
+    let present: Result<Vec<_>, _> = frame
+        .present
+        .into_iter()
+        .map(|frame| to_replica(frame, now))
+        .collect();
     Ok(PeerMessage::ReplicasContent(ReplicaUpdate {
         revision: frame.revision,
         is_whole: frame.is_whole,
--- a/src/peers/wire/replicas.rs
+++ b/src/peers/wire/replicas.rs
@@ -62,6 +62,10 @@
     /// Whether the replica is about to leave.
     #[prost(bool, tag = "8")]
     pub is_draining: bool,
+    /// How much longer the replica stays slow after its start, in milliseconds; zero if it announced nothing
+    /// or the time is over.
+    #[prost(uint64, tag = "9")]
+    pub cold_remaining_ms: u64,
 }
 
 /// The list of replicas or changes to it.
--- a/src/platform/amount.rs
+++ b/src/platform/amount.rs
@@ -41,6 +41,16 @@
     }
 }
 
+/// Deserializes an optional amount; any other value counts as absent.
+///
+/// # Errors
+///
+/// None beyond those of the surrounding document's syntax.
+pub fn read_optional_amount<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Amount>, D::Error> {
+    let value = serde_json::Value::deserialize(deserializer)?;
+    Ok(Amount::deserialize(value).ok())
+}
+
 struct AmountVisitor;
 
 impl Visitor<'_> for AmountVisitor {
--- a/src/platform/replica_entry.rs
+++ b/src/platform/replica_entry.rs
@@ -5,8 +5,9 @@
 use serde::Deserialize;
 use snafu::Snafu;
 
-use super::amount::{Amount, VersionNumber};
+use super::amount::{Amount, VersionNumber, read_optional_amount};
 use crate::blackboard::{ReplicaRecord, ReplicaRole};
+use crate::prelude::*;
 use crate::register::is_one_line;
 
 /// The key prefix of the replicas' entries.
@@ -22,6 +23,10 @@
 /// an entry with a far later start would make all later entries of the replica look outdated.
 const MAX_FUTURE_MS: u64 = 86_400_000;
 
+/// Upper bound on the announced cold time, in milliseconds: one hour, which keeps the arithmetic far from
+/// overflow.
+const MAX_COLD_MS: u64 = 3_600_000;
+
 /// Why an entry is rejected.
 #[derive(Debug, Snafu)]
 pub enum EntryError {
@@ -66,6 +71,14 @@
     /// it.
     born: Option<VersionNumber>,
     phase: Option<EntryPhase>,
+    /// How much longer the replica stays slow after its start, in milliseconds. A faulty value counts as
+    /// absent, since the replica can be used without it.
+    #[serde(
+        rename = "coldRemainingMs",
+        default,
+        deserialize_with = "read_optional_amount"
+    )]
+    cold_remaining_ms: Option<Amount>,
 }
 
 /// Whether a replica accepts new requests.
@@ -85,12 +98,18 @@
 }
 
 /// Parses the entry of the replica `id`. `now_epoch_ms` is the present in milliseconds since the Unix epoch;
-/// a start time too far after it is rejected.
+/// a start time too far after it is rejected. `now` is the time of arrival, from which the announced cold time
+/// counts.
 ///
 /// # Errors
 ///
 /// The first fault found in the entry.
-pub fn parse_replica(id: &str, value: &[u8], now_epoch_ms: u64) -> Result<ReplicaRecord, EntryError> {
+pub fn parse_replica(
+    id: &str,
+    value: &[u8],
+    now_epoch_ms: u64,
+    now: Moment,
+) -> Result<ReplicaRecord, EntryError> {
     let entry: ReplicaEntry = serde_json::from_slice(value)?;
     check_name("id", id)?;
     check_name("service", &entry.service)?;
@@ -124,6 +143,11 @@
         zone: entry.zone.into(),
         slots,
         is_draining: entry.state == EntryState::Draining,
+        cold_until: entry
+            .cold_remaining_ms
+            .map(|remaining_ms| remaining_ms.to_u64().min(MAX_COLD_MS))
+            .filter(|remaining_ms| *remaining_ms > 0)
+            .map(|remaining_ms| now.after_ms(remaining_ms)),
     })
 }
 
--- a/src/platform/replica_watch.rs
+++ b/src/platform/replica_watch.rs
@@ -148,7 +148,7 @@
 }
 
 fn read_entry(id: &str, value: &[u8]) -> Option<ReplicaRecord> {
-    match parse_replica(id, value, clock::epoch_ms()) {
+    match parse_replica(id, value, clock::epoch_ms(), clock::now()) {
         Ok(record) => Some(record),
         Err(error) => {
             spdlog::warn!(
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -197,6 +197,12 @@
         })
     }
 
+    /// Whether the pace of replicas that have just started or recovered is restrained: where the configuration
+    /// has workspaces.
+    pub fn paces_replicas(&self) -> bool {
+        self.callers.is_some()
+    }
+
     /// Builds a register of routes, services and limits without checking them.
     pub fn from_routes(
         routes: RouteTable,
--- a/tests/blame_rules/rules.rs
+++ b/tests/blame_rules/rules.rs
@@ -399,11 +399,13 @@
         zone: "a".into(),
         slots: 16,
         is_draining: false,
+        cold_until: None,
     };
     let facts = ReplicaFacts {
         record: Arc::new(record),
         stop_at: None,
         is_listed: true,
+        fresh_since: None,
     };
     Arc::make_mut(&mut board.replicas).insert(replica.clone(), facts);
 }
--- a/tests/engine_fixture/mod.rs
+++ b/tests/engine_fixture/mod.rs
@@ -19,11 +19,13 @@
         zone: "a".into(),
         slots,
         is_draining: false,
+        cold_until: None,
     };
     let facts = ReplicaFacts {
         record: Arc::new(record),
         stop_at: None,
         is_listed: true,
+        fresh_since: None,
     };
     (id, facts)
 }
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -35,6 +35,7 @@
         zone: "a".into(),
         slots: 4,
         is_draining: false,
+        cold_until: None,
     }
 }
 
--- a/tests/plain_desk/mod.rs
+++ b/tests/plain_desk/mod.rs
@@ -23,6 +23,7 @@
         zone: "a".into(),
         slots: 4,
         is_draining: false,
+        cold_until: None,
     }
 }
 
@@ -31,6 +32,7 @@
         record: Arc::new(record(id, started_epoch_ms)),
         stop_at: None,
         is_listed: true,
+        fresh_since: None,
     }
 }
 
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dotterelspan::clock::Moment;
 use dotterelspan::platform::{parse_config, parse_replica};
 use proptest::prelude::*;
 use serde_json::{Value, json};
@@ -250,7 +251,7 @@
         parts in proptest::collection::vec("(\\{|\\}|\\[|\\]|,|\"service\":|\"address\":|\"zone\":|\"slots\":|\"state\":|\"born\":|\"ready\"|\"10.0.0.1:80\"|\"a\"|1e999|-3|4294967296|null)", 0..30)
     ) {
         let text = parts.concat();
-        let _ = parse_replica("i-1", text.as_bytes(), NOW_EPOCH_MS);
+        let _ = parse_replica("i-1", text.as_bytes(), NOW_EPOCH_MS, Moment(0));
         let _ = parse_config(&text);
     }
 
@@ -262,7 +263,7 @@
             "service": "desk", "address": format!("10.0.0.1:{port}"), "zone": zone, "slots": slots, "state": "ready",
             "born": born,
         });
-        if let Ok(record) = parse_replica("i-1", entry.to_string().as_bytes(), NOW_EPOCH_MS) {
+        if let Ok(record) = parse_replica("i-1", entry.to_string().as_bytes(), NOW_EPOCH_MS, Moment(0)) {
             prop_assert!((1..=65_536).contains(&record.slots) && record.address.port() > 0);
             prop_assert!(record.started_epoch_ms < NOW_EPOCH_MS * 2 && record.zone.len() <= 200);
         }
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -80,6 +80,7 @@
         zone: "a".into(),
         slots: 4,
         is_draining: false,
+        cold_until: None,
     }
 }
 
