Restrain replicas that have just started or recovered by their answers

Cause: a replica that nobody has measured looks cheapest to all VMs at once. Change: ServerPace and PaceTable decide from answer times against the peers', loads, rejections and failures how many requests such a replica may have; the replica selector uses them for plain replicas, the owner's ledger for engines. Pace only orders replicas and gives way where no other has room or most are fresh. Active where the configuration has workspaces. A log line for each change of state, metrics for at most 64 replicas.

--- a/src/blackboard/mod.rs
+++ b/src/blackboard/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::controllers::discovery::ListRevision;
 use crate::controllers::message::VmIntroduction;
+use crate::controllers::pace::PaceLevel;
 use crate::prelude::*;
 
 /// A VM's name: unique in a deployment, and reused by the VM's replacement.
@@ -216,6 +217,8 @@
     pub member_count: usize,
     /// Rate limits that replicas report; replaced by another map on each change.
     pub rate_limits: SharedRateLimits,
+    /// Engines that this VM restrains after a start or a recovery, as the owner of their groups.
+    pub engine_paces: Arc<[PaceLevel]>,
     /// Hash of the replicas that report a limit, compared with that of peers to find differences.
     pub limit_digest: u64,
     /// When this VM, as an owner, last issued a permit for a replica that reports a limit.
@@ -246,6 +249,7 @@
             case_digest: 0,
             member_count: 1,
             rate_limits: Arc::default(),
+            engine_paces: Arc::default(),
             limit_digest: 0,
             last_permit_at: FastMap::default(),
             drain: None,
--- a/src/controllers/dispatch/selector.rs
+++ b/src/controllers/dispatch/selector.rs
@@ -12,6 +12,7 @@
     ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole, RequestRate, SharedRateLimits,
     find_limit,
 };
+use crate::controllers::pace::{AnswerSample, PaceChange, PaceLevel, PaceTable};
 use crate::prelude::*;
 
 /// The cost of another zone for a plain call, in equivalent milliseconds of waiting: round trip time and
@@ -38,6 +39,10 @@
 /// The share of rejections, in thousandths, from which a replica is expected to reject the next request too.
 const REJECTING_THOUSANDTHS: u64 = 500;
 
+/// The longest delay of this VM's first request to a fresh replica, in milliseconds. Without it, all VMs send
+/// to a new replica in the same moment: none of them has measured it or knows of the others' requests.
+const FIRST_SEND_SPREAD_MS: u64 = 400;
+
 /// Criteria for the selection of a replica.
 #[derive(Clone, Debug)]
 pub struct SelectionCriteria<'a> {
@@ -72,6 +77,8 @@
 struct ChoiceRank {
     /// 1 for a replica that is paused after failures, plus 2 for a draining one.
     penalty: u8,
+    /// Whether the replica has all requests that its pace allows while another one has a free slot.
+    is_held_back: bool,
     /// Whether it ranks behind unlimited replicas that have a free slot, because it is rate-limited or has no
     /// free slot. False if no replica of the service is rate-limited.
     is_fallback: bool,
@@ -103,6 +110,8 @@
     retry_planners: FastMap<Arc<str>, RetryPlanner>,
     /// The number of selections for each service.
     choice_counts: FastMap<Arc<str>, u64>,
+    /// The paces of plain replicas.
+    paces: PaceTable,
     random: SmallRng,
 }
 
@@ -117,6 +126,7 @@
             no_permit_until: FastMap::default(),
             retry_planners: FastMap::default(),
             choice_counts: FastMap::default(),
+            paces: PaceTable::new(FIRST_SEND_SPREAD_MS, seed),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -129,8 +139,33 @@
             let id = facts.record.id.clone();
             let mut stats = known.remove(&id).unwrap_or_else(|| ReplicaStats::new(facts));
             stats.update(facts);
+            if facts.record.role == ReplicaRole::Plain {
+                self.paces.update(facts, facts.record.slots, now);
+            }
             self.replica_stats.insert(id, stats);
         }
+        let replica_stats = &self.replica_stats;
+        self.paces.retain(|id| replica_stats.contains_key(id));
+    }
+
+    /// Whether replicas that have just started or recovered are restrained.
+    pub fn has_pace(&self) -> bool {
+        self.paces.is_enabled()
+    }
+
+    /// Enables or disables pace; [`Self::replace`] must follow a change.
+    pub fn set_pace(&mut self, is_enabled: bool) {
+        self.paces.set_enabled(is_enabled);
+    }
+
+    /// Takes the changes of replicas' paces since the last call, for the log.
+    pub fn take_pace_changes(&mut self) -> Vec<PaceChange> {
+        self.paces.take_changes()
+    }
+
+    /// The limits of the plain replicas that are restrained now.
+    pub fn pace_levels(&self, now: Moment) -> Vec<PaceLevel> {
+        self.paces.levels(now)
     }
 
     /// Replaces the rate limits of replicas.
@@ -254,8 +289,11 @@
     /// Selects the unlimited replica with the least expected cost, or rate-limited candidates if these are
     /// better or all replicas are limited. Paused and draining replicas are used only if no other is
     /// available. Rate-limited ones are used only if the others have no free slot or are much slower.
-    /// Replicas in a backoff are never used.
+    /// Replicas in a backoff are never used. A replica at the limit of its pace ranks behind others with a
+    /// free slot.
     pub fn choose(&mut self, criteria: &SelectionCriteria<'_>, now: Moment) -> Option<DispatchChoice> {
+        self.paces.refresh(now);
+        let has_room = self.paces.has_ramps() && self.has_room_at_pace(criteria, now);
         let mut best_unlimited: Option<(ChoiceRank, Arc<ReplicaRecord>)> = None;
         let mut limited: Vec<(ChoiceRank, ReplicaId)> = Vec::new();
         let has_limits = self.has_limits(criteria.service);
@@ -266,17 +304,13 @@
             .unwrap_or_default();
         for stats in self.replica_stats.values() {
             let record = &stats.record;
-            let is_eligible = &*record.service == criteria.service
-                && record.role == criteria.role
-                && !criteria.avoid.contains(&record.id)
-                && self.backoff_until(record, now).is_none()
-                && !stats.is_stopped(now);
-            if !is_eligible {
+            if !self.is_eligible(stats, criteria, now) {
                 continue;
             }
             let is_paused = !now.reached(stats.paused_until);
             let mut rank = ChoiceRank {
                 penalty: u8::from(is_paused) + 2 * u8::from(stats.stop_at.is_some()),
+                is_held_back: has_room && self.is_held_back(stats, now),
                 is_fallback: has_limits && stats.expected_requests(now) >= record.slots,
                 cost: self.cost(stats, choice_count, now),
                 tie_breaker: self.random.random(),
@@ -303,6 +337,47 @@
         Some(rank_candidates(limited).unwrap_or(DispatchChoice::Unlimited(record)))
     }
 
+    /// Whether a replica may get a request that meets these criteria.
+    fn is_eligible(&self, stats: &ReplicaStats, criteria: &SelectionCriteria<'_>, now: Moment) -> bool {
+        let record = &stats.record;
+        &*record.service == criteria.service
+            && record.role == criteria.role
+            && !criteria.avoid.contains(&record.id)
+            && self.backoff_until(record, now).is_none()
+            && !stats.is_stopped(now)
+    }
+
+    /// Whether a replica has all requests that its pace allows.
+    fn is_held_back(&self, stats: &ReplicaStats, now: Moment) -> bool {
+        self.paces
+            .is_full(&stats.record.id, stats.expected_requests(now), now)
+    }
+
+    /// Whether an unlimited replica that is neither held back, paused nor leaving has a free slot, so that
+    /// pace may hold others back.
+    fn has_room_at_pace(&self, criteria: &SelectionCriteria<'_>, now: Moment) -> bool {
+        self.replica_stats.values().any(|stats| {
+            self.is_eligible(stats, criteria, now)
+                && now.reached(stats.paused_until)
+                && stats.stop_at.is_none()
+                && stats.expected_requests(now) < stats.record.slots
+                && stats.rejected_thousandths < REJECTING_THOUSANDTHS
+                && self.limit(&stats.record).is_none()
+                && !self.is_held_back(stats, now)
+        })
+    }
+
+    /// The expected time of a call at a plain replica, in milliseconds. One that has just started and isn't
+    /// measured is expected to answer as its peers do, so that its missing figures don't attract all calls.
+    fn expected_answer_ms(&self, stats: &ReplicaStats, choice_count: u64) -> u64 {
+        let expected_ms = stats.expected_answer_ms(choice_count);
+        if stats.answer_ms > 0 {
+            return expected_ms;
+        }
+        let peer_us = self.paces.expected_work_us(&stats.record.id);
+        peer_us.map_or(expected_ms, |peer_us| expected_ms.max(peer_us / 1_000))
+    }
+
     /// The load figures that a selection of this replica is based on.
     pub fn evidence(&self, record: &ReplicaRecord, now: Moment) -> ChoiceEvidence {
         let replica_stats = self.replica_stats.values();
@@ -332,7 +407,7 @@
             ReplicaRole::Plain => {
                 let slots = u64::from(stats.record.slots.max(1));
                 let ahead = u64::from(stats.expected_requests(now));
-                let answer_ms = stats.expected_answer_ms(choice_count);
+                let answer_ms = self.expected_answer_ms(stats, choice_count);
                 // Requests beyond the number of slots wait for a slot.
                 let waiting = (ahead + 1).saturating_sub(slots);
                 let zone_cost_ms = if is_other_zone { OTHER_ZONE_COST_MS } else { 0 };
@@ -399,7 +474,23 @@
         let stats = self.replica_stats.get_mut(id)?;
         stats.in_flight = stats.in_flight.saturating_sub(1);
         stats.pending_tokens = stats.pending_tokens.saturating_sub(u64::from(tokens));
-        stats.record_outcome(outcome, now)
+        let paused_until = stats.record_outcome(outcome, now);
+        let load = stats.load(now);
+        self.record_pace(id, outcome, load, now);
+        paused_until
+    }
+
+    fn record_pace(&mut self, id: &ReplicaId, outcome: SendOutcome, load: Option<ReplicaLoad>, now: Moment) {
+        match outcome {
+            SendOutcome::Served(elapsed_ms) => {
+                let work_us = elapsed_ms * 1_000;
+                self.paces.record_answer(id, AnswerSample { work_us, load }, now);
+            }
+            SendOutcome::Refused => self.paces.record_rejection(id, now),
+            SendOutcome::Failed => self.paces.record_failure(id, now),
+            SendOutcome::Errored => self.paces.record_error(id, now),
+            SendOutcome::Abandoned(_) => self.paces.record_no_answer(id, now),
+        }
     }
 
     /// Records a load that a replica reported.
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -15,6 +15,7 @@
 pub mod owner_tenure;
 pub mod owner_watch;
 pub mod ownership;
+pub mod pace;
 pub mod quarantine;
 pub mod quotas;
 pub mod rate_limits;
--- a/src/controllers/slots/ledger/choice.rs
+++ b/src/controllers/slots/ledger/choice.rs
@@ -75,7 +75,8 @@
         })
     }
 
-    /// Chooses the engine with the lowest product of utilization and time per token, among those with room.
+    /// Chooses the engine with the lowest product of utilization and time per token, among those with room. An
+    /// engine at the limit of its pace is chosen only if no other one has room.
     pub(super) fn choose_decode(
         &self,
         request: &PlacementRequest,
@@ -98,13 +99,20 @@
                     CROSS_ZONE_DECODE_PERMILLE
                 };
                 let utilization = replica.utilization_with(load) + cross_zone_permille;
-                (is_shared, utilization * token_gap(replica), (*name).clone())
+                let is_held_back = self.is_decode_held_back(name, now);
+                (
+                    is_shared,
+                    is_held_back,
+                    utilization * token_gap(replica),
+                    (*name).clone(),
+                )
             })
             .map(|(name, _)| name.clone())
     }
 
     /// Chooses the engine that would finish the prompt first, but prefers the one with the longest cached
-    /// prefix within [`CACHE_MISS_GAIN_PERCENT`]. If the chosen engine is busy, the request waits for it.
+    /// prefix within [`CACHE_MISS_GAIN_PERCENT`]. If the chosen engine is busy, the request waits for it. If it
+    /// is at the limit of its pace, a free one is chosen instead, if there is one.
     pub(super) fn choose_prefill(
         &mut self,
         request: &PlacementRequest,
@@ -153,6 +161,16 @@
         } else {
             cheapest
         };
+        let (cached, name) = if self.is_prefill_held_back(name, now) {
+            let with_room = candidates.iter().filter(|(_, _, other)| {
+                let is_free = self.prefill.get(*other).is_some_and(is_free);
+                is_free && !self.is_prefill_held_back(other, now)
+            });
+            let fallback = with_room.min().map(|(_, cached, other)| (cached, other));
+            fallback.unwrap_or((cached, name))
+        } else {
+            (cached, name)
+        };
         let (cached, name) = (*cached, (*name).clone());
         let Some(replica) = self.prefill.get_mut(&name) else {
             return PrefillChoice::None;
--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod estimate;
 mod limits;
+mod pace;
 
 use std::sync::Arc;
 
@@ -19,6 +20,7 @@
 };
 use crate::blackboard::{EngineView, FeatureSet, Fingerprint, ReplicaFacts, ReplicaId, SharedRateLimits};
 use crate::controllers::message::SlotVerdict;
+use crate::controllers::pace::PaceTable;
 use crate::controllers::rate_limits::PermitIssuer;
 use crate::controllers::services::smooth;
 use crate::prelude::*;
@@ -61,6 +63,7 @@
     deadline: Moment,
     /// Permits taken of its engines.
     permits: EnginePermits,
+    granted_at: Moment,
 }
 
 /// The engines of a request whose slots were released.
@@ -95,6 +98,8 @@
     pub permit_issuer: PermitIssuer,
     /// When the group no longer counts as rate-limited.
     rate_limited_until: Moment,
+    /// The paces of the group's engines.
+    paces: PaceTable,
 }
 
 impl GroupLedger {
@@ -114,6 +119,7 @@
             limits: Arc::default(),
             permit_issuer: PermitIssuer::default(),
             rate_limited_until: Moment::default(),
+            paces: PaceTable::new(0, 0),
         }
     }
 
@@ -133,7 +139,8 @@
     }
 
     /// Adds, removes and updates engines according to the board.
-    fn sync(&mut self, board: &Blackboard, group_size: usize) {
+    fn sync(&mut self, board: &Blackboard, group_size: usize, now: Moment) {
+        self.paces.refresh(now);
         if !Arc::ptr_eq(&self.limits, &board.rate_limits) {
             self.limits = board.rate_limits.clone();
             self.permit_issuer.retain(|id| board.rate_limits.contains_key(id));
@@ -168,6 +175,7 @@
                 .entry(name.into())
                 .or_insert_with(|| PrefillReplica::new(engine));
         }
+        self.sync_paces(board, now);
     }
 
     /// Grants, queues or refuses a request. Repeating it is idempotent: a request that holds slots gets the
@@ -180,7 +188,7 @@
         group_size: usize,
         now: Moment,
     ) -> SlotVerdict {
-        self.sync(board, group_size);
+        self.sync(board, group_size, now);
         if let Some(lease) = self.leases.get(&ask.request) {
             return SlotVerdict::Granted {
                 decode: lease.decode.clone(),
@@ -285,6 +293,7 @@
             features: Some(ask.features.clone()),
             deadline: ask.deadline,
             permits,
+            granted_at: now,
         };
         self.add_lease(&ask.request, lease);
         Some(SlotVerdict::Granted {
@@ -304,8 +313,15 @@
     }
 
     /// Takes over a lease that an earlier owner granted.
-    pub fn adopt(&mut self, held: &HeldSlot, holder: Option<VmName>, board: &Blackboard, group_size: usize) {
-        self.sync(board, group_size);
+    pub fn adopt(
+        &mut self,
+        held: &HeldSlot,
+        holder: Option<VmName>,
+        board: &Blackboard,
+        group_size: usize,
+        now: Moment,
+    ) {
+        self.sync(board, group_size, now);
         if self.leases.contains_key(&held.request) || !self.decode.contains_key(&held.decode) {
             return;
         }
@@ -320,6 +336,7 @@
             features: None,
             deadline: held.deadline,
             permits: EnginePermits::default(),
+            granted_at: now,
         };
         self.add_lease(&held.request, lease);
     }
@@ -342,6 +359,12 @@
             return;
         }
         let uncached_tokens = lease.uncached_tokens;
+        if end == EngineOutcome::Fine
+            && let Some(prefill) = &lease.prefill
+        {
+            let elapsed_ms = lease.granted_at.until_ms(now);
+            pace::record_prefill(&mut self.paces, prefill, uncached_tokens, elapsed_ms, now);
+        }
         if let Some(engine) = lease.prefill.as_ref().and_then(|name| self.prefill.get_mut(name)) {
             engine.end(uncached_tokens, end == EngineOutcome::Fine, now);
         }
@@ -364,6 +387,7 @@
         self.prefill_done(request, EngineOutcome::Failed, now);
         let lease = self.leases.remove(request)?;
         self.return_permits(&lease, result, now);
+        self.record_pace(&lease, result, now);
         if result.handover_ms > 0 {
             self.handover_ms = smooth(self.handover_ms, result.handover_ms);
         }
@@ -406,7 +430,7 @@
 
     /// Refuses queued requests that have become too late, then grants free slots to the others in order.
     pub fn serve_queue(&mut self, board: &Blackboard, group_size: usize, now: Moment) -> Vec<QueueDecision> {
-        self.sync(board, group_size);
+        self.sync(board, group_size, now);
         if self.queue.is_empty() {
             return Vec::new();
         }
--- a/src/controllers/slots/owner.rs
+++ b/src/controllers/slots/owner.rs
@@ -196,7 +196,7 @@
     ) {
         let group_size = self.group_size;
         self.ledger_mut(group)
-            .adopt(held, holder, context.board, group_size);
+            .adopt(held, holder, context.board, group_size, context.now);
     }
 
     /// Serves the groups that have queued requests.
@@ -222,6 +222,22 @@
         for key in keys {
             self.serve_group(&key, context);
         }
+        self.report_paces(context);
+    }
+
+    /// Logs changes of the engines' paces, and publishes the limits of those that are restrained.
+    fn report_paces(&mut self, context: &mut ControlContext<'_>) {
+        let mut levels = Vec::new();
+        for ledger in self.ledgers.values_mut() {
+            for change in ledger.take_pace_changes() {
+                context.log(change.log_line());
+            }
+            levels.extend(ledger.pace_levels(context.now));
+        }
+        if *levels != *context.board.engine_paces {
+            context.board.engine_paces = levels.into();
+            context.publish();
+        }
     }
 }
 
--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -105,6 +105,7 @@
     "replica_gone", Belief, ["replica", "reason"], "A replica was removed; it gets no more requests.";
     "replica_leaving", Belief, ["replica", "reason", "source", "list_revision"], "A replica was removed from the list, or reported that it leaves; it gets no new requests after a short delay.";
     "replica_listed", Belief, ["replica", "service", "role", "address", "zone", "draining", "list_revision"], "A replica is new on the list, or its entry changed.";
+    "replica_pace", Belief, ["replica", "state", "reason", "limit", "slots", "work_us", "peer_us"], "A replica is restrained after a start or a recovery, or no longer is: limit is the requests that it may have now, work_us its mean time for a call, a token or 1,000 prompt tokens, and peer_us the median of its peers'; zero where unknown.";
     "replica_paused", Belief, ["replica", "reason", "paused_ms"], "A replica failed and is avoided for a while if others are available.";
     "request_quarantined", Belief, ["fingerprint", "kind", "strikes", "hold_ms"], "Replicas crashed while running requests with one feature, one run after the other; all VMs refuse such requests. kind is content for repeats of one request, and part for requests that share a part of their prompts.";
     "resumed", Progress, ["request", "replica", "last_event"], "A stream resumed at another engine after the last event that its caller received.";
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -141,11 +141,18 @@
         let replicas = snapshot.replicas.clone();
         let mut state = lock(&self.selector);
         state.selector.set_limits(&snapshot.rate_limits);
-        if !Arc::ptr_eq(&state.replicas, &replicas) {
+        let has_pace = snapshot.register.paces_replicas();
+        let has_changed_pace = state.selector.has_pace() != has_pace;
+        state.selector.set_pace(has_pace);
+        if has_changed_pace || !Arc::ptr_eq(&state.replicas, &replicas) {
             state.selector.replace(replicas.values(), clock::now());
             state.replicas = replicas;
         }
-        work(&mut state.selector)
+        let result = work(&mut state.selector);
+        for change in state.selector.take_pace_changes() {
+            spdlog::warn!("{}", change.log_line());
+        }
+        result
     }
 
     /// Returns the number of VMs that share the budget slack; `None` if this VM knows no other one although
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,8 +1,8 @@
 //! The gateway's metrics: collected with OpenTelemetry, exported in the Prometheus text format.
 //!
 //! Labels are kinds of route, outcomes and other small enums, so that the number of time series does not grow
-//! with routes or models. The metrics of rate limits are labeled by replica, those of quotas by workspace, each
-//! up to a fixed number.
+//! with routes or models. The metrics of rate limits and paces are labeled by replica, those of quotas by
+//! workspace, each up to a fixed number.
 
 use std::sync::Arc;
 
@@ -11,6 +11,7 @@
 
 use super::limit_gauge::LimitGauge;
 use super::loss::RunStage;
+use super::pace_gauge::PaceGauge;
 use super::quota_gauge::QuotaGauge;
 use super::quota_permit::QuotaDecision;
 use super::rate_permit::PermitDecision;
@@ -18,6 +19,7 @@
 use super::trace::{RequestOutcome, TraceRecord};
 use crate::blackboard::{FeatureKind, OfferOutcome, ReplicaId};
 use crate::clock;
+use crate::controllers::pace::PaceLevel;
 use crate::event_log::EventLog;
 use crate::prelude::*;
 use crate::register::RouteKind;
@@ -70,6 +72,7 @@
     permits: Counter<u64>,
     limits: LimitGauge,
     quotas: QuotaGauge,
+    paces: PaceGauge,
     control_events: ControlEventGauge,
 }
 
@@ -138,6 +141,7 @@
             ),
             limits: LimitGauge::new(&meters),
             quotas: QuotaGauge::new(&meters),
+            paces: PaceGauge::new(&meters),
             unknown_attributes: meters.gauge(
                 "unknown_statements",
                 "Statements of replicas on themselves that nothing reads, by name.",
@@ -147,9 +151,17 @@
         })
     }
 
-    /// Returns all metrics in the Prometheus text format; gauges are read from the current snapshot.
-    pub fn render(&self, control: &ControlHandle, unknown_attributes: &UnknownAttributes) -> String {
-        self.record_state(&control.snapshot(), control.active_requests());
+    /// Returns all metrics in the Prometheus text format; gauges are read from the current snapshot. `paces`
+    /// are those of plain replicas, as this VM restrains them.
+    pub fn render(
+        &self,
+        control: &ControlHandle,
+        unknown_attributes: &UnknownAttributes,
+        paces: &[PaceLevel],
+    ) -> String {
+        let snapshot = control.snapshot();
+        self.record_state(&snapshot, control.active_requests());
+        self.paces.record(paces, &snapshot.engine_paces);
         self.control_events.record(control);
         for (name, count) in unknown_attributes.counts() {
             self.unknown_attributes
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod loss;
 mod metrics;
 mod order;
+mod pace_gauge;
 mod paid_sends;
 mod place;
 mod plain_server;
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -125,9 +125,10 @@
     if head.path() != "/metrics" {
         return PlainAnswer::not_found();
     }
+    let paces = context.with_selector(|selector| selector.pace_levels(clock::now()));
     let text = context
         .metrics
-        .render(&context.control, &context.unknown_attributes);
+        .render(&context.control, &context.unknown_attributes, &paces);
     PlainAnswer::text(200, &text)
 }
 
--- a/src/runtime/snapshot.rs
+++ b/src/runtime/snapshot.rs
@@ -8,6 +8,7 @@
 };
 use crate::controllers::discovery::ListRevision;
 use crate::controllers::message::VmIntroduction;
+use crate::controllers::pace::PaceLevel;
 use crate::controllers::readers::{reads_store, watches_config};
 use crate::prelude::*;
 
@@ -60,6 +61,8 @@
     pub suspicions: Arc<SuspicionMap>,
     /// Rate limits that replicas report.
     pub rate_limits: SharedRateLimits,
+    /// Engines that this VM restrains after a start or a recovery, as the owner of their groups.
+    pub engine_paces: Arc<[PaceLevel]>,
 }
 
 impl Snapshot {
@@ -91,6 +94,7 @@
             exit_at: board.drain.map(|drain| drain.exit_at),
             suspicions: board.suspicions.clone(),
             rate_limits: board.rate_limits.clone(),
+            engine_paces: board.engine_paces.clone(),
         }
     }
 
