--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -23,6 +23,7 @@
 mod list_spread;
 mod node;
 mod odd_entries;
+mod pace;
 mod placement;
 mod planned_stop;
 mod prompt_parts;
--- a/tests/platform/replica.rs
+++ b/tests/platform/replica.rs
@@ -321,6 +321,16 @@
         self.write_entry(store, service, phase, "ready", born);
     }
 
+    /// Writes the entry of a plain replica with the time for which it stays slow after its start, in
+    /// milliseconds.
+    pub fn publish_cold(&self, store: &StandInStore, service: &str, remaining_ms: u64) {
+        let entry = json!({
+            "service": service, "address": self.listed_address(), "zone": "a", "slots": 4, "state": "ready",
+            "born": self.process.start_number(), "coldRemainingMs": remaining_ms,
+        });
+        store.put(&format!("servers/{}", self.id), &entry.to_string());
+    }
+
     fn write_entry(&self, store: &StandInStore, service: &str, phase: Option<&str>, state: &str, born: u64) {
         let address = self.listed_address();
         let mut entry = json!({
