Tell where a request would go now, without sending it

Cause: why a request goes to a replica, or is refused, could only be read from logs after it was sent. Change: `dotterelspan where` posts the head of a request to a gateway's readiness or metrics port, which answers with the route, the workspace and its quota, the replicas as the selection sees them, the owners that decide, and the refusal with its wait. The selection ranks replicas in one function for both; nothing is chosen, charged or counted. The key comes from a file or standard input only.

--- a/src/command_line/arguments.rs
+++ b/src/command_line/arguments.rs
@@ -30,6 +30,8 @@
     Status(StatusArguments),
     /// Explains a result code, or a request from logs.
     Explain(ExplainArguments),
+    /// Prints where a request would go now.
+    Where(WhereArguments),
 }
 
 macro_rules! setting_arguments {
@@ -158,3 +160,41 @@
     #[argh(option)]
     pub plot: Option<String>,
 }
+
+/// Ask a running gateway where a request would go now and why, without sending it. Exits with 0 if it would be
+/// served, with 7 if it would be refused, with 5 if no gateway answers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "where")]
+pub struct WhereArguments {
+    /// IP address and port of the gateway's readiness or metrics endpoint
+    #[argh(positional)]
+    pub address: String,
+
+    /// method of the request (GET)
+    #[argh(option, default = "String::from(\"GET\")")]
+    pub method: String,
+
+    /// host that the request is for
+    #[argh(option)]
+    pub host: String,
+
+    /// path and query of the request (/)
+    #[argh(option, default = "String::from(\"/\")")]
+    pub path: String,
+
+    /// a header line `name: value`; may be repeated
+    #[argh(option)]
+    pub header: Vec<String>,
+
+    /// length of the request's body
+    #[argh(option)]
+    pub body_bytes: Option<u64>,
+
+    /// file with the API key; - for standard input
+    #[argh(option)]
+    pub key_file: Option<String>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- a/src/command_line/commands.rs
+++ b/src/command_line/commands.rs
@@ -38,6 +38,8 @@
     Unreachable = 5,
     /// The result code to explain does not exist.
     UnknownCode = 6,
+    /// The request that `where` asked about would be refused.
+    Refused = 7,
 }
 
 /// Starts the log on standard output; `None` if that fails, in which case the process runs without a log.
--- a/src/command_line/mod.rs
+++ b/src/command_line/mod.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod commands;
+mod preview;
 
 pub use commands::ExitStatus;
 
@@ -19,6 +20,7 @@
         Subcommand::Check(arguments) => commands::check_register(&arguments),
         Subcommand::Report(arguments) => commands::fetch(&arguments.address, "/v1/report"),
         Subcommand::Status(arguments) => commands::fetch(&arguments.address, "/v1/status"),
+        Subcommand::Where(arguments) => preview::preview(&arguments),
         Subcommand::Explain(arguments) => commands::explain(&arguments),
     };
     ExitCode::from(status as u8)
--- a/src/controllers/dispatch/selector.rs
+++ b/src/controllers/dispatch/selector.rs
@@ -7,7 +7,7 @@
 
 use super::retry_planner::{RefusedCaller, RetryPlanner};
 use super::stats::DEFAULT_ANSWER_MS;
-use super::{ReplicaStats, SendOutcome};
+use super::{CandidateState, CandidateView, ReplicaStats, SendOutcome};
 use crate::blackboard::{
     ReplicaFacts, ReplicaId, ReplicaLoad, ReplicaRecord, ReplicaRole, RequestRate, SharedRateLimits,
     find_limit,
@@ -307,13 +307,11 @@
             if !self.is_eligible(stats, criteria, now) {
                 continue;
             }
-            let is_paused = !now.reached(stats.paused_until);
+            let tie_breaker = self.random.random();
             let mut rank = ChoiceRank {
-                penalty: u8::from(is_paused) + 2 * u8::from(stats.stop_at.is_some()),
-                is_held_back: has_room && self.is_held_back(stats, now),
                 is_fallback: has_limits && stats.expected_requests(now) >= record.slots,
-                cost: self.cost(stats, choice_count, now),
-                tie_breaker: self.random.random(),
+                tie_breaker,
+                ..self.rank(stats, has_room, choice_count, now)
             };
             match self.limit(record) {
                 Some(rate) if self.may_have_permit(record, rate, now) => {
@@ -337,6 +335,77 @@
         Some(rank_candidates(limited).unwrap_or(DispatchChoice::Unlimited(record)))
     }
 
+    /// The rank of a replica without rate limits and without a tie-breaker. `has_room` says whether pace may
+    /// hold replicas back.
+    fn rank(&self, stats: &ReplicaStats, has_room: bool, choice_count: u64, now: Moment) -> ChoiceRank {
+        let is_paused = !now.reached(stats.paused_until);
+        ChoiceRank {
+            penalty: u8::from(is_paused) + 2 * u8::from(stats.stop_at.is_some()),
+            is_held_back: has_room && self.is_held_back(stats, now),
+            is_fallback: false,
+            cost: self.cost(stats, choice_count, now),
+            tie_breaker: 0,
+        }
+    }
+
+    /// All replicas of a service and role, as a selection would see them now, the best first. Nothing is
+    /// chosen or counted.
+    pub fn preview(&self, criteria: &SelectionCriteria<'_>, now: Moment) -> Vec<CandidateView> {
+        let has_room = self.paces.has_ramps() && self.has_room_at_pace(criteria, now);
+        let choice_count = self
+            .choice_counts
+            .get(criteria.service)
+            .copied()
+            .unwrap_or_default();
+        let replica_stats = self.replica_stats.values();
+        let of_service = replica_stats
+            .filter(|stats| &*stats.record.service == criteria.service && stats.record.role == criteria.role);
+        let mut ranked: Vec<(bool, ChoiceRank, CandidateView)> = of_service
+            .map(|stats| {
+                let rank = self.rank(stats, has_room, choice_count, now);
+                let view = self.view(stats, rank, now);
+                (!view.state.is_eligible(), rank, view)
+            })
+            .collect();
+        ranked.sort_by(|(left_out, left, left_view), (right_out, right, right_view)| {
+            let ids = || left_view.record.id.cmp(&right_view.record.id);
+            (left_out, left).cmp(&(right_out, right)).then_with(ids)
+        });
+        ranked.into_iter().map(|(_, _, view)| view).collect()
+    }
+
+    fn view(&self, stats: &ReplicaStats, rank: ChoiceRank, now: Moment) -> CandidateView {
+        let record = &stats.record;
+        let rate_limit = self.limit(record);
+        let no_permit_until = self.no_permit_until.get(&record.id).copied();
+        let backoff_until = self.backoff_until(record, now);
+        let is_paused = !now.reached(stats.paused_until);
+        let (state, state_until) = match () {
+            () if stats.is_stopped(now) => (CandidateState::Stopped, None),
+            () if backoff_until.is_some() => (CandidateState::BackingOff, backoff_until),
+            () if rate_limit.is_some_and(|rate| !self.may_have_permit(record, rate, now)) => {
+                (CandidateState::NoPermit, no_permit_until)
+            }
+            () if stats.stop_at.is_some() => (CandidateState::Leaving, stats.stop_at),
+            () if is_paused => (CandidateState::Paused, Some(stats.paused_until)),
+            () => (CandidateState::Usable, None),
+        };
+        CandidateView {
+            record: record.clone(),
+            state,
+            state_until,
+            requests: stats.expected_requests(now),
+            in_flight: stats.in_flight,
+            load: stats.load(now).zip(stats.load_age_ms(now)),
+            answer_ms: stats.answer_ms,
+            pace: self.paces.state(&record.id),
+            pace_limit: self.paces.limit(&record.id, now),
+            is_held_back: rank.is_held_back,
+            rate_limit,
+            cost: rank.cost,
+        }
+    }
+
     /// Whether a replica may get a request that meets these criteria.
     fn is_eligible(&self, stats: &ReplicaStats, criteria: &SelectionCriteria<'_>, now: Moment) -> bool {
         let record = &stats.record;
--- a/src/controllers/dispatch/stats.rs
+++ b/src/controllers/dispatch/stats.rs
@@ -175,6 +175,12 @@
             .map(|(load, _)| load)
     }
 
+    /// The age of the load reported last, in milliseconds; `None` once it is no longer valid.
+    pub fn load_age_ms(&self, now: Moment) -> Option<u64> {
+        let (_, until) = self.load.filter(|(_, until)| !now.reached(*until))?;
+        Some(LOAD_VALID_MS.saturating_sub(now.until_ms(until)))
+    }
+
     /// The estimated number of requests at the replica, from all VMs.
     pub fn expected_requests(&self, now: Moment) -> u32 {
         let reported = self
--- a/src/controllers/ownership.rs
+++ b/src/controllers/ownership.rs
@@ -37,6 +37,15 @@
     owner.map_or_else(|| board.own.name.clone(), VmName::from)
 }
 
+/// The owner of a key among these VMs, of which leaving ones are none; `None` if there is no other.
+pub fn find_owner_among<'a>(key: &str, vms: &'a [VmRecord]) -> Option<&'a VmName> {
+    let staying = || vms.iter().filter(|vm| !vm.leaving);
+    let largest = staying().map(|vm| vm.millicores).max()?;
+    let eligible = staying().filter(|vm| vm.millicores * OWNER_SIZE_DIVISOR >= largest);
+    let owner = rendezvous::owner(key, eligible.map(|vm| &*vm.name))?;
+    staying().map(|vm| &vm.name).find(|name| ***name == *owner)
+}
+
 /// How long a new process that knows no other VM searches for one before it counts as cut off, in
 /// milliseconds.
 const ALONE_LIMIT_MS: u64 = 5_000;
--- a/src/controllers/rate_limits/mod.rs
+++ b/src/controllers/rate_limits/mod.rs
@@ -330,7 +330,7 @@
 }
 
 /// The ownership key of a plain service's permits.
-fn service_key(service: &str) -> String {
+pub fn service_key(service: &str) -> String {
     format!("{service}{KEY_SUFFIX}")
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -232,7 +232,8 @@
     )
 }
 
-fn find_route(
+/// The route of a request and the service that it is sent to, or its refusal.
+pub(super) fn find_route(
     snapshot: &Snapshot,
     head: &RequestHead,
     facts: &RequestFacts,
@@ -254,7 +255,7 @@
 
 /// Refuses requests that this VM no longer accepts because it is leaving, and those that may take longer than
 /// the process stays; the caller can retry at another VM at once.
-fn check_leaving(
+pub(super) fn check_leaving(
     context: &GatewayContext,
     rule: &RouteRule,
     limit_ms: u64,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod place;
 mod plain_server;
 mod pool;
+mod preview;
 mod prompt;
 mod protocol;
 mod quota_gauge;
@@ -48,7 +49,10 @@
 pub use listener::listen_for_callers;
 pub use metrics::GatewayMetrics;
 pub use order::send_role_order;
-pub use plain_server::{answer_directory, answer_metrics, answer_readiness, serve_plain};
+pub use plain_server::{PREVIEW_PATH, answer_directory, answer_metrics, answer_readiness, serve_plain};
+pub use preview::{
+    CandidatePreview, OwnerPreview, PreviewReport, RefusalPreview, RoutePreview, WorkspacePreview,
+};
 pub use protocol::{
     AnswerFacts, CallerCredential, KvTicket, ReportedLimit, RequestFacts, SendOrder, SendPurpose,
     UnknownAttribute, WireProtocol, WorkspaceHeader,
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -6,11 +6,12 @@
 use async_std::net::{TcpListener, TcpStream};
 
 use super::GatewayContext;
+use super::preview::preview_request;
 use rand::Rng;
 
 use crate::clock;
 use crate::controllers::resolve::near_entries;
-use crate::http::{BodyDecoder, HeadLimits, HeadWriter, RequestHead, frame_request};
+use crate::http::{BodyDecoder, HeadLimits, HeadWriter, RequestHead, frame_request, parse_request};
 use crate::transport::{HttpStream, StreamError, until};
 
 /// How long to wait for the next request's head on a connection, in milliseconds.
@@ -22,6 +23,9 @@
 /// Maximum number of addresses in one answer of the directory; callers use no more.
 const MAX_ADDRESSES: usize = 64;
 
+/// The path under which the readiness and metrics ports answer where a request would go.
+pub const PREVIEW_PATH: &str = "/where";
+
 /// Pause after a failed `accept`, when the system takes no more connections.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -50,11 +54,11 @@
     }
 }
 
-/// Serves an endpoint until the process exits; `answer` maps a request's head to its answer.
+/// Serves an endpoint until the process exits; `answer` maps a request's head and body to its answer.
 pub async fn serve_plain(
     context: Arc<GatewayContext>,
     listener: TcpListener,
-    answer: fn(&GatewayContext, &RequestHead) -> PlainAnswer,
+    answer: fn(&GatewayContext, &RequestHead, &[u8]) -> PlainAnswer,
 ) {
     loop {
         match listener.accept().await {
@@ -78,7 +82,7 @@
 async fn serve_requests(
     context: &GatewayContext,
     stream: TcpStream,
-    answer: fn(&GatewayContext, &RequestHead) -> PlainAnswer,
+    answer: fn(&GatewayContext, &RequestHead, &[u8]) -> PlainAnswer,
 ) -> Result<(), StreamError> {
     let mut stream = HttpStream::new(stream);
     loop {
@@ -86,10 +90,10 @@
         let head = until(deadline, stream.read_request(REQUEST_LIMITS)).await;
         let head = head.ok_or(StreamError::Deadline)??;
         let mut decoder = BodyDecoder::new(frame_request(&head)?);
-        stream
+        let body = stream
             .read_complete_body(&mut decoder, REQUEST_LIMITS.max_bytes)
             .await?;
-        let reply = answer(context, &head);
+        let reply = answer(context, &head, &body);
         let is_persistent = head.keeps_connection();
         let mut writer = HeadWriter::response(reply.status)
             .line("Content-Type", reply.content_type.as_bytes())
@@ -107,7 +111,10 @@
 }
 
 /// Answers 200 once this VM has a configuration and replicas, and 503 before that and while it leaves.
-pub fn answer_readiness(context: &GatewayContext, head: &RequestHead) -> PlainAnswer {
+pub fn answer_readiness(context: &GatewayContext, head: &RequestHead, body: &[u8]) -> PlainAnswer {
+    if head.path() == PREVIEW_PATH {
+        return answer_preview(context, body);
+    }
     if head.path() != "/readiness" {
         return PlainAnswer::not_found();
     }
@@ -121,7 +128,10 @@
 }
 
 /// Answers with all metrics in the Prometheus text format.
-pub fn answer_metrics(context: &GatewayContext, head: &RequestHead) -> PlainAnswer {
+pub fn answer_metrics(context: &GatewayContext, head: &RequestHead, body: &[u8]) -> PlainAnswer {
+    if head.path() == PREVIEW_PATH {
+        return answer_preview(context, body);
+    }
     if head.path() != "/metrics" {
         return PlainAnswer::not_found();
     }
@@ -132,8 +142,27 @@
     PlainAnswer::text(200, &text)
 }
 
+/// Answers where a request would go whose head is the body; see [`preview_request`].
+fn answer_preview(context: &GatewayContext, body: &[u8]) -> PlainAnswer {
+    let Ok(Some((asked, _))) = parse_request(body, REQUEST_LIMITS) else {
+        return PlainAnswer::text(400, "the body is no complete head of a request");
+    };
+    let report = preview_request(context, &asked);
+    match serde_json::to_vec(&report) {
+        Ok(body) => PlainAnswer {
+            status: 200,
+            content_type: "application/json",
+            body,
+        },
+        Err(error) => {
+            spdlog::warn!("event=question_unreadable reason=\"{error}\"");
+            PlainAnswer::text(500, "the answer can't be written")
+        }
+    }
+}
+
 /// Answers with the entry addresses for a caller, preferring the zone in the query.
-pub fn answer_directory(context: &GatewayContext, head: &RequestHead) -> PlainAnswer {
+pub fn answer_directory(context: &GatewayContext, head: &RequestHead, _body: &[u8]) -> PlainAnswer {
     if head.path() != "/resolve" {
         return PlainAnswer::not_found();
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,7 +20,7 @@
 
 pub use config::parse_config;
 pub use config_watch::watch_config;
-pub use protocol::PlatformProtocol;
+pub use protocol::{API_KEY as API_KEY_HEADER, PlatformProtocol};
 pub use replica_entry::parse_replica;
 pub use replica_watch::watch_replicas;
 pub use settings_file::{SETTINGS_VARIABLE, SettingsError, read_settings};
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -26,7 +26,7 @@
 const LAST_EVENT: &str = "Last-Event-Id";
 const CREDENTIALS: &str = "Authorization";
 /// The caller's API key, as the whole value; never forwarded where the configuration lists workspaces.
-const API_KEY: &str = "X-Key";
+pub const API_KEY: &str = "X-Key";
 /// The name of the workspace that the request belongs to, for the replica.
 const WORKSPACE: &str = "X-Tenant-Id";
 /// The id of the replica that the request is meant for; another replica answers 421.
--- a/src/runtime/gateway_node.rs
+++ b/src/runtime/gateway_node.rs
@@ -49,7 +49,7 @@
 
 /// The most engines that one owner schedules: as many as a small VM can handle at a few grants per second for
 /// each.
-const MAX_GROUP_ENGINES: usize = 96;
+pub const MAX_GROUP_ENGINES: usize = 96;
 
 /// Time between two checks of the settings file. A VM that is no longer the first seed may give orders to engines for
 /// so long, which is less than a restarted process takes to give its first.
--- a/tests/pace/decisions.rs
+++ b/tests/pace/decisions.rs
@@ -136,7 +136,7 @@
 fn an_engine_that_could_not_be_reached_recovers_by_its_answers() {
     let (board, now) = (board(&[]), Moment(1_000));
     let mut ledger = ledger();
-    let mut at_engine = |ledger: &mut GroupLedger, first: u64, now: Moment| -> Vec<u64> {
+    let at_engine = |ledger: &mut GroupLedger, first: u64, now: Moment| -> Vec<u64> {
         let is_there = |number: &u64| {
             let verdict = grant(ledger, &board, *number, now);
             matches!(verdict, SlotVerdict::Granted { decode, .. } if &*decode == "decode-0")
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -26,6 +26,7 @@
 mod pace;
 mod placement;
 mod planned_stop;
+mod previews;
 mod prompt_parts;
 mod query_of_death;
 mod quotas;
