Test the pace of a prefill engine

Cause: the choice of another prefill engine in place of one at its limit had no test. Change: a fresh engine runs one prompt while the other has room, and its second one once that is full.

--- a/tests/pace/decisions.rs
+++ b/tests/pace/decisions.rs
@@ -43,16 +43,16 @@
     GroupLedger::new(&EngineGroup::new(&"m".into(), 0))
 }
 
-/// Asks for engines; the prompt is short enough for any number of them.
-fn grant(ledger: &mut GroupLedger, board: &Blackboard, number: u64, now: Moment) -> SlotVerdict {
-    let ask = PlacementRequest {
+/// A request for engines with a prompt of so many tokens.
+fn ask(number: u64, prompt_tokens: u32, now: Moment) -> PlacementRequest {
+    PlacementRequest {
         request: format!("r-{number}").into(),
         workspace: "routes".into(),
         model: "m".into(),
         zone: "a".into(),
         priority: 1,
         features: FeatureSet::new(number, []),
-        prompt_tokens: 10,
+        prompt_tokens,
         max_tokens: 50,
         expected_tokens: 50,
         first_token_target: now.after_ms(900),
@@ -65,7 +65,12 @@
         avoid: Vec::new(),
         excluded: Vec::new(),
         cut_at: None,
-    };
+    }
+}
+
+/// Asks for engines for a short prompt, which is finished at once.
+fn grant(ledger: &mut GroupLedger, board: &Blackboard, number: u64, now: Moment) -> SlotVerdict {
+    let ask = ask(number, 10, now);
     let verdict = ledger.request_slots(&ask, None, board, 100, now);
     ledger.prefill_done(&ask.request, EngineOutcome::Fine, now);
     verdict
@@ -109,6 +114,27 @@
     );
 }
 
+/// Guards against a fresh prefill engine that gets each prompt because it has the shortest backlog: it runs
+/// one of its two while the other has room, and takes more once that is full.
+#[test]
+fn a_fresh_prefill_engine_takes_one_prompt_while_the_other_has_room() {
+    let now = Moment(1_000);
+    let prefill_of = |ledger: &mut GroupLedger, board: &Blackboard, number, prompt_tokens| match ledger
+        .request_slots(&ask(number, prompt_tokens, now), None, board, 100, now)
+    {
+        SlotVerdict::Granted { prefill, .. } => prefill.expect("a prefill engine").to_string(),
+        verdict => panic!("{verdict:?}"),
+    };
+    // Of two idle engines the same one gets the first prompt each time; the other one is the fresh one.
+    let usual = prefill_of(&mut ledger(), &board(&[]), 0, 2_000);
+    let fresh = ["prefill-0", "prefill-1"].into_iter().find(|name| *name != usual);
+    let fresh = fresh.expect("two engines");
+    let (board, mut ledger) = (board(&[fresh]), ledger());
+    assert_eq!(prefill_of(&mut ledger, &board, 0, 2_000), usual);
+    let short = [1, 2, 3].map(|number| prefill_of(&mut ledger, &board, number, 10));
+    assert_eq!(short, [fresh, &*usual, fresh]);
+}
+
 /// Guards against engines held back where no other could take their requests.
 #[test]
 fn engines_that_are_all_fresh_are_not_held_back() {
