Name the owner of a quota where a request would go

Cause: `where` printed a workspace's quota but not which VM grants it. Change: the workspace's part of the answer names the owner, by the same hashing as the requests use.

--- a/src/gateway/preview/mod.rs
+++ b/src/gateway/preview/mod.rs
@@ -20,6 +20,7 @@
 use crate::clock;
 use crate::controllers::dispatch::{CandidateState, CandidateView, SelectionCriteria};
 use crate::controllers::ownership::find_owner_among;
+use crate::controllers::quotas::quota_key;
 use crate::controllers::rate_limits::service_key;
 use crate::controllers::slots::{EngineGroup, group_count};
 use crate::http::RequestHead;
@@ -60,7 +61,7 @@
     report.workspace = identity
         .workspace
         .as_deref()
-        .map(|workspace| to_workspace(workspace, &facts));
+        .map(|workspace| to_workspace(workspace, &facts, &snapshot));
     let roles = roles_of(&snapshot, &service);
     let candidates: Vec<CandidateView> = roles
         .iter()
@@ -193,14 +194,16 @@
     Err(RefusalNotice::new(code, service).retry_after_ms(retry_ms))
 }
 
-fn to_workspace(workspace: &WorkspaceRule, facts: &RequestFacts) -> WorkspacePreview {
+fn to_workspace(workspace: &WorkspaceRule, facts: &RequestFacts, snapshot: &Snapshot) -> WorkspacePreview {
     let quota = workspace.quota.as_ref();
+    let quota_owner = find_owner_among(&quota_key(&workspace.name), &snapshot.live_vms);
     WorkspacePreview {
         name: workspace.name.to_string(),
         priority: workspace.priority,
         quota_rate_per_s: quota.map(|quota| quota.rate_per_s),
         quota_burst: quota.map(|quota| quota.burst),
         quota_cost: quota.map(|quota| quota.cost(facts.prompt_tokens, facts.output_tokens)),
+        quota_owner: quota_owner.filter(|_| quota.is_some()).map(ToString::to_string),
     }
 }
 
--- a/src/gateway/preview/report.rs
+++ b/src/gateway/preview/report.rs
@@ -57,6 +57,8 @@
     pub quota_burst: Option<f64>,
     /// Units that this request counts as; `None` without a quota.
     pub quota_cost: Option<u64>,
+    /// The VM that grants the quota; `None` without a quota.
+    pub quota_owner: Option<String>,
 }
 
 /// A replica, as the VM sees it.
@@ -163,12 +165,13 @@
 impl WorkspacePreview {
     fn to_line(&self) -> String {
         format!(
-            "workspace={} priority={} quota_rate_per_s={} quota_burst={} quota_cost={}",
+            "workspace={} priority={} quota_rate_per_s={} quota_burst={} quota_cost={} quota_owner={}",
             self.name,
             self.priority,
             or_dash(self.quota_rate_per_s),
             or_dash(self.quota_burst),
-            or_dash(self.quota_cost)
+            or_dash(self.quota_cost),
+            or_dash(self.quota_owner.as_ref())
         )
     }
 }
--- a/tests/platform/previews.rs
+++ b/tests/platform/previews.rs
@@ -69,6 +69,7 @@
         (&workspace["name"], &workspace["quota_cost"]),
         (&json!("acme"), &json!(1))
     );
+    assert_eq!(workspace["quota_owner"], json!("vm-1"));
     let text = ask(&["--path", "/read"], Some(KEY));
     let text = String::from_utf8_lossy(&text.stdout).into_owned();
     assert!(
