Forget the prompts of refused requests in the estimate of the wait

Cause: a request that finds the best prefill engine busy adds its prompt to those that wait for that engine. Ruled out: the wait of a restarted process before its orders, and the quotas; a play without them has the same refusals in other seconds. Change: while nobody waits the count is cleared before a request is placed.

--- a/src/controllers/slots/ledger/mod.rs
+++ b/src/controllers/slots/ledger/mod.rs
@@ -219,6 +219,11 @@
         if let Some(refusal) = self.refuse_cut_after(ask, 0, now) {
             return SlotVerdict::Refused(refusal);
         }
+        if self.queue.is_empty() {
+            // Requests that were refused left their prompts in the count, which only a pass over the queue clears.
+            // Newcomers were then refused for seconds although engines were free.
+            self.reset_deferred_tokens();
+        }
         if ahead == 0
             && let Some(granted) = self.place(ask, holder.clone(), board, now)
         {
