--- a/tests/service_admission/ledger.rs
+++ b/tests/service_admission/ledger.rs
@@ -72,7 +72,7 @@
 
 /// Guards against late or less important requests that are served before others which could be in time.
 #[test]
-fn freed_slots_go_by_rank_then_to_requests_in_time_then_by_age() {
+fn freed_slots_go_by_rank_then_to_requests_in_time_then_by_objective() {
     let board = board(1);
     let (mut ledger, _) = full_ledger(&board);
     let waiting = [
@@ -80,6 +80,8 @@
         (2, request(1, NOW.after_ms(900))),
         (3, request(1, NOW.after_ms(900))),
         (4, request(0, NOW.after_ms(5))),
+        // It came last, and its objective ends before those of the others that can still be in time.
+        (5, request(1, NOW.after_ms(800))),
     ];
     for (number, request) in &waiting {
         let asked_at = NOW.after_ms(*number);
@@ -88,12 +90,12 @@
             Vec::new()
         );
     }
-    let order = (0..4).flat_map(|number| {
+    let order = (0..5).flat_map(|number| {
         let ended = release(SendEnd::Answered(30));
         let decisions = ledger.release(&key(100 + number), ended, &board, NOW.after_ms(10));
         granted(&decisions.expect("a grant of this ledger"))
     });
-    assert_eq!(order.collect::<Vec<u64>>(), [4, 2, 3, 1]);
+    assert_eq!(order.collect::<Vec<u64>>(), [4, 5, 2, 3, 1]);
 }
 
 /// Guards against further grants to a replica that is full with the requests of others.
--- a/tests/service_admission/model.rs
+++ b/tests/service_admission/model.rs
@@ -246,9 +246,11 @@
             zone: "a".into(),
             slots: SLOTS as u32,
             is_draining: false,
+            cold_until: None,
         }),
         stop_at: None,
         is_listed: true,
+        fresh_since: None,
     }
 }
 
