--- a/src/controllers/proof/mod.rs
+++ b/src/controllers/proof/mod.rs
@@ -92,6 +92,8 @@
     gap_at: Option<Moment>,
     /// Whether this VM's own watches keep its proof current, since its peers did not.
     reads_itself: bool,
+    /// The highest revision of the store in this VM's reads.
+    read_revision: u64,
     /// When this VM last read the store itself.
     last_read_at: Option<Moment>,
     /// When the proof was lost; `None` while there is one.
@@ -110,6 +112,7 @@
             held: None,
             gap_at: None,
             reads_itself: false,
+            read_revision: 0,
             last_read_at: None,
             lost_at: None,
         }
@@ -119,10 +122,11 @@
     fn record_reading(&mut self, reading: &RegisterReading, valid_ms: u64, context: &mut ControlContext<'_>) {
         self.last_read_at = Some(context.now);
         let stamp = context.board.register.stamp();
-        // A store that is behind the configuration in force returns outdated data.
-        if stamp.revision == 0 || reading.store_revision < stamp.written {
+        // A store that is behind the configuration in force, or behind an earlier read, returns outdated data.
+        if stamp.revision == 0 || reading.store_revision < stamp.written.max(self.read_revision) {
             return;
         }
+        self.read_revision = reading.store_revision;
         let is_in_force = reading.newest == ReadContent::Offered(stamp);
         if is_in_force {
             self.gap_at = None;
--- a/tests/config_proof.rs
+++ b/tests/config_proof.rs
@@ -489,14 +489,22 @@
     let source = RegisterSource::Peer(Arc::from("vm-9"));
     let text = RegisterText::from("version 9");
     fleet.send(0, &Event::RegisterOffered { stamp, text, source });
-    let reading = |store_revision: u64| RegisterReading {
-        began_at: Moment(u64::MAX / 2),
+    let clock = fleet.clock(0);
+    let reading = |store_revision: u64, after_ms: u64| RegisterReading {
+        began_at: clock.after_ms(after_ms),
         newest: ReadContent::Nothing,
         is_continuous: true,
         store_revision,
     };
-    fleet.send(0, &Event::RegisterRead(reading(8)));
+    fleet.send(0, &Event::RegisterRead(reading(8, 0)));
     assert!(!fleet.may_send(0), "an outdated read proves the configuration");
-    fleet.send(0, &Event::RegisterRead(reading(9)));
+    fleet.send(0, &Event::RegisterRead(reading(12, 0)));
     assert!(fleet.may_send(0));
+    fleet.send(0, &Event::RegisterRead(reading(11, 1_000)));
+    let until = fleet.board(0).register.proved_until;
+    assert_eq!(
+        until,
+        Some(clock.after_ms(REVOKE_MS - 500)),
+        "a read that is behind an earlier one counts"
+    );
 }
