Keep the wait of a watch that starts over on another connection

Cause: a watch that started over took a new time slot, which may end later than the wait that it had begun with.

--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -193,10 +193,9 @@
     /// to end earlier than it was told. Also returns when the watch that was answered began.
     async fn watch(&mut self, cursor: u64) -> Result<(StoreReading, Moment), StoreError> {
         let timing = self.target.timing;
+        let usual_ms = (timing.wait_ms)(&self.control.snapshot());
         loop {
-            let snapshot = self.control.snapshot();
-            let usual_ms = (timing.wait_ms)(&snapshot);
-            let limit_ms = (timing.wait_limit_ms)(&snapshot);
+            let limit_ms = (timing.wait_limit_ms)(&self.control.snapshot());
             let wait_ms = limit_ms.map_or(usual_ms, |limit_ms| usual_ms.min(limit_ms));
             let began_at = clock::now();
             let watching = std::pin::pin!(self.client.watch(self.target.prefix, cursor, wait_ms));
--- a/tests/platform/key_revocation.rs
+++ b/tests/platform/key_revocation.rs
@@ -137,7 +137,7 @@
     node.signal("CONT");
     for (id, mut stream) in waiting {
         let answer = read_answer(&mut stream).expect("an answer");
-        assert_eq!(answer.status(), 503, "{id}: {}", answer.text());
+        assert_eq!(answer.status(), 503, "{id}: {} {}", answer.text(), node.log());
         assert_eq!(sends(&all, &id), 0, "{id} was sent");
     }
     store.set_behavior(StoreBehavior::Well);
