Reproduce what hostile callers and slow replicas cost a node

Cause: answers in progress, buffers of sockets and connections to replicas are not bounded, and a connection that makes no progress keeps its place.

Change: a test binary of its own runs one crowd at a time against one node of 64 MB and checks that the process runs, that resident memory and bytes in socket buffers stay under memoryMb and descriptors under maxFds, and that an ordinary request is answered within eight tries while the crowd stays.

--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -32,6 +32,36 @@
 /// The setting with which the platform starts a deployment for the first time.
 const FIRST_START: &str = "bootstrap = true";
 
+/// Resources of a VM in the settings of a node; a builder with the values of most tests.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeResources {
+    memory_mb: u64,
+    max_fds: usize,
+}
+
+impl Default for NodeResources {
+    fn default() -> Self {
+        Self {
+            memory_mb: 64,
+            max_fds: 1_024,
+        }
+    }
+}
+
+impl NodeResources {
+    /// Sets the memory, in megabytes.
+    pub fn memory_mb(mut self, memory_mb: u64) -> Self {
+        self.memory_mb = memory_mb;
+        self
+    }
+
+    /// Sets the maximum number of open files and sockets.
+    pub fn max_fds(mut self, max_fds: usize) -> Self {
+        self.max_fds = max_fds;
+        self
+    }
+}
+
 /// A gateway process with its settings and log; killed on drop.
 pub struct GatewayNode {
     pub name: String,
@@ -49,6 +79,16 @@
 
     /// Starts a node with the nodes at these addresses as its seeds.
     pub fn start_with_seeds(store: &StandInStore, name: &str, seeds: &[String]) -> Self {
+        Self::start_with_resources(store, name, seeds, NodeResources::default())
+    }
+
+    /// Starts a node on a VM with these resources.
+    pub fn start_with_resources(
+        store: &StandInStore,
+        name: &str,
+        seeds: &[String],
+        resources: NodeResources,
+    ) -> Self {
         let process = std::process::id();
         let number = NODES.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::new(
@@ -62,12 +102,14 @@
         let seeds: Vec<String> = seeds.iter().map(|address| format!("\"{address}\"")).collect();
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"a\"\nseeds = [{seeds}]\n{FIRST_START}\n\n[listen]\nfrontend = \"{ip}:8720\"\nready = \"{ip}:8722\"\n\
-             control = \"{ip}:8724\"\ndirectory = \"{ip}:8728\"\n\n[limits]\ncpuShare = 1.0\nmemoryMb = 64\nmaxFds = 1024\n\n\
+             control = \"{ip}:8724\"\ndirectory = \"{ip}:8728\"\n\n[limits]\ncpuShare = 1.0\nmemoryMb = {memory_mb}\nmaxFds = {max_fds}\n\n\
              [contractParams]\ngraceS = {GRACE_S}\nretryBudgetRatio = {RETRY_BUDGET_RATIO}\nretryWindowS = 10\nbudgetSlack = {BUDGET_SLACK}\nttl_max_s = 5\nrevokeStrict = true\nrevokeMs = 5000\n\
              quotaWindowS = 8\nquotaOvershoot = {QUOTA_OVERSHOOT}\nquotaSlack = {QUOTA_SLACK}\n\n\
              [platform]\naddress = \"{}\"\n",
             store.address,
             seeds = seeds.join(", "),
+            memory_mb = resources.memory_mb,
+            max_fds = resources.max_fds,
         );
         std::fs::write(folder.join("settings.toml"), settings).expect("a file can be written");
         let mut node = Self {
@@ -133,9 +175,20 @@
         SocketAddr::from((self.ip, 8728))
     }
 
+    /// Id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().map(Child::id).expect("a running node")
+    }
+
+    /// Whether the process is running.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut().expect("a started node");
+        child.try_wait().expect("a child of ours").is_none()
+    }
+
     /// The process's peak resident memory, in kilobytes.
     pub fn memory_kb(&self) -> u64 {
-        let id = self.child.as_ref().map(Child::id).expect("a running node");
+        let id = self.process_id();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a running process");
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let text = line
--- /dev/null
+++ b/tests/untrusted_callers/calm.rs
@@ -0,0 +1,82 @@
+//! What single callers get while there is no crowd.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use crate::crowd::{Desk, MAX_BODY_BYTES};
+use crate::replica::{HUGE_PATH, cut_answers};
+use crate::wire::{LIMIT, request};
+
+/// Descriptors of the node.
+const MAX_FDS: usize = 1_024;
+
+/// Longer than a replica waits for a reader, which is up to twice its limit of 2 s.
+const UNREAD_SPAN: Duration = Duration::from_secs(5);
+
+fn status_of(answer: &[u8]) -> &str {
+    std::str::from_utf8(&answer[..answer.len().min(12)]).unwrap_or_default()
+}
+
+// Guards against bounds so tight that a single legal body is refused.
+#[test]
+fn a_single_body_of_the_longest_legal_size_is_served() {
+    let desk = Desk::start(MAX_FDS);
+    let lines = "Transfer-Encoding: chunked\r\nConnection: close\r\n";
+    let chunked = request("POST", "shop.example", "/book", "q-1", lines, "");
+    let chunked =
+        chunked.replace("Content-Length: 0\r\n", "") + &"1\r\nx\r\n".repeat(MAX_BODY_BYTES) + "0\r\n\r\n";
+    let body = "x".repeat(MAX_BODY_BYTES);
+    let by_length = request(
+        "POST",
+        "shop.example",
+        "/book",
+        "q-2",
+        "Connection: close\r\n",
+        &body,
+    );
+    for text in [by_length, chunked] {
+        let mut stream = TcpStream::connect(desk.node.callers()).expect("a connection");
+        stream
+            .set_read_timeout(Some(LIMIT))
+            .expect("a timeout can be set");
+        stream
+            .write_all(text.as_bytes())
+            .expect("the request can be sent");
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).expect("an answer");
+        assert_eq!(status_of(&answer), "HTTP/1.1 200");
+    }
+}
+
+// Guards against an answer that its replica cut off, and whose caller takes the part for the whole.
+#[test]
+fn an_unread_answer_that_is_cut_off_looks_broken() {
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        let desk = Desk::start(MAX_FDS);
+        let cuts_before = cut_answers();
+        let text = request("GET", "shop.example", HUGE_PATH, "q-1", "", "").replace("HTTP/1.1", version);
+        let mut stream = TcpStream::connect(desk.node.callers()).expect("a connection");
+        stream
+            .set_read_timeout(Some(LIMIT))
+            .expect("a timeout can be set");
+        stream
+            .write_all(text.as_bytes())
+            .expect("the request can be sent");
+        std::thread::sleep(UNREAD_SPAN);
+        let cuts = cut_answers() - cuts_before;
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer);
+        let is_complete = match version {
+            // Without chunks, only a reset tells that the answer broke off.
+            "HTTP/1.0" => read.is_ok(),
+            _ => read.is_ok() && answer.ends_with(b"0\r\n\r\n"),
+        };
+        println!(
+            "unread_answer_cut: version={version} cuts={cuts} bytes={} read={read:?}",
+            answer.len()
+        );
+        assert!(cuts > 0, "{version}: no replica cut its answer off");
+        assert!(!is_complete, "{version}: {} bytes look complete", answer.len());
+    }
+}
