Bound what callers and slow replicas hold of a node

Cause: answers in progress, socket buffers, input sent ahead and connections to replicas were not bounded, and a connection kept its place however long it made no progress.

Change: one account of memory by kind, reserved before bytes are read; socket buffers of callers and replicas have fixed sizes until a longer body or answer has its memory; answers are buffered less while memory is short; an answer of which the caller takes no byte for the idle timeout is cut with a reset; descriptors are divided between callers, replicas (and their services), endpoints, peers and the store; where connections or memory run out, the connection that has made no progress for longest is closed, never one whose request may be running. Bounds of the crowds are unchanged.

--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -54,12 +54,12 @@
     "answer_broken", Failure, ["request", "replica", "framing", "reason"], "A replica's answer broke off, or contained bytes that are not authenticated as its own; framing is how its end is marked.";
     "attempt_failed", Failure, ["engine", "fate", "delivered"], "An attempt at a generation of the entry interface failed.";
     "caller_gone", Progress, ["request"], "A caller disconnected before its answer was complete.";
+    "callers_closed", Belief, ["reason", "count"], "Callers' connections were refused or closed early; at most one line a second for each reason, with the number since the last one.";
     "clock_step", Belief, ["step_ms"], "The wall clock jumped relative to the monotonic clock.";
     "config_proof_lost", Belief, ["revision"], "This VM can't prove that its configuration is current; requests that need an API key get 503 until it can.";
     "config_proof_regained", Belief, ["revision", "outage_ms"], "This VM has proof again that its configuration is current.";
     "config_source_lost", Belief, ["revision"], "This VM can't read the configuration in the store; it relies on its peers.";
     "config_source_regained", Belief, ["revision", "outage_ms"], "This VM can read the configuration in the store again.";
-    "connection_refused", Belief, ["reason"], "A caller's connection was closed because the limit on connections was reached.";
     "dependency_lost", Belief, ["dependency", "list_revision"], "The platform's store can't be read; the last known state stays in force.";
     "dependency_regained", Belief, ["dependency", "outage_ms"], "The platform's store can be read again.";
     "controller_panicked", Belief, ["cause"], "A controller panicked on an event, which was dropped; a bug in the program.";
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -40,20 +40,21 @@
     finish(writer, persistence, body.as_bytes())
 }
 
-/// Writes a replica's complete answer. An answer to `HEAD` has no body and keeps the replica's
-/// `Content-Length`.
-pub fn write_answer(
+/// Writes the head of a replica's complete answer, whose body has this length. An answer to `HEAD` has no body and
+/// keeps the replica's `Content-Length`.
+pub fn write_answer_head(
     protocol: &dyn WireProtocol,
     head: &ResponseHead,
-    body: &[u8],
-    has_body: bool,
+    body_bytes: Option<usize>,
     persistence: ConnectionPersistence,
 ) -> Vec<u8> {
-    let mut writer = copy_head(protocol, head, has_body);
-    if has_body && !matches!(head.status, 204 | 304) {
-        writer = writer.display("Content-Length", body.len());
+    let mut writer = copy_head(protocol, head, body_bytes.is_some());
+    if let Some(body_bytes) = body_bytes
+        && !matches!(head.status, 204 | 304)
+    {
+        writer = writer.display("Content-Length", body_bytes);
     }
-    finish(writer, persistence, body)
+    finish(writer, persistence, b"")
 }
 
 /// Writes the head of a replica's answer whose body follows in chunks.
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -1,19 +1,20 @@
 //! Reads callers' requests within the configured limits.
 
-use std::sync::Arc;
-
 use async_std::net::TcpStream;
 use futures::AsyncWriteExt;
 
-use super::body_memory::{BodyMemory, CallerBody};
+use super::GatewayContext;
+use super::body_memory::CallerBody;
+use super::caller_registry::{CallerConnection, CallerPhase};
 use super::exchange::DEFAULT_RETRY_AFTER_MS;
+use super::memory_account::{MemoryKind, MemoryShare};
 use crate::clock;
 use crate::http::{
     BodyDecoder, BodyFraming, CONTINUE_RESPONSE, HeadLimits, HttpError, RequestHead, frame_request,
 };
 use crate::prelude::*;
 use crate::register::CallerLimits;
-use crate::transport::{HttpStream, StreamError, until};
+use crate::transport::{HttpStream, StreamError, limit_buffers, until};
 
 /// Base timeout of a body, in milliseconds; the time that the body takes at the minimum rate is added.
 const BODY_BASE_TIMEOUT_MS: u64 = 10_000;
@@ -21,6 +22,15 @@
 /// Minimum rate of a body, in bytes per millisecond.
 const MIN_BODY_BYTES_PER_MS: u64 = 64;
 
+/// Bytes of a head that are not counted; they are part of what is reserved for the connection.
+const UNCOUNTED_HEAD_BYTES: usize = 4 * 1024;
+
+/// Longest body that the usual receive buffer of a caller's connection takes in at full speed, in bytes.
+const SHORT_BODY_BYTES: usize = 64 * 1024;
+
+/// Receive buffer of a connection whose body has its memory, in bytes.
+const BODY_RECEIVE_BYTES: usize = 128 * 1024;
+
 /// Why no request was read.
 pub enum ReadFailure {
     /// The connection was closed, failed, or was idle for too long. No answer is sent.
@@ -35,12 +45,14 @@
     }
 }
 
-/// Waits for a request until `idle_until` and reads its head.
+/// Waits for a request until `idle_until` and reads its head. Also returns the memory that the head holds.
 pub async fn read_head(
+    context: &GatewayContext,
     stream: &mut HttpStream,
+    connection: &CallerConnection,
     limits: &CallerLimits,
     idle_until: Moment,
-) -> Result<RequestHead, ReadFailure> {
+) -> Result<(RequestHead, MemoryShare), ReadFailure> {
     while stream.buffered().is_empty() {
         match until(idle_until, stream.fill()).await {
             Some(Ok(count)) if count > 0 => {}
@@ -50,9 +62,24 @@
     let head_limits = HeadLimits {
         max_bytes: limits.head_bytes,
     };
+    connection.enter(CallerPhase::Reading);
+    let mut share = context.memory.share(MemoryKind::Heads);
+    let reading = async {
+        loop {
+            if let Some(head) = stream.take_request(head_limits)? {
+                return Ok(Some(head));
+            }
+            if stream.buffered().len() > UNCOUNTED_HEAD_BYTES && !share.grow_to(limits.head_bytes) {
+                return Ok(None);
+            }
+            stream.fill_unless_closed().await?;
+            connection.record_progress();
+        }
+    };
     let deadline = clock::now().after_ms(limits.head_timeout_ms);
-    match until(deadline, stream.read_request(head_limits)).await {
-        Some(Ok(head)) => Ok(head),
+    match until(deadline, reading).await {
+        Some(Ok(Some(head))) => Ok((head, share)),
+        Some(Ok(None)) => Err(refuse_memory(context).into()),
         Some(Err(error)) => Err(to_failure(error, limits)),
         None => Err(RefusalNotice::new(ResultCode::HeadTooSlow, "").into()),
     }
@@ -60,10 +87,11 @@
 
 /// Reads a request's body; `None` if the request has neither a body nor a `Content-Length`.
 pub async fn read_body(
+    context: &GatewayContext,
     stream: &mut HttpStream,
+    connection: &CallerConnection,
     head: &RequestHead,
     limits: &CallerLimits,
-    memory: &Arc<BodyMemory>,
 ) -> Result<Option<CallerBody>, ReadFailure> {
     let framing = frame_request(head).map_err(|error| to_failure(error.into(), limits))?;
     let expected = match framing {
@@ -74,11 +102,15 @@
     if framing != BodyFraming::Chunked && expected > limits.body_bytes as u64 {
         return Err(to_failure(HttpError::BodyTooLarge.into(), limits));
     }
-    let mut body = memory.begin_body();
+    let mut body = CallerBody::begin(&context.memory);
     if let BodyFraming::Length(length) = framing {
         let length = usize::try_from(length).unwrap_or(usize::MAX);
         if !body.reserve(length) {
-            return Err(overloaded_notice().into());
+            return Err(refuse_memory(context).into());
+        }
+        if length > SHORT_BODY_BYTES {
+            // The memory of the whole body is reserved, so that what the system holds of it is counted, too.
+            limit_buffers(stream.socket(), None, Some(BODY_RECEIVE_BYTES));
         }
     }
     if head.headers.has_token("expect", "100-continue") && stream.buffered().is_empty() {
@@ -96,19 +128,21 @@
             if !body.push(&piece) {
                 return Ok(false);
             }
+            connection.record_progress();
         }
         Ok(true)
     };
     match until(deadline, reading).await {
         Some(Ok(true)) => Ok(Some(body)),
-        Some(Ok(false)) => Err(overloaded_notice().into()),
+        Some(Ok(false)) => Err(refuse_memory(context).into()),
         Some(Err(error)) => Err(to_failure(error, limits)),
         None => Err(RefusalNotice::new(ResultCode::BodyTooSlow, "").into()),
     }
 }
 
-/// Refuses a request whose body does not fit in memory beside those of others.
-fn overloaded_notice() -> RefusalNotice {
+/// Refuses a request that does not fit in memory beside others, and makes room for later ones.
+fn refuse_memory(context: &GatewayContext) -> RefusalNotice {
+    context.relieve_memory();
     RefusalNotice::new(ResultCode::Overloaded, "").retry_after_ms(DEFAULT_RETRY_AFTER_MS)
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
-use futures::AsyncWriteExt;
 use futures::future::{Either, select};
 
 use super::GatewayContext;
-use super::answer::write_answer;
+use super::answer::write_answer_head;
+use super::answer_write::{AnswerBuffer, SEND_BYTES, reserve_buffers, write_answer_part};
 use super::authentication::check_caller;
 use super::dispatch::{DispatchLease, LeaseChoice};
 use super::exchange::{AnswerOutcome, CallerRequest, DEFAULT_RETRY_AFTER_MS, refuse};
@@ -26,7 +26,6 @@
 use crate::prelude::*;
 use crate::register::RouteKind;
 use crate::runtime::{RatePermit, RunPermit};
-use crate::transport::until;
 
 /// Maximum number of sends of one call that may fail before a byte leaves, for example on connecting.
 const MAX_UNSENT_ATTEMPTS: usize = 4;
@@ -43,7 +42,7 @@
     /// Number of sends that failed before a byte left.
     unsent_attempts: usize,
     /// The latest error response that a replica signed as its own.
-    own_error: Option<(ResponseHead, Vec<u8>)>,
+    own_error: Option<(ResponseHead, AnswerBuffer)>,
     /// Refusal of the quarantine, if the call may not run any more.
     quarantine_notice: Option<RefusalNotice>,
     /// Refusal of the service's owner, if the call can't be answered in time.
@@ -247,7 +246,7 @@
     /// Passes an answer on to the caller; `None` if the send failed and another one may follow.
     async fn handle_result(&mut self, result: SendResult) -> Option<AnswerOutcome> {
         match result {
-            SendResult::Answer(head, body) => Some(self.pass_on(&head, &body).await),
+            SendResult::Answer(head, body) => Some(self.pass_on(&head, body.as_slice()).await),
             SendResult::LongAnswer(answer, body_start, admission) => {
                 let relayed = relay_long_body(
                     self.context,
@@ -293,12 +292,22 @@
     }
 
     async fn pass_on(&self, head: &ResponseHead, body: &[u8]) -> AnswerOutcome {
-        let (request, mut socket) = (self.request, self.socket);
+        /// Longest body that is written together with its head, in bytes.
+        const JOINED_BYTES: usize = 8 * 1024;
+        let (request, socket) = (self.request, self.socket);
         let has_body = request.head.method != "HEAD";
-        let bytes = write_answer(&*self.context.protocol, head, body, has_body, request.persistence);
+        let length = has_body.then_some(body.len());
+        let mut bytes = write_answer_head(&*self.context.protocol, head, length, request.persistence);
         request.exposure.begin_answer();
-        match until(request.deadline, socket.write_all(&bytes)).await {
-            Some(Ok(())) => {
+        let _buffers = (body.len() > SEND_BYTES).then(|| reserve_buffers(self.context, socket));
+        let is_joined = body.len() <= JOINED_BYTES;
+        if is_joined {
+            bytes.extend_from_slice(body);
+        }
+        let is_written = write_answer_part(self.context, socket, request, &bytes).await
+            && (is_joined || write_answer_part(self.context, socket, request, body).await);
+        match is_written {
+            true => {
                 let outcome = match head.status {
                     500.. => RequestOutcome::ReplicaFailed,
                     _ => RequestOutcome::Served,
@@ -306,7 +315,7 @@
                 request.trace.end(outcome, head.status);
                 AnswerOutcome::Complete(request.persistence)
             }
-            _ => AnswerOutcome::Cut,
+            false => AnswerOutcome::Cut,
         }
     }
 
@@ -314,7 +323,7 @@
     async fn abandon(&mut self) -> AnswerOutcome {
         let (request, progress) = (self.request, &mut self.progress);
         if let Some((head, body)) = progress.own_error.take() {
-            return self.pass_on(&head, &body).await;
+            return self.pass_on(&head, body.as_slice()).await;
         }
         let now = clock::now();
         let is_late = now.reached(request.deadline);
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -9,16 +9,19 @@
 
 use super::GatewayContext;
 use super::answer::ConnectionPersistence;
+use super::answer_write::SEND_BYTES;
 use super::body::{ReadFailure, read_body, read_head};
 use super::body_memory::CallerBody;
+use super::caller_registry::{CallerConnection, CallerPhase};
 use super::context::CallerGuard;
-use super::exchange::{AnswerOutcome, refuse_unrouted, serve_request};
+use super::exchange::{AnswerOutcome, refuse_unrouted, serve_request, write_notice};
 use super::last_answer::wait_for_accept_end;
+use super::memory_account::MemoryKind;
 use crate::clock;
 use crate::http::RequestHead;
 use crate::prelude::*;
 use crate::register::CallerLimits;
-use crate::transport::{HttpStream, until};
+use crate::transport::{CloseMode, HttpStream, limit_buffers, set_close_mode, until};
 
 /// Maximum number of bytes that are read ahead while a request is served; enough for another request's head.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
@@ -30,30 +33,63 @@
 /// How long the rest of a request that was refused before it was read is discarded, in milliseconds.
 const DISCARD_MS: u64 = 1_000;
 
-/// Serves the requests of one connection until it is closed.
-pub async fn serve_caller(context: Arc<GatewayContext>, stream: TcpStream, _guard: CallerGuard) {
+/// Bytes that are read ahead without being counted; they are part of what is reserved for the connection.
+const UNCOUNTED_AHEAD_BYTES: usize = 8 * 1024;
+
+/// Receive buffer of a caller's connection, in bytes, until a longer body has its memory. With less, one that
+/// sends large segments is slowed down to a few segments a second.
+const RECEIVE_BYTES: usize = 64 * 1024;
+
+/// Memory that is reserved for a connection that sends far ahead, in bytes: what was read, and what the system
+/// holds in its receive buffer.
+const AHEAD_BYTES: usize = MAX_READ_AHEAD_BYTES + RECEIVE_BYTES;
+
+/// Reason of connections that send ahead more than there is memory for.
+const READ_AHEAD: &str = "read_ahead";
+
+/// Serves the requests of one connection until it is closed, by either side or in favor of others.
+pub async fn serve_caller(context: Arc<GatewayContext>, stream: TcpStream, guard: CallerGuard) {
+    let socket = stream.clone();
+    limit_buffers(&socket, Some(SEND_BYTES), Some(RECEIVE_BYTES));
+    let connection = guard.connection.clone();
+    let serving = std::pin::pin!(serve_requests(&context, stream, &connection));
+    let closing = std::pin::pin!(connection.wait_for_close());
+    if let Either::Right(_) = select(serving, closing).await
+        && connection.is_answering()
+    {
+        // An answer that breaks off must not look complete, and its unread part is not kept for the caller.
+        set_close_mode(&socket, CloseMode::Reset);
+    }
+}
+
+/// Serves requests until the caller or an answer ends the connection.
+async fn serve_requests(
+    context: &Arc<GatewayContext>,
+    stream: TcpStream,
+    connection: &Arc<CallerConnection>,
+) {
     let mut stream = HttpStream::new(stream);
     loop {
+        connection.enter(CallerPhase::Waiting);
         let limits = context.snapshot().register.limits;
         let idle_until = clock::now().after_ms(limits.idle_timeout_ms);
-        let head = match read_head(&mut stream, &limits, idle_until).await {
-            Ok(head) => head,
+        let (head, _head_share) = match read_head(context, &mut stream, connection, &limits, idle_until).await
+        {
+            Ok(read) => read,
             Err(ReadFailure::Gone) => return,
             Err(ReadFailure::Refused(notice)) => {
-                let revision = context.snapshot().revision;
-                let persistence = ConnectionPersistence::Close;
-                refuse_unrouted(stream.socket(), &notice, persistence, "-", revision).await;
+                refuse_crowd(context, stream.socket(), &notice, "-").await;
                 return;
             }
         };
-        let body = match read_body_until_exit(&context, &mut stream, &head, &limits).await {
+        let body = match read_body_until_exit(context, &mut stream, connection, &head, &limits).await {
             Ok(body) => body,
             Err(ReadFailure::Gone) => return,
             Err(ReadFailure::Refused(notice)) => {
-                return refuse_unread(&context, &mut stream, &head, &notice).await;
+                return refuse_unread(context, &mut stream, &head, &notice).await;
             }
         };
-        if serve_one(&context, &mut stream, head, body).await != ConnectionPersistence::Keep {
+        if serve_one(context, &mut stream, connection, head, body).await != ConnectionPersistence::Keep {
             return;
         }
         stream.shrink();
@@ -64,10 +100,11 @@
 async fn read_body_until_exit(
     context: &GatewayContext,
     stream: &mut HttpStream,
+    connection: &CallerConnection,
     head: &RequestHead,
     limits: &CallerLimits,
 ) -> Result<Option<CallerBody>, ReadFailure> {
-    let reading = std::pin::pin!(read_body(stream, head, limits, &context.body_memory));
+    let reading = std::pin::pin!(read_body(context, stream, connection, head, limits));
     let exiting = std::pin::pin!(wait_for_accept_end(context));
     match select(reading, exiting).await {
         Either::Left((body, _)) => body,
@@ -85,21 +122,31 @@
 ) {
     let socket = stream.socket().clone();
     let request_id = context.protocol.read_request(head).id;
-    let revision = context.snapshot().revision;
-    refuse_unrouted(
-        &socket,
-        notice,
-        ConnectionPersistence::Close,
-        &request_id,
-        revision,
-    )
-    .await;
+    refuse_crowd(context, &socket, notice, &request_id).await;
     // An error means that the caller has closed the connection.
     if socket.shutdown(Shutdown::Write).is_ok() {
         until(clock::now().after_ms(DISCARD_MS), discard_rest(stream)).await;
     }
 }
 
+/// Answers a request that was not read completely with a refusal, and counts its connection, which is closed. Of a
+/// crowd that is refused for the same reason, one a second is logged.
+async fn refuse_crowd(
+    context: &GatewayContext,
+    socket: &TcpStream,
+    notice: &RefusalNotice,
+    request_id: &str,
+) {
+    let reason = notice.code.entry().name;
+    context.metrics.count_closed(reason);
+    if context.crowd_log.record(reason, clock::now()).is_some() {
+        let revision = context.snapshot().revision;
+        refuse_unrouted(socket, notice, ConnectionPersistence::Close, request_id, revision).await;
+    } else {
+        write_notice(socket, notice, ConnectionPersistence::Close).await;
+    }
+}
+
 /// Reads and discards whatever a caller sends until it closes its connection.
 async fn discard_rest(stream: &mut HttpStream) {
     while let Ok(1..) = stream.fill().await {
@@ -111,6 +158,7 @@
 async fn serve_one(
     context: &Arc<GatewayContext>,
     stream: &mut HttpStream,
+    connection: &Arc<CallerConnection>,
     head: RequestHead,
     body: Option<CallerBody>,
 ) -> ConnectionPersistence {
@@ -118,8 +166,9 @@
     let facts = context.protocol.read_request(&head);
     let request_id = facts.id.clone();
     let active = context.control.track_request();
-    let request_future = std::pin::pin!(serve_request(context, &socket, head, facts, body));
-    let disconnect_future = std::pin::pin!(wait_for_disconnect(stream));
+    connection.enter(CallerPhase::Running);
+    let request_future = std::pin::pin!(serve_request(context, &socket, connection, head, facts, body));
+    let disconnect_future = std::pin::pin!(wait_for_disconnect(context, stream));
     let outcome = match select(request_future, disconnect_future).await {
         Either::Left((outcome, _)) => outcome,
         Either::Right(((), _)) => {
@@ -134,10 +183,17 @@
     }
 }
 
-/// Completes when the caller closes its connection or the connection fails.
-async fn wait_for_disconnect(stream: &mut HttpStream) {
+/// Completes when the caller closes its connection, the connection fails, or the caller sends ahead more than there
+/// is memory for.
+async fn wait_for_disconnect(context: &GatewayContext, stream: &mut HttpStream) {
+    let mut share = context.memory.share(MemoryKind::ReadAhead);
     loop {
-        if stream.buffered().len() >= MAX_READ_AHEAD_BYTES {
+        let ahead_bytes = stream.buffered().len();
+        if ahead_bytes >= UNCOUNTED_AHEAD_BYTES && !share.grow_to(AHEAD_BYTES) {
+            context.record_closed(READ_AHEAD);
+            return;
+        }
+        if ahead_bytes >= MAX_READ_AHEAD_BYTES {
             async_std::task::sleep(READ_AHEAD_POLL_INTERVAL).await;
             continue;
         }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,14 +1,17 @@
 //! State that all tasks of a gateway share.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
 
 use super::WireProtocol;
-use super::body_memory::BodyMemory;
+use super::caller_registry::{CallerConnection, CallerRegistry};
+use super::crowd_log::CrowdLog;
+use super::memory_account::{MemoryAccount, MemoryKind, MemoryShare};
 use super::metrics::GatewayMetrics;
 use super::pool::ConnectionPool;
+use super::socket_shares::{ReplicaSockets, SocketShares};
 use super::statements::UnknownAttributes;
 use super::unproven::UnprovenLosses;
 use crate::blackboard::{OwnIdentity, ReplicaFacts, ReplicaId};
@@ -39,8 +42,14 @@
     pub metrics: GatewayMetrics,
     /// Idle connections to replicas.
     pub pool: ConnectionPool,
-    /// Memory that callers' bodies take.
-    pub body_memory: Arc<BodyMemory>,
+    /// Memory that callers and slow replicas take.
+    pub memory: Arc<MemoryAccount>,
+    /// Callers' open connections.
+    pub callers: CallerRegistry,
+    /// Open connections to replicas.
+    pub replica_sockets: Arc<ReplicaSockets>,
+    /// Log of connections that were closed early or refused.
+    pub crowd_log: CrowdLog,
     /// Reported attributes of replicas that the adapter does not know.
     pub unknown_attributes: UnknownAttributes,
     /// Requests lost on connections that may not have reached a replica.
@@ -54,7 +63,6 @@
     token_gap_us: Mutex<FastMap<Arc<str>, LatencyWindow>>,
     /// Prefill time per prompt token by service, in microseconds.
     prefill_token_us: Mutex<FastMap<Arc<str>, LatencyWindow>>,
-    callers: AtomicUsize,
     next_request: AtomicU64,
 }
 
@@ -78,7 +86,7 @@
             selector: ReplicaSelector::new(own.zone.clone(), own.incarnation as u64),
             replicas: Arc::default(),
         };
-        let body_memory = BodyMemory::new(settings.capacity.memory_bytes);
+        let memory = MemoryAccount::new(settings.capacity.memory_bytes);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             own,
@@ -86,7 +94,10 @@
             protocol,
             metrics,
             pool: ConnectionPool::default(),
-            body_memory,
+            memory,
+            callers: CallerRegistry::default(),
+            replica_sockets: Arc::default(),
+            crowd_log: CrowdLog::default(),
             unknown_attributes: UnknownAttributes::default(),
             unproven_losses: UnprovenLosses::default(),
             selector: Mutex::new(selector),
@@ -95,7 +106,6 @@
             spans: Mutex::default(),
             token_gap_us: Mutex::default(),
             prefill_token_us: Mutex::default(),
-            callers: AtomicUsize::default(),
             next_request: AtomicU64::default(),
         })
     }
@@ -231,27 +241,82 @@
         Some(token_gap_us * u64::from(tokens) / 1_000)
     }
 
-    /// Admits and counts a caller's connection; `None` if there are too many.
+    /// Returns how many sockets each use may have open.
+    pub fn socket_shares(&self) -> SocketShares {
+        let known_vms = self.snapshot().known_vms;
+        SocketShares::divide(self.settings().capacity.max_sockets, known_vms)
+    }
+
+    /// Admits and counts a caller's connection. If there are too many, the one that has made no progress for
+    /// longest is closed in favor of the new one; `None` if none can be closed.
     pub fn admit_caller(self: &Arc<Self>) -> Option<CallerGuard> {
-        /// Share of the sockets that callers may use, in percent; a request may need two upstream
-        /// connections.
-        const CALLER_PERCENT: usize = 60;
-        let max_callers = self.settings().capacity.max_sockets * CALLER_PERCENT / 100;
-        let count = self.callers.fetch_add(1, Ordering::Relaxed) + 1;
-        let guard = CallerGuard {
+        let (now, max_callers) = (clock::now(), self.socket_shares().callers);
+        let count = self.callers.len();
+        let mut share = self.memory.share(MemoryKind::Connections);
+        if (count >= max_callers || !share.grow_to(CONNECTION_BYTES)) && !self.close_longest_idle(now, 0) {
+            return None;
+        }
+        // Connections that are being closed still count, and are gone in a moment.
+        if count >= max_callers + max_callers / CLOSING_DIVISOR {
+            return None;
+        }
+        let (number, connection) = self.callers.add(now);
+        Some(CallerGuard {
             context: self.clone(),
-        };
-        (count <= max_callers).then_some(guard)
+            connection,
+            number,
+            _share: share,
+        })
+    }
+
+    /// Closes the connection that has made no progress for longest, if there is one that may be closed.
+    fn close_longest_idle(&self, now: Moment, min_idle_ms: u64) -> bool {
+        let is_closed = self.callers.close_longest_idle(now, min_idle_ms);
+        if is_closed {
+            self.record_closed(EVICTED);
+        }
+        is_closed
+    }
+
+    /// Makes room after memory was refused, by the close of a connection that holds some and makes no progress.
+    pub fn relieve_memory(&self) {
+        self.close_longest_idle(clock::now(), PRESSURE_IDLE_MS);
+    }
+
+    /// Counts a caller's connection that was refused or closed early; logs it at most once a second.
+    pub fn record_closed(&self, reason: &'static str) {
+        self.metrics.count_closed(reason);
+        if let Some(count) = self.crowd_log.record(reason, clock::now()) {
+            spdlog::warn!("event=callers_closed reason={reason} count={count}");
+        }
     }
 }
 
+/// Memory that is reserved for each caller's connection, in bytes: its task, its read buffer and the first 8 KB of
+/// a body. Measured: 494 connections that stop short of 8,100 bytes take 16 MB.
+const CONNECTION_BYTES: usize = 32 * 1024;
+
+/// A fraction of the callers' connections may be closing while others are admitted in their place.
+const CLOSING_DIVISOR: usize = 8;
+
+/// How long a connection must have made no progress to be closed for its memory, in milliseconds: several
+/// retransmissions.
+const PRESSURE_IDLE_MS: u64 = 1_000;
+
+/// Reason of connections that are closed in favor of others.
+const EVICTED: &str = "longest_idle";
+
 /// Counts a caller's connection as open until the guard is dropped.
 pub struct CallerGuard {
     context: Arc<GatewayContext>,
+    /// The connection's progress.
+    pub connection: Arc<CallerConnection>,
+    number: u64,
+    _share: MemoryShare,
 }
 
 impl Drop for CallerGuard {
     fn drop(&mut self) {
-        self.context.callers.fetch_sub(1, Ordering::Relaxed);
+        self.context.callers.remove(self.number);
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use super::authentication::{check_caller, identify_caller};
 use super::body_memory::CallerBody;
 use super::call::serve_call;
+use super::caller_registry::CallerConnection;
 use super::exposure::RunExposure;
 use super::last_answer::wait_for_last_answer;
 use super::quota_permit::charge_request;
@@ -22,6 +23,7 @@
 use crate::prelude::*;
 use crate::register::{RouteKind, RouteRule, WorkspaceRule};
 use crate::runtime::{QuotaPermit, Snapshot};
+use crate::transport::until;
 
 /// Default Retry-After, in milliseconds, if the duration of the refusal's cause is unknown.
 pub const DEFAULT_RETRY_AFTER_MS: u64 = 400;
@@ -39,6 +41,10 @@
 /// How long a request may take in percent of the time in which nine in ten of its route are served.
 const SLOW_SPAN_PERCENT: u64 = 200;
 
+/// How long a caller may take to read a refusal, in milliseconds. It is short, and only a caller that has left
+/// earlier answers unread fills its connection.
+const REFUSAL_WRITE_MS: u64 = 5_000;
+
 /// A caller's request, read completely and routed.
 pub struct CallerRequest {
     /// Request head as sent by the caller.
@@ -80,6 +86,8 @@
     pub exposure: RunExposure,
     /// Tokens of the workspace's quota; empty if the request needs none.
     pub quota: OnceLock<QuotaPermit>,
+    /// Progress of the caller's connection.
+    pub connection: Arc<CallerConnection>,
 }
 
 impl CallerRequest {
@@ -107,6 +115,7 @@
 pub async fn serve_request(
     context: &Arc<GatewayContext>,
     socket: &TcpStream,
+    connection: &Arc<CallerConnection>,
     head: RequestHead,
     facts: RequestFacts,
     body: Option<CallerBody>,
@@ -155,6 +164,7 @@
         trace,
         exposure: RunExposure::default(),
         quota: OnceLock::new(),
+        connection: connection.clone(),
     };
     if let Err(notice) = admit_request(context, &request).await {
         return refuse(socket, &request, &notice).await;
@@ -326,13 +336,15 @@
     );
 }
 
-async fn write_notice(
+/// Writes a refusal; a caller that does not read it is given up after a while.
+pub async fn write_notice(
     mut socket: &TcpStream,
     notice: &RefusalNotice,
     persistence: ConnectionPersistence,
 ) -> AnswerOutcome {
-    match socket.write_all(&write_refusal(notice, persistence)).await {
-        Ok(()) => AnswerOutcome::Complete(persistence),
-        Err(_) => AnswerOutcome::Cut,
+    let deadline = clock::now().after_ms(REFUSAL_WRITE_MS);
+    match until(deadline, socket.write_all(&write_refusal(notice, persistence))).await {
+        Some(Ok(())) => AnswerOutcome::Complete(persistence),
+        Some(Err(_)) | None => AnswerOutcome::Cut,
     }
 }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -16,6 +16,9 @@
 /// Interval between two checks whether this VM still accepts connections, in milliseconds.
 const DRAIN_CHECK_INTERVAL_MS: u64 = 250;
 
+/// Reason under which failures of `accept` are logged once a second.
+pub const ACCEPT_FAILED: &str = "accept_failed";
+
 /// Accepts connections until this VM is leaving and accepts no more requests. Later connections are refused
 /// before the caller has sent anything, so the caller can go to another VM.
 pub async fn listen_for_callers(context: Arc<GatewayContext>, listener: TcpListener) {
@@ -28,7 +31,9 @@
         match until(now.after_ms(DRAIN_CHECK_INTERVAL_MS), listener.accept()).await {
             Some(Ok((stream, _))) => admit(&context, stream),
             Some(Err(error)) => {
-                spdlog::warn!("event=accept_failed reason=\"{error}\"");
+                if context.crowd_log.record(ACCEPT_FAILED, clock::now()).is_some() {
+                    spdlog::warn!("event=accept_failed reason=\"{error}\"");
+                }
                 async_std::task::sleep(ACCEPT_RETRY_DELAY).await;
             }
             None => {}
@@ -41,6 +46,6 @@
         Some(guard) => {
             async_std::task::spawn(serve_caller(context.clone(), stream, guard));
         }
-        None => spdlog::warn!("event=connection_refused reason=too_many_connections"),
+        None => context.record_closed("too_many_connections"),
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -14,6 +14,7 @@
 use super::pace_gauge::PaceGauge;
 use super::quota_gauge::QuotaGauge;
 use super::quota_permit::QuotaDecision;
+use super::memory_account::{MemoryAccount, MemoryKind};
 use super::rate_permit::PermitDecision;
 use super::send_slot::SlotDecision;
 use super::statements::UnknownAttributes;
@@ -77,6 +78,8 @@
     send_slots: Counter<u64>,
     slot_wait: Histogram<f64>,
     slot_refusals: Counter<u64>,
+    closed_callers: Counter<u64>,
+    held_bytes: Gauge<u64>,
     limits: LimitGauge,
     quotas: QuotaGauge,
     paces: PaceGauge,
@@ -164,6 +167,11 @@
                 "slot_refusals",
                 "Calls that were refused because their service has no slot in time.",
             ),
+            closed_callers: meters.counter(
+                "closed_callers",
+                "Callers' connections that were refused or closed early, by reason.",
+            ),
+            held_bytes: meters.gauge("held_bytes", "Memory held for callers and replicas, by kind."),
             limits: LimitGauge::new(&meters),
             quotas: QuotaGauge::new(&meters),
             paces: PaceGauge::new(&meters),
@@ -368,6 +376,20 @@
         self.quotas.record_wait(elapsed_ms);
     }
 
+    /// Counts a caller's connection that was refused or closed early.
+    pub fn count_closed(&self, reason: &'static str) {
+        self.closed_callers.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records the memory that callers and replicas hold.
+    pub fn record_memory(&self, memory: &MemoryAccount) {
+        for kind in MemoryKind::ALL {
+            let held_bytes = memory.held_bytes(kind) as u64;
+            self.held_bytes
+                .record(held_bytes, &[KeyValue::new("kind", kind.as_str())]);
+        }
+    }
+
     /// Counts an extra send that the retry budget did not cover.
     pub fn count_denied_send(&self) {
         self.denied_sends.add(1, &[]);
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -5,9 +5,13 @@
 
 use async_std::net::{TcpListener, TcpStream};
 
+use futures::future::{Either, select};
+use rand::Rng;
+
 use super::GatewayContext;
+use super::caller_registry::{CallerConnection, CallerRegistry};
+use super::listener::ACCEPT_FAILED;
 use super::preview::preview_request;
-use rand::Rng;
 
 use crate::clock;
 use crate::controllers::resolve::near_entries;
@@ -29,6 +33,12 @@
 /// Pause after a failed `accept`, when the system takes no more connections.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Reason of connections to an endpoint that are closed in favor of others.
+const ENDPOINT_FULL: &str = "endpoint_full";
+
+/// How long to let a connection close before another one takes its place.
+const CLOSE_TURN: Duration = Duration::from_millis(1);
+
 /// An answer of one of these endpoints.
 pub struct PlainAnswer {
     /// The HTTP status code.
@@ -60,19 +70,34 @@
     listener: TcpListener,
     answer: fn(&GatewayContext, &RequestHead, &[u8]) -> PlainAnswer,
 ) {
+    let connections = Arc::new(CallerRegistry::default());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let context = context.clone();
+                let now = clock::now();
+                if connections.len() >= context.socket_shares().endpoint
+                    && connections.close_longest_idle(now, 0)
+                {
+                    context.record_closed(ENDPOINT_FULL);
+                    // The connection that is closed has its turn first, so that the share is kept.
+                    async_std::task::sleep(CLOSE_TURN).await;
+                }
+                let (number, connection) = connections.add(now);
+                let (context, connections) = (context.clone(), connections.clone());
                 async_std::task::spawn(async move {
+                    let serving = std::pin::pin!(serve_requests(&context, stream, &connection, answer));
+                    let closing = std::pin::pin!(connection.wait_for_close());
                     // A client that disconnects or sends invalid HTTP gets no answer.
-                    if let Err(error) = serve_requests(&context, stream, answer).await {
+                    if let Either::Left((Err(error), _)) = select(serving, closing).await {
                         spdlog::debug!("event=question_unreadable reason=\"{error}\"");
                     }
+                    connections.remove(number);
                 });
             }
             Err(error) => {
-                spdlog::warn!("event=accept_failed reason=\"{error}\"");
+                if context.crowd_log.record(ACCEPT_FAILED, clock::now()).is_some() {
+                    spdlog::warn!("event=accept_failed reason=\"{error}\"");
+                }
                 async_std::task::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -82,6 +107,7 @@
 async fn serve_requests(
     context: &GatewayContext,
     stream: TcpStream,
+    connection: &CallerConnection,
     answer: fn(&GatewayContext, &RequestHead, &[u8]) -> PlainAnswer,
 ) -> Result<(), StreamError> {
     let mut stream = HttpStream::new(stream);
@@ -93,6 +119,7 @@
         let body = stream
             .read_complete_body(&mut decoder, REQUEST_LIMITS.max_bytes)
             .await?;
+        connection.record_progress();
         let reply = answer(context, &head, &body);
         let is_persistent = head.keeps_connection();
         let mut writer = HeadWriter::response(reply.status)
@@ -135,6 +162,7 @@
     if head.path() != "/metrics" {
         return PlainAnswer::not_found();
     }
+    context.metrics.record_memory(&context.memory);
     let paces = context.with_selector(|selector| selector.pace_levels(clock::now()));
     let text = context
         .metrics
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Closes all idle connections, as their descriptors are needed.
+    pub fn clear(&self) {
+        lock(&self.idle).clear();
+    }
+
     /// Closes connections that have expired or that the replica has closed or written to.
     pub fn sweep(&self) {
         let now = clock::now();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 
 use async_std::net::TcpStream;
-use futures::AsyncWriteExt;
 
 use super::GatewayContext;
 use super::answer::{ConnectionPersistence, write_chunked_head, write_closing_head};
 use super::answer_end::{BrokenEnd, check_end, is_event_stream};
+use super::answer_write::{AnswerBuffer, reserve_buffers, write_answer_part};
 use super::dispatch::DispatchLease;
 use super::exchange::{AnswerOutcome, CallerRequest};
-use super::exposure::RunExposure;
 use super::loss::{LostSend, ReplicaContact, RunStage, report_loss};
 use super::send::SendAdmission;
 use super::sse::EventTracker;
@@ -19,24 +18,26 @@
 use crate::clock;
 use crate::controllers::dispatch::SendOutcome;
 use crate::http::{BodyFraming, LAST_CHUNK, ResponseHead, write_chunk};
-use crate::prelude::*;
 use crate::runtime::RunPermit;
 use crate::transport::{CloseMode, StreamError, set_close_mode, until};
 
+/// Longest part of an answer that is written at once, in bytes; as many as one read from a replica brings.
+const PART_BYTES: usize = 8 * 1024;
+
 /// Writes an answer to the caller in pieces: chunked for HTTP/1.1, else delimited by the connection's end.
 pub struct AnswerWriter<'a> {
     socket: &'a TcpStream,
     persistence: ConnectionPersistence,
     is_chunked: bool,
-    deadline: Moment,
-    exposure: &'a RunExposure,
+    context: &'a GatewayContext,
+    request: &'a CallerRequest,
     pending: Vec<u8>,
 }
 
 impl<'a> AnswerWriter<'a> {
     /// Starts an answer. Its head is sent with the first piece of the body.
     pub fn new(
-        context: &GatewayContext,
+        context: &'a GatewayContext,
         socket: &'a TcpStream,
         request: &'a CallerRequest,
         head: &ResponseHead,
@@ -57,27 +58,32 @@
                 ConnectionPersistence::Close
             },
             is_chunked,
-            deadline: request.deadline,
-            exposure: &request.exposure,
+            context,
+            request,
             pending,
         }
     }
 
     /// Writes a piece of the body. Returns false if the write fails or the request's deadline passes.
     pub async fn write(&mut self, piece: &[u8]) -> bool {
-        let mut bytes = std::mem::take(&mut self.pending);
-        if self.is_chunked {
-            write_chunk(&mut bytes, piece);
-        } else {
-            bytes.extend_from_slice(piece);
+        // A long piece is written in parts, so that no copy of it is held while the caller reads slowly.
+        for part in piece.chunks(PART_BYTES) {
+            let mut bytes = std::mem::take(&mut self.pending);
+            if self.is_chunked {
+                write_chunk(&mut bytes, part);
+            } else {
+                bytes.extend_from_slice(part);
+            }
+            if !self.send(&bytes).await {
+                return false;
+            }
         }
-        self.send(&bytes).await
+        true
     }
 
     async fn send(&mut self, bytes: &[u8]) -> bool {
-        let mut socket = self.socket;
-        self.exposure.begin_answer();
-        matches!(until(self.deadline, socket.write_all(bytes)).await, Some(Ok(())))
+        self.request.exposure.begin_answer();
+        write_answer_part(self.context, self.socket, self.request, bytes).await
     }
 
     /// Ends a complete body.
@@ -159,17 +165,19 @@
     socket: &TcpStream,
     request: &CallerRequest,
     mut answer: UpstreamAnswer,
-    first_bytes: Vec<u8>,
+    first_bytes: AnswerBuffer,
     admission: SendAdmission,
 ) -> AnswerOutcome {
     let SendAdmission { lease, permit, .. } = admission;
     let head = answer.head.clone();
     let mut writer = AnswerWriter::new(context, socket, request, &head);
     let mut tracker = is_event_stream(&head).then(EventTracker::default);
-    track(&mut tracker, &first_bytes);
-    if !writer.write(&first_bytes).await {
+    track(&mut tracker, first_bytes.as_slice());
+    let _buffers = reserve_buffers(context, socket).inspect(|_| answer.widen());
+    if !writer.write(first_bytes.as_slice()).await {
         return AnswerOutcome::Cut;
     }
+    drop(first_bytes);
     while !clock::now().reached(request.deadline) {
         match until(request.deadline, answer.read()).await {
             Some(Ok(Some(piece))) => {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::answer_end::{check_end, is_event_stream};
+use super::answer_write::AnswerBuffer;
 use super::dispatch::DispatchLease;
 use super::exchange::CallerRequest;
 use super::loss::{LostSend, RunStage, report_loss};
@@ -19,20 +20,21 @@
 use crate::prelude::*;
 use crate::register::RouteKind;
 use crate::runtime::{RatePermit, RunPermit};
-use crate::transport::until;
+use crate::transport::{StreamError, until};
 
-/// Longest response body that is buffered before it is passed on, in bytes. If a buffered response breaks
+/// Longest response body that is buffered before it is passed on, in bytes; less is buffered while memory is
+/// short. If a buffered response breaks
 /// off, the call can be retried at another replica.
 const MAX_BUFFERED_BODY_BYTES: usize = 256 * 1024;
 
 /// Result of one send.
 pub enum SendResult {
     /// The replica's complete response.
-    Answer(ResponseHead, Vec<u8>),
+    Answer(ResponseHead, AnswerBuffer),
     /// The replica's response, too long to buffer, and the part of its body read so far.
-    LongAnswer(Box<UpstreamAnswer>, Vec<u8>, Box<SendAdmission>),
+    LongAnswer(Box<UpstreamAnswer>, AnswerBuffer, Box<SendAdmission>),
     /// An error response that the replica signed as its own.
-    OwnError(ResponseHead, Vec<u8>),
+    OwnError(ResponseHead, AnswerBuffer),
     /// No byte of the request left.
     Unsent,
     /// Nothing was sent: the replica now reports a rate limit and the send has no permit.
@@ -200,17 +202,18 @@
         }
         AnswerVerdict::Final | AnswerVerdict::OwnError => {}
     }
-    match until(request.deadline, answer.read_up_to(MAX_BUFFERED_BODY_BYTES)).await {
-        Some(Ok((body_start, false))) => {
+    let mut body = AnswerBuffer::begin(&context.memory);
+    match until(request.deadline, buffer_body(&mut answer, &mut body)).await {
+        Some(Ok(false)) => {
             let admission = SendAdmission {
                 lease,
                 permit,
                 rate_permit,
             };
-            SendResult::LongAnswer(Box::new(answer), body_start, Box::new(admission))
+            SendResult::LongAnswer(Box::new(answer), body, Box::new(admission))
         }
-        Some(Ok((body, true))) => {
-            let is_inside = is_event_stream(&answer.head) && ends_inside_event(&body);
+        Some(Ok(true)) => {
+            let is_inside = is_event_stream(&answer.head) && ends_inside_event(body.as_slice());
             let end = check_end(context, request, &mut answer, lease.replica(), is_inside).await;
             if let Err(broken_end) = end {
                 let broken = BrokenAnswer::from_end(answer.framing, broken_end);
@@ -236,6 +239,16 @@
     }
 }
 
+/// Buffers a body until it is complete, too long, or memory is short; returns whether it is complete.
+async fn buffer_body(answer: &mut UpstreamAnswer, body: &mut AnswerBuffer) -> Result<bool, StreamError> {
+    while let Some(piece) = answer.read().await? {
+        if !body.push(&piece, MAX_BUFFERED_BODY_BYTES) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 fn record_answered(context: &GatewayContext, request: &CallerRequest, lease: DispatchLease) {
     let elapsed_ms = lease.elapsed_ms();
     lease.finish(SendOutcome::Served(elapsed_ms));
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -10,6 +10,7 @@
 use super::exchange::CallerRequest;
 use super::life_check::WitnessConnection;
 use super::loss::{ReplicaContact, RunStage};
+use super::memory_account::MemoryKind;
 use super::replica_state::{record_replica_state, report_rate_limit};
 use super::{AnswerFacts, GatewayContext};
 use crate::blackboard::{ReplicaId, ReplicaRecord};
@@ -17,7 +18,7 @@
 use crate::http::{BodyDecoder, BodyFraming, HeadLimits, ResponseHead, frame_response};
 use crate::prelude::*;
 use crate::runtime::RunPermit;
-use crate::transport::{HttpStream, StreamError, until};
+use crate::transport::{HttpStream, StreamError, limit_buffers, until};
 
 /// Connect timeout for replicas, in milliseconds: some round trips between zones and one retransmission.
 pub const CONNECT_TIMEOUT_MS: u64 = 250;
@@ -29,6 +30,15 @@
 /// window.
 const SMALL_BODY_BYTES: usize = 32 * 1024;
 
+/// Send and receive buffers of a connection to a replica, in bytes, until a long body has its memory.
+const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Receive buffer while a long answer that has its memory is passed on, in bytes.
+const LONG_RECEIVE_BYTES: usize = 64 * 1024;
+
+/// Send buffer while a long body that has its memory is sent, in bytes.
+const LONG_SEND_BYTES: usize = 128 * 1024;
+
 /// Maximum number of late responses to earlier requests that are skipped on a connection.
 const MAX_STRAY_ANSWERS: usize = 2;
 
@@ -59,7 +69,7 @@
     /// The deadline passed after the send had begun.
     #[snafu(display("no answer in time"))]
     Deadline,
-    /// Nothing was sent, because the replica requested backoff or is leaving.
+    /// Nothing was sent, because the replica requested backoff or is leaving, or its service has no descriptor left.
     #[snafu(display("the replica takes nothing from this VM now"))]
     Withheld,
     /// Nothing was sent, because the replica reports a rate limit and there is no permit.
@@ -186,6 +196,11 @@
         Ok((body, true))
     }
 
+    /// Enlarges the receive buffer, for a long body that has its memory.
+    pub fn widen(&self) {
+        limit_buffers(self.stream.socket(), None, Some(LONG_RECEIVE_BYTES));
+    }
+
     /// Returns the connection to the pool if it can carry another request.
     pub fn release(self, context: &GatewayContext, replica: &ReplicaId) {
         if self.may_keep && self.decoder.is_done() && self.stream.is_reusable() {
@@ -230,7 +245,7 @@
     let stream = match pooled {
         Some(stream) => stream,
         None => {
-            let stream = connect(&request).await?;
+            let stream = connect(context, &request).await?;
             // Another response may have changed the replica's state while this request waited for its
             // connection.
             check_eligible(context, &request)?;
@@ -281,7 +296,23 @@
     Ok(())
 }
 
-async fn connect(request: &UpstreamRequest<'_>) -> Result<HttpStream, ExchangeError> {
+/// Reason of requests that find no descriptor for a connection to their replica.
+const NO_REPLICA_SOCKET: &str = "no_replica_socket";
+
+async fn connect(
+    context: &GatewayContext,
+    request: &UpstreamRequest<'_>,
+) -> Result<HttpStream, ExchangeError> {
+    let shares = context.socket_shares();
+    let reserve = || context.replica_sockets.reserve(&request.replica.service, &shares);
+    let permit = reserve().or_else(|| {
+        context.pool.clear();
+        reserve()
+    });
+    let Some(permit) = permit else {
+        context.record_closed(NO_REPLICA_SOCKET);
+        return Err(ExchangeError::Withheld);
+    };
     let began_at = clock::now();
     let connect_by = request.deadline.min(began_at.after_ms(CONNECT_TIMEOUT_MS));
     let connected = HttpStream::connect(request.replica.address, connect_by).await;
@@ -289,6 +320,12 @@
         reason: error.to_string(),
         is_refused: error.is_connection_refused(),
     })?;
+    stream.hold_permit(permit);
+    limit_buffers(
+        stream.socket(),
+        Some(SOCKET_BUFFER_BYTES),
+        Some(SOCKET_BUFFER_BYTES),
+    );
     if let Some(settle_ms) = request.choice.settle_ms() {
         let connected_at = clock::now();
         let settle_ms = began_at.until_ms(connected_at) + settle_ms;
@@ -335,6 +372,14 @@
         }
     } else {
         let socket = stream.socket().clone();
+        let mut share = context.memory.share(MemoryKind::Upstream);
+        let has_room = share.grow_to(2 * LONG_SEND_BYTES);
+        let send_bytes = if has_room {
+            LONG_SEND_BYTES
+        } else {
+            SOCKET_BUFFER_BYTES
+        };
+        limit_buffers(&socket, Some(send_bytes), None);
         let (head, is_complete) = write_large(socket, &mut stream, &request).await.map_err(lost)?;
         is_body_sent = is_complete;
         head
--- a/src/transport/http_stream.rs
+++ b/src/transport/http_stream.rs
@@ -85,8 +85,13 @@
     end: usize,
     /// Bytes read since the reading task last let others run.
     unyielded_bytes: usize,
+    /// What is given back once the connection is closed.
+    permit: Option<Box<dyn ConnectionPermit>>,
 }
 
+/// A right to an open connection, such as to its descriptor; given back on drop.
+pub trait ConnectionPermit: std::fmt::Debug + Send + Sync {}
+
 impl HttpStream {
     /// Wraps an open connection and sets its socket options.
     pub fn new(stream: TcpStream) -> Self {
@@ -97,9 +102,15 @@
             start: 0,
             end: 0,
             unyielded_bytes: 0,
+            permit: None,
         }
     }
 
+    /// Ties a permit to the connection, which is dropped with it.
+    pub fn hold_permit(&mut self, permit: impl ConnectionPermit + 'static) {
+        self.permit = Some(Box::new(permit));
+    }
+
     /// Opens a connection; fails if it is not open by the deadline.
     pub async fn connect(address: SocketAddr, deadline: Moment) -> Result<Self, StreamError> {
         match until(deadline, TcpStream::connect(address)).await {
@@ -162,18 +173,27 @@
         }
     }
 
-    async fn fill_unless_closed(&mut self) -> Result<(), StreamError> {
+    /// Reads once from the socket into the buffer; fails at the end of the stream.
+    pub async fn fill_unless_closed(&mut self) -> Result<(), StreamError> {
         match self.fill().await? {
             0 => Err(StreamError::Closed),
             _ => Ok(()),
         }
     }
 
+    /// Takes the head of a request from the buffer; `None` if it is not complete yet.
+    pub fn take_request(&mut self, limits: HeadLimits) -> Result<Option<RequestHead>, HttpError> {
+        let parsed = parse_request(self.buffered(), limits)?;
+        Ok(parsed.map(|(head, used)| {
+            self.consume(used);
+            head
+        }))
+    }
+
     /// Reads the head of a request, and leaves what follows it in the buffer.
     pub async fn read_request(&mut self, limits: HeadLimits) -> Result<RequestHead, StreamError> {
         loop {
-            if let Some((head, used)) = parse_request(self.buffered(), limits)? {
-                self.consume(used);
+            if let Some(head) = self.take_request(limits)? {
                 return Ok(head);
             }
             self.fill_unless_closed().await?;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,5 +5,5 @@
 mod socket;
 
 pub use deadline::until;
-pub use http_stream::{HttpStream, StreamError};
-pub use socket::{CloseMode, configure_socket, set_close_mode};
+pub use http_stream::{ConnectionPermit, HttpStream, StreamError};
+pub use socket::{CloseMode, configure_socket, limit_buffers, set_close_mode};
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -35,6 +35,19 @@
     }
 }
 
+/// Limits what the system holds for a connection. It takes up to twice as many bytes of memory for each direction,
+/// and without a limit some megabytes. A failure is only logged.
+pub fn limit_buffers(stream: &TcpStream, send_bytes: Option<usize>, receive_bytes: Option<usize>) {
+    let socket = SockRef::from(stream);
+    let outcomes = [
+        send_bytes.map(|bytes| socket.set_send_buffer_size(bytes)),
+        receive_bytes.map(|bytes| socket.set_recv_buffer_size(bytes)),
+    ];
+    for error in outcomes.into_iter().flatten().filter_map(Result::err) {
+        spdlog::debug!("event=socket_option_failed reason=\"{error}\"");
+    }
+}
+
 /// How the system closes a connection, also one whose process exits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseMode {
