--- a/tests/platform/node.rs
+++ b/tests/platform/node.rs
@@ -48,6 +48,8 @@
     }
 }
 
+// The tests of untrusted callers set these.
+#[allow(dead_code)]
 impl NodeResources {
     /// Sets the memory, in megabytes.
     pub fn memory_mb(mut self, memory_mb: u64) -> Self {
@@ -180,7 +182,8 @@
         self.child.as_ref().map(Child::id).expect("a running node")
     }
 
-    /// Whether the process is running.
+    /// Whether the process is running; asked by the tests of untrusted callers.
+    #[allow(dead_code)]
     pub fn is_running(&mut self) -> bool {
         let child = self.child.as_mut().expect("a started node");
         child.try_wait().expect("a child of ours").is_none()
