--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -11,10 +11,10 @@
 
 use super::limit_gauge::LimitGauge;
 use super::loss::RunStage;
+use super::memory_account::{MemoryAccount, MemoryKind};
 use super::pace_gauge::PaceGauge;
 use super::quota_gauge::QuotaGauge;
 use super::quota_permit::QuotaDecision;
-use super::memory_account::{MemoryAccount, MemoryKind};
 use super::rate_permit::PermitDecision;
 use super::send_slot::SlotDecision;
 use super::statements::UnknownAttributes;
