Keep the endpoints' sockets within what callers and replicas leave

Cause: the least number of connections of an endpoint exceeded its share where there are few sockets: 69 of 50 sockets were given out. Change: an endpoint uses at most a thirtieth of all. Result: its test, which failed, passes with the others of the gateway.

--- a/src/gateway/socket_shares.rs
+++ b/src/gateway/socket_shares.rs
@@ -20,9 +20,12 @@
 /// Share of the sockets that each endpoint on a port of its own may use, in percent.
 const ENDPOINT_PERCENT: usize = 2;
 
-/// Connections that each endpoint may have whatever its share is.
+/// Connections that each endpoint may have if its share is smaller, as long as they leave the others theirs.
 const MIN_ENDPOINT_SOCKETS: usize = 8;
 
+/// The part of all sockets that an endpoint may use at most; the three have what callers and replicas leave.
+const ENDPOINT_DIVISOR: usize = 30;
+
 /// How many sockets each use may have open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SocketShares {
@@ -45,7 +48,9 @@
             callers: sockets * CALLER_PERCENT / 100,
             replicas,
             service: replicas * SERVICE_PERCENT / 100,
-            endpoint: (sockets * ENDPOINT_PERCENT / 100).max(MIN_ENDPOINT_SOCKETS),
+            endpoint: (sockets * ENDPOINT_PERCENT / 100)
+                .max(MIN_ENDPOINT_SOCKETS)
+                .min(sockets / ENDPOINT_DIVISOR),
         }
     }
 }
