--- a/src/event_log/catalogue.rs
+++ b/src/event_log/catalogue.rs
@@ -54,12 +54,12 @@
     "answer_broken", Failure, ["request", "replica", "framing", "reason"], "A replica's answer broke off, or contained bytes that are not authenticated as its own; framing is how its end is marked.";
     "attempt_failed", Failure, ["engine", "fate", "delivered"], "An attempt at a generation of the entry interface failed.";
     "caller_gone", Progress, ["request"], "A caller disconnected before its answer was complete.";
+    "callers_closed", Belief, ["reason", "count"], "Callers' connections were refused or closed early; at most one line a second for each reason, with the number since the last one.";
     "clock_step", Belief, ["step_ms"], "The wall clock jumped relative to the monotonic clock.";
     "config_proof_lost", Belief, ["revision"], "This VM can't prove that its configuration is current; requests that need an API key get 503 until it can.";
     "config_proof_regained", Belief, ["revision", "outage_ms"], "This VM has proof again that its configuration is current.";
     "config_source_lost", Belief, ["revision"], "This VM can't read the configuration in the store; it relies on its peers.";
     "config_source_regained", Belief, ["revision", "outage_ms"], "This VM can read the configuration in the store again.";
-    "connection_refused", Belief, ["reason"], "A caller's connection was closed because the limit on connections was reached.";
     "dependency_lost", Belief, ["dependency", "list_revision"], "The platform's store can't be read; the last known state stays in force.";
     "dependency_regained", Belief, ["dependency", "outage_ms"], "The platform's store can be read again.";
     "controller_panicked", Belief, ["cause"], "A controller panicked on an event, which was dropped; a bug in the program.";
@@ -75,6 +75,7 @@
     "hedged", Progress, ["request", "replica", "after_ms"], "An idempotent call was hedged at a second replica because the first was slow.";
     "keys_handed_off", Belief, ["records"], "Outcomes of idempotency keys were sent to peers.";
     "health_checked", Belief, ["replica", "outcome", "elapsed_ms"], "The health check of a replica that reports a rate limit and got no requests was queried.";
+    "heaps_unlimited", Belief, ["reason"], "The program could not be started again with a limit on the allocator's heaps; it runs without, and may take more memory.";
     "limit_ended", Belief, ["replica", "replica_start", "service", "age_ms", "seen_by", "source"], "A replica no longer reports a rate limit.";
     "limit_named", Belief, ["replica", "replica_start", "service", "rate", "age_ms", "seen_by", "source"], "A replica reports a rate limit, in requests per second, that applies to all VMs together.";
     "limits_handed_over", Belief, ["key", "vm"], "This VM no longer issues permits for a service or a group of engines; another VM owns it now.";
