Restrain fresh replicas where their service's owner grants the sends

Cause: shared admission and pace were built side by side. Where workspaces are listed the owner of a plain service grants its sends and knew no pace, so that a replica that had just started got five requests before its first answer; both tests of pace on real processes failed. Change: the owner keeps the paces of its replicas by the releases of its grants, and prefers a replica within its pace.

--- a/src/controllers/service_slots/ledger.rs
+++ b/src/controllers/service_slots/ledger.rs
@@ -7,6 +7,7 @@
 use super::{LoadReport, SendEnd, SendRelease, SendRequest, SendVerdict};
 use crate::blackboard::{ReplicaFacts, ReplicaId, ReplicaRole, RequestRate};
 use crate::controllers::dispatch::{RefusedCaller, RetryPlanner};
+use crate::controllers::pace::{AnswerSample, PaceChange, PaceTable};
 use crate::prelude::*;
 
 /// The most that is assumed as the answer time of a replica without a recent answer, in microseconds.
@@ -68,7 +69,7 @@
 }
 
 /// Grants and queue of one service at its owner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServiceLedger {
     service: Arc<str>,
     /// The list that `replicas` was built from.
@@ -79,6 +80,8 @@
     /// When each VM with waiting requests was last answered.
     answered_at: FastMap<VmName, Moment>,
     planner: RetryPlanner,
+    /// The paces of the replicas, which this owner alone sends to where it is asked.
+    paces: PaceTable,
     next_expiry: Moment,
     used_at: Moment,
     /// Requests refused since the latest log line on refusals.
@@ -91,7 +94,17 @@
     pub fn new(service: &Arc<str>) -> Self {
         Self {
             service: service.clone(),
-            ..Self::default()
+            list: Arc::default(),
+            replicas: FastMap::default(),
+            leases: FastMap::default(),
+            queue: Vec::new(),
+            answered_at: FastMap::default(),
+            planner: RetryPlanner::default(),
+            paces: PaceTable::new(0, 0),
+            next_expiry: Moment::default(),
+            used_at: Moment::default(),
+            refused_count: 0,
+            next_log: Moment::default(),
         }
     }
 
@@ -142,7 +155,7 @@
         now: Moment,
     ) -> Vec<SlotDecision> {
         self.used_at = now;
-        self.synchronize(board);
+        self.synchronize(board, now);
         request.loads.iter().for_each(|report| self.record_load(report));
         // A restarted process may use a number of its predecessor again.
         self.end_lease(&key);
@@ -202,9 +215,33 @@
                 SendEnd::Unused | SendEnd::Ended => {}
             }
         }
+        self.record_pace(&id, &release, now);
         Some(self.grant_waiting(board, now))
     }
 
+    /// Records what the end of a grant says of how fast its replica serves.
+    fn record_pace(&mut self, id: &ReplicaId, release: &SendRelease, now: Moment) {
+        match release.end {
+            SendEnd::Answered(elapsed_ms) => {
+                let sample = AnswerSample {
+                    work_us: elapsed_ms * 1_000,
+                    sent_at: Moment(now.0.saturating_sub(elapsed_ms)),
+                    load: release.load,
+                };
+                self.paces.record_answer(id, sample, now);
+            }
+            SendEnd::Rejected => self.paces.record_rejection(id, now),
+            SendEnd::Failed => self.paces.record_failure(id, now),
+            SendEnd::Abandoned(_) => self.paces.record_no_answer(id, now),
+            SendEnd::Unused | SendEnd::Ended => {}
+        }
+    }
+
+    /// Takes the changes of the replicas' paces since the last call, for the log.
+    pub fn take_pace_changes(&mut self) -> Vec<PaceChange> {
+        self.paces.take_changes()
+    }
+
     /// Ends expired grants, refuses requests that can no longer be answered in time, grants free slots and
     /// tells VMs that their requests still wait.
     pub fn run(&mut self, board: &Blackboard, now: Moment) -> Vec<SlotDecision> {
@@ -239,7 +276,8 @@
     }
 
     /// Takes the replicas from the list if it has changed.
-    fn synchronize(&mut self, board: &Blackboard) {
+    fn synchronize(&mut self, board: &Blackboard, now: Moment) {
+        self.paces.refresh(now);
         if Arc::ptr_eq(&self.list, &board.replicas) {
             return;
         }
@@ -251,7 +289,9 @@
             .replicas
             .values()
             .filter(|facts| facts.record.service == self.service && facts.record.role == ReplicaRole::Plain);
+        self.paces.set_enabled(board.register.register.paces_replicas());
         for facts in of_service {
+            self.paces.update(facts, facts.record.slots.max(1), now);
             let id = facts.record.id.clone();
             let replica = self
                 .replicas
@@ -261,6 +301,7 @@
         }
         self.replicas
             .retain(|_, replica| !replica.is_leaving || replica.granted > 0);
+        self.paces.retain(|id| self.replicas.contains_key(id));
     }
 
     fn record_load(&mut self, report: &LoadReport) {
@@ -295,14 +336,17 @@
             .filter(|(id, replica)| replica.has_room(now) && may_use(id, replica, request, board));
         let best = usable.min_by_key(|(id, replica)| {
             let cost_us = replica.cost_us(usual_us, &zone, now);
-            (replica.is_last_choice(now), cost_us, replica.occupied(now), *id)
+            let occupied = replica.occupied(now);
+            // Pace gives way where no other replica has room.
+            let is_held_back = self.paces.is_full(id, occupied, now);
+            (replica.is_last_choice(now), is_held_back, cost_us, occupied, *id)
         });
         best.map(|(id, _)| id.clone())
     }
 
     /// Grants free slots to waiting requests in their order.
     fn grant_waiting(&mut self, board: &Blackboard, now: Moment) -> Vec<SlotDecision> {
-        self.synchronize(board);
+        self.synchronize(board, now);
         let mut decisions = Vec::new();
         // Requests that avoid all replicas with room; those behind them may still be granted.
         let mut blocked: FastSet<SendKey> = FastSet::default();
--- a/src/controllers/service_slots/owner.rs
+++ b/src/controllers/service_slots/owner.rs
@@ -2,6 +2,7 @@
 
 use super::{SendKey, SendRelease, SendRequest, ServiceLedger, ServiceSlotController, SlotDecision};
 use crate::controllers::message::PeerMessage;
+use crate::controllers::pace::PaceChange;
 use crate::prelude::*;
 
 impl ServiceSlotController {
@@ -46,6 +47,7 @@
         for ledger in self.ledgers.values_mut() {
             decisions.extend(ledger.run(board, now));
             lines.extend(ledger.take_saturation_line(now));
+            lines.extend(ledger.take_pace_changes().iter().map(PaceChange::log_line));
         }
         lines.into_iter().for_each(|line| context.log(line));
         self.ledgers.retain(|_, ledger| !ledger.is_idle(now));
