Take a caller's connection for closing or for a request, in one step

Cause: the registry picked the connection that was idle for longest, marked it and sent an order to its task, and the task entered `Running` without a look at the mark. A request that lay in the socket was read and sent to a replica in the same poll, and the next one found the order. The order of `select`'s arms is not the cause.

Change: the close and each change of phase are one transition under one lock. What is taken passes nothing on, and a request that was read or lies in the socket is refused with 503 as far as that needs no wait. A connection whose request has arrived is passed over while others are idle. While an answer is written a connection is taken only after 1 s without a byte, and between two events of a stream it counts as running: before, a stream could be taken for a new caller at any time.

--- a/src/gateway/answer_write.rs
+++ b/src/gateway/answer_write.rs
@@ -77,7 +77,9 @@
     request: &CallerRequest,
     bytes: &[u8],
 ) -> bool {
-    request.connection.enter(CallerPhase::Answering);
+    if !request.connection.enter(CallerPhase::Answering) {
+        return false;
+    }
     let mut rest = bytes;
     while !rest.is_empty() {
         let idle_ms = context.snapshot().register.limits.idle_timeout_ms;
@@ -97,5 +99,6 @@
             }
         }
     }
-    true
+    // The caller has taken all that there is, and more of the answer may come from a replica.
+    request.connection.enter(CallerPhase::Running)
 }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -35,6 +35,8 @@
 pub enum ReadFailure {
     /// The connection was closed, failed, or was idle for too long. No answer is sent.
     Gone,
+    /// The connection was taken for closing as the request arrived.
+    Taken,
     /// The request is malformed, too large or too slow, and is refused with this notice.
     Refused(RefusalNotice),
 }
@@ -62,7 +64,9 @@
     let head_limits = HeadLimits {
         max_bytes: limits.head_bytes,
     };
-    connection.enter(CallerPhase::Reading);
+    if !connection.enter(CallerPhase::Reading) {
+        return Err(ReadFailure::Taken);
+    }
     let mut share = context.memory.share(MemoryKind::Heads);
     let reading = async {
         loop {
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -6,6 +6,7 @@
 
 use async_std::net::TcpStream;
 use futures::future::{Either, select};
+use futures::{AsyncReadExt, FutureExt};
 
 use super::GatewayContext;
 use super::answer::ConnectionPersistence;
@@ -14,7 +15,7 @@
 use super::body_memory::CallerBody;
 use super::caller_registry::{CallerConnection, CallerPhase};
 use super::context::CallerGuard;
-use super::exchange::{AnswerOutcome, refuse_unrouted, serve_request, write_notice};
+use super::exchange::{AnswerOutcome, DEFAULT_RETRY_AFTER_MS, refuse_unrouted, serve_request, write_notice};
 use super::last_answer::wait_for_accept_end;
 use super::memory_account::MemoryKind;
 use crate::clock;
@@ -44,53 +45,110 @@
 /// holds in its receive buffer.
 const AHEAD_BYTES: usize = MAX_READ_AHEAD_BYTES + RECEIVE_BYTES;
 
+/// Reason of requests that crossed the close of their connections.
+const CROSSED_CLOSE: &str = "crossed_close";
+
 /// Reason of connections that send ahead more than there is memory for.
 const READ_AHEAD: &str = "read_ahead";
 
+/// How the service of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServiceEnd {
+    /// The caller or an answer ended it.
+    Finished,
+    /// The connection was taken for closing as a request was read from it, which was neither passed on nor answered.
+    Taken,
+}
+
 /// Serves the requests of one connection until it is closed, by either side or in favor of others.
 pub async fn serve_caller(context: Arc<GatewayContext>, stream: TcpStream, guard: CallerGuard) {
     let socket = stream.clone();
     limit_buffers(&socket, Some(SEND_BYTES), Some(RECEIVE_BYTES));
     let connection = guard.connection.clone();
-    let serving = std::pin::pin!(serve_requests(&context, stream, &connection));
-    let closing = std::pin::pin!(connection.wait_for_close());
-    if let Either::Right(_) = select(serving, closing).await
-        && connection.is_answering()
-    {
-        // An answer that breaks off must not look complete, and its unread part is not kept for the caller.
-        set_close_mode(&socket, CloseMode::Reset);
+    let has_request = {
+        let serving = std::pin::pin!(serve_requests(&context, stream, &connection));
+        let closing = std::pin::pin!(connection.wait_for_close());
+        match select(closing, serving).await {
+            Either::Left(_) => match connection.phase() {
+                CallerPhase::Waiting => connection.has_input(),
+                CallerPhase::Reading => true,
+                CallerPhase::Running | CallerPhase::Answering => {
+                    // An answer that breaks off must not look complete, and its unread part is not kept.
+                    set_close_mode(&socket, CloseMode::Reset);
+                    false
+                }
+            },
+            Either::Right((end, _)) => end == ServiceEnd::Taken,
+        }
+    };
+    if has_request {
+        refuse_crossing(&context, &socket);
     }
 }
 
-/// Serves requests until the caller or an answer ends the connection.
+/// Refuses a request that crossed the close of its connection, as far as that is possible without waiting.
+fn refuse_crossing(context: &GatewayContext, socket: &TcpStream) {
+    let notice = RefusalNotice::new(ResultCode::Overloaded, "").retry_after_ms(DEFAULT_RETRY_AFTER_MS);
+    context.record_closed(CROSSED_CLOSE);
+    let is_written = write_notice(socket, &notice, ConnectionPersistence::Close).now_or_never();
+    if is_written.is_some() && socket.shutdown(Shutdown::Write).is_ok() {
+        // A connection that is closed with unread bytes is reset, which may destroy the answer.
+        discard_received(socket);
+    }
+}
+
+/// Discards what a caller has sent so far, up to the size of the receive buffer.
+fn discard_received(mut socket: &TcpStream) {
+    let mut discarded_bytes = 0;
+    let mut scratch = [0; 4 * 1024];
+    while discarded_bytes < RECEIVE_BYTES {
+        match socket.read(&mut scratch).now_or_never() {
+            Some(Ok(count @ 1..)) => discarded_bytes += count,
+            _ => return,
+        }
+    }
+}
+
+/// Serves requests until the caller or an answer ends the connection, or it is taken for closing.
 async fn serve_requests(
     context: &Arc<GatewayContext>,
     stream: TcpStream,
     connection: &Arc<CallerConnection>,
-) {
+) -> ServiceEnd {
     let mut stream = HttpStream::new(stream);
     loop {
-        connection.enter(CallerPhase::Waiting);
+        // A request that was sent ahead is read at once, so that the connection is at no time taken for idle.
+        let phase = match stream.buffered() {
+            [] => CallerPhase::Waiting,
+            _ => CallerPhase::Reading,
+        };
+        if !connection.enter(phase) {
+            return ServiceEnd::Finished;
+        }
         let limits = context.snapshot().register.limits;
         let idle_until = clock::now().after_ms(limits.idle_timeout_ms);
         let (head, _head_share) = match read_head(context, &mut stream, connection, &limits, idle_until).await
         {
             Ok(read) => read,
-            Err(ReadFailure::Gone) => return,
+            Err(ReadFailure::Gone) => return ServiceEnd::Finished,
+            Err(ReadFailure::Taken) => return ServiceEnd::Taken,
             Err(ReadFailure::Refused(notice)) => {
-                refuse_crowd(context, stream.socket(), &notice, "-").await;
-                return;
+                return refuse_crowd(context, connection, stream.socket(), &notice, "-").await;
             }
         };
         let body = match read_body_until_exit(context, &mut stream, connection, &head, &limits).await {
             Ok(body) => body,
-            Err(ReadFailure::Gone) => return,
+            Err(ReadFailure::Gone) => return ServiceEnd::Finished,
+            Err(ReadFailure::Taken) => return ServiceEnd::Taken,
             Err(ReadFailure::Refused(notice)) => {
-                return refuse_unread(context, &mut stream, &head, &notice).await;
+                return refuse_unread(context, &mut stream, connection, &head, &notice).await;
             }
         };
+        if !connection.enter(CallerPhase::Running) {
+            return ServiceEnd::Taken;
+        }
         if serve_one(context, &mut stream, connection, head, body).await != ConnectionPersistence::Keep {
-            return;
+            return ServiceEnd::Finished;
         }
         stream.shrink();
     }
@@ -117,26 +175,32 @@
 async fn refuse_unread(
     context: &GatewayContext,
     stream: &mut HttpStream,
+    connection: &CallerConnection,
     head: &RequestHead,
     notice: &RefusalNotice,
-) {
+) -> ServiceEnd {
     let socket = stream.socket().clone();
     let request_id = context.protocol.read_request(head).id;
-    refuse_crowd(context, &socket, notice, &request_id).await;
+    let end = refuse_crowd(context, connection, &socket, notice, &request_id).await;
     // An error means that the caller has closed the connection.
-    if socket.shutdown(Shutdown::Write).is_ok() {
+    if end == ServiceEnd::Finished && socket.shutdown(Shutdown::Write).is_ok() {
         until(clock::now().after_ms(DISCARD_MS), discard_rest(stream)).await;
     }
+    end
 }
 
 /// Answers a request that was not read completely with a refusal, and counts its connection, which is closed. Of a
 /// crowd that is refused for the same reason, one a second is logged.
 async fn refuse_crowd(
     context: &GatewayContext,
+    connection: &CallerConnection,
     socket: &TcpStream,
     notice: &RefusalNotice,
     request_id: &str,
-) {
+) -> ServiceEnd {
+    if !connection.enter(CallerPhase::Answering) {
+        return ServiceEnd::Taken;
+    }
     let reason = notice.code.entry().name;
     context.metrics.count_closed(reason);
     if context.crowd_log.record(reason, clock::now()).is_some() {
@@ -145,6 +209,7 @@
     } else {
         write_notice(socket, notice, ConnectionPersistence::Close).await;
     }
+    ServiceEnd::Finished
 }
 
 /// Reads and discards whatever a caller sends until it closes its connection.
@@ -166,7 +231,6 @@
     let facts = context.protocol.read_request(&head);
     let request_id = facts.id.clone();
     let active = context.control.track_request();
-    connection.enter(CallerPhase::Running);
     let request_future = std::pin::pin!(serve_request(context, &socket, connection, head, facts, body));
     let disconnect_future = std::pin::pin!(wait_for_disconnect(context, stream));
     let outcome = match select(request_future, disconnect_future).await {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
+use async_std::net::TcpStream;
 
 use super::WireProtocol;
-use super::caller_registry::{CallerConnection, CallerPhase, CallerRegistry};
+use super::caller_registry::{CallerConnection, CallerRegistry, CloseReason};
 use super::crowd_log::CrowdLog;
 use super::memory_account::{MemoryAccount, MemoryKind, MemoryShare};
 use super::metrics::GatewayMetrics;
@@ -249,12 +250,12 @@
 
     /// Admits and counts a caller's connection. If there are too many, the one that has made no progress for
     /// longest is closed in favor of the new one; `None` if none can be closed.
-    pub fn admit_caller(self: &Arc<Self>) -> Option<CallerGuard> {
+    pub fn admit_caller(self: &Arc<Self>, stream: &TcpStream) -> Option<CallerGuard> {
         let (now, max_callers) = (clock::now(), self.socket_shares().callers);
-        let count = self.callers.len();
+        let count = self.callers.count();
         let mut share = self.memory.share(MemoryKind::Connections);
         if (count >= max_callers || !share.grow_to(CONNECTION_BYTES))
-            && !self.close_longest_idle(now, 0, CallerPhase::may_close)
+            && !self.close_longest_idle(now, CloseReason::Admission)
         {
             return None;
         }
@@ -263,7 +264,7 @@
         if count >= max_callers + max_callers / CLOSING_DIVISOR {
             return None;
         }
-        let (number, connection) = self.callers.add(now);
+        let (number, connection) = self.callers.add(now, Box::new(stream.clone()));
         Some(CallerGuard {
             context: self.clone(),
             connection,
@@ -273,8 +274,8 @@
     }
 
     /// Closes the connection that has made no progress for longest, if there is one that may be closed.
-    fn close_longest_idle(&self, now: Moment, min_idle_ms: u64, may_close: fn(CallerPhase) -> bool) -> bool {
-        let is_closed = self.callers.close_longest_idle(now, min_idle_ms, may_close);
+    fn close_longest_idle(&self, now: Moment, reason: CloseReason) -> bool {
+        let is_closed = self.callers.close_longest_idle(now, reason);
         if is_closed {
             self.record_closed(EVICTED);
         }
@@ -283,7 +284,7 @@
 
     /// Makes room after memory was refused, by the close of a connection that holds some and makes no progress.
     pub fn relieve_memory(&self) {
-        self.close_longest_idle(clock::now(), PRESSURE_IDLE_MS, CallerPhase::holds_memory);
+        self.close_longest_idle(clock::now(), CloseReason::MemoryPressure);
     }
 
     /// Counts a caller's connection that was refused or closed early; logs it at most once a second.
@@ -302,10 +303,6 @@
 /// A fraction of the callers' connections may be closing while others are admitted in their place.
 const CLOSING_DIVISOR: usize = 8;
 
-/// How long a connection must have made no progress to be closed for its memory, in milliseconds: several
-/// retransmissions.
-const PRESSURE_IDLE_MS: u64 = 1_000;
-
 /// Reason of connections that are closed in favor of others.
 const EVICTED: &str = "longest_idle";
 
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -42,7 +42,7 @@
 }
 
 fn admit(context: &Arc<GatewayContext>, stream: TcpStream) {
-    match context.admit_caller() {
+    match context.admit_caller(&stream) {
         Some(guard) => {
             async_std::task::spawn(serve_caller(context.clone(), stream, guard));
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 mod upstream;
 mod verdict;
 
+pub use caller_registry::{CallerConnection, CallerPhase, CallerRegistry, CloseReason, InputProbe};
 pub use context::GatewayContext;
 pub use health::check_health;
 pub use listener::listen_for_callers;
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 
 use super::GatewayContext;
-use super::caller_registry::{CallerConnection, CallerPhase, CallerRegistry};
+use super::caller_registry::{CallerConnection, CallerRegistry, CloseReason};
 use super::listener::ACCEPT_FAILED;
 use super::preview::preview_request;
 
@@ -75,14 +75,14 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let now = clock::now();
-                if connections.len() >= context.socket_shares().endpoint
-                    && connections.close_longest_idle(now, 0, CallerPhase::may_close)
+                if connections.count() >= context.socket_shares().endpoint
+                    && connections.close_longest_idle(now, CloseReason::Admission)
                 {
                     context.record_closed(ENDPOINT_FULL);
                     // The connection that is closed has its turn first, so that the share is kept.
                     async_std::task::sleep(CLOSE_TURN).await;
                 }
-                let (number, connection) = connections.add(now);
+                let (number, connection) = connections.add(now, Box::new(stream.clone()));
                 let (context, connections) = (context.clone(), connections.clone());
                 async_std::task::spawn(async move {
                     let serving = std::pin::pin!(serve_requests(&context, stream, &connection, answer));
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
+use futures::FutureExt;
 use socket2::{SockRef, TcpKeepalive};
 
 /// How long sent bytes may stay unacknowledged before the connection is closed.
@@ -67,3 +68,10 @@
         spdlog::debug!("event=socket_option_failed reason=\"{error}\"");
     }
 }
+
+/// Whether a connection has received bytes that were not read yet.
+pub fn has_input(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let peeked = stream.peek(&mut byte).now_or_never();
+    matches!(peeked, Some(Ok(1..)))
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod config_fleet;
 mod config_soak;
 mod config_spread;
+mod crossed_close;
 mod deadly_part;
 mod decisions;
 mod endless;
