Answer a running request whatever its caller has sent ahead

Callers saw: a connection closed without an answer while a replica ran its request, where they had sent more than 8 KB of further requests and the memory for such input was taken.

Cause: `wait_for_disconnect` ended alike for a caller that has left and for input that finds no memory.

Change: such input is discarded through a small receive buffer, the request is answered, and the connection is closed then.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -48,6 +48,9 @@
 /// Reason of requests that crossed the close of their connections.
 const CROSSED_CLOSE: &str = "crossed_close";
 
+/// Receive buffer of a connection whose input is discarded, in bytes.
+const DISCARD_RECEIVE_BYTES: usize = 4 * 1024;
+
 /// Reason of connections that send ahead more than there is memory for.
 const READ_AHEAD: &str = "read_ahead";
 
@@ -182,9 +185,8 @@
     let socket = stream.socket().clone();
     let request_id = context.protocol.read_request(head).id;
     let end = refuse_crowd(context, connection, &socket, notice, &request_id).await;
-    // An error means that the caller has closed the connection.
-    if end == ServiceEnd::Finished && socket.shutdown(Shutdown::Write).is_ok() {
-        until(clock::now().after_ms(DISCARD_MS), discard_rest(stream)).await;
+    if end == ServiceEnd::Finished {
+        close_after_answer(stream).await;
     }
     end
 }
@@ -231,39 +233,86 @@
     let facts = context.protocol.read_request(&head);
     let request_id = facts.id.clone();
     let active = context.control.track_request();
-    let request_future = std::pin::pin!(serve_request(context, &socket, connection, head, facts, body));
-    let disconnect_future = std::pin::pin!(wait_for_disconnect(context, stream));
-    let outcome = match select(request_future, disconnect_future).await {
-        Either::Left((outcome, _)) => outcome,
-        Either::Right(((), _)) => {
-            spdlog::info!("event=caller_gone request={request_id}");
-            AnswerOutcome::Cut
+    let mut reader = AheadReader::new(context, stream);
+    let outcome = {
+        let request_future = std::pin::pin!(serve_request(context, &socket, connection, head, facts, body));
+        let disconnect_future = std::pin::pin!(reader.wait_for_disconnect());
+        match select(request_future, disconnect_future).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(((), _)) => {
+                spdlog::info!("event=caller_gone request={request_id}");
+                AnswerOutcome::Cut
+            }
         }
     };
     drop(active);
     match outcome {
+        AnswerOutcome::Complete(ConnectionPersistence::Keep) if reader.has_discarded => {
+            close_after_answer(stream).await;
+            ConnectionPersistence::Close
+        }
         AnswerOutcome::Complete(persistence) => persistence,
         AnswerOutcome::Cut => ConnectionPersistence::Close,
     }
 }
 
-/// Completes when the caller closes its connection, the connection fails, or the caller sends ahead more than there
-/// is memory for.
-async fn wait_for_disconnect(context: &GatewayContext, stream: &mut HttpStream) {
-    let mut share = context.memory.share(MemoryKind::ReadAhead);
-    loop {
-        let ahead_bytes = stream.buffered().len();
-        if ahead_bytes >= UNCOUNTED_AHEAD_BYTES && !share.grow_to(AHEAD_BYTES) {
-            context.record_closed(READ_AHEAD);
-            return;
+/// Lets a caller read its answer before a connection is closed that may have more input.
+async fn close_after_answer(stream: &mut HttpStream) {
+    // An error means that the caller has closed the connection.
+    if stream.socket().shutdown(Shutdown::Write).is_ok() {
+        until(clock::now().after_ms(DISCARD_MS), discard_rest(stream)).await;
+    }
+}
+
+/// Reads what a caller sends while its request is served.
+struct AheadReader<'a> {
+    context: &'a GatewayContext,
+    stream: &'a mut HttpStream,
+    /// Whether input was discarded, so that no request can be read any more.
+    has_discarded: bool,
+}
+
+impl<'a> AheadReader<'a> {
+    fn new(context: &'a GatewayContext, stream: &'a mut HttpStream) -> Self {
+        Self {
+            context,
+            stream,
+            has_discarded: false,
         }
-        if ahead_bytes >= MAX_READ_AHEAD_BYTES {
-            async_std::task::sleep(READ_AHEAD_POLL_INTERVAL).await;
-            continue;
+    }
+
+    /// Completes when the caller closes its connection or the connection fails.
+    async fn wait_for_disconnect(&mut self) {
+        let mut share = self.context.memory.share(MemoryKind::ReadAhead);
+        loop {
+            let ahead_bytes = self.stream.buffered().len();
+            if ahead_bytes >= UNCOUNTED_AHEAD_BYTES && !share.grow_to(AHEAD_BYTES) {
+                self.context.record_closed(READ_AHEAD);
+                return self.discard_until_disconnect().await;
+            }
+            if ahead_bytes >= MAX_READ_AHEAD_BYTES {
+                async_std::task::sleep(READ_AHEAD_POLL_INTERVAL).await;
+                continue;
+            }
+            match self.stream.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
         }
-        match stream.fill().await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
+    }
+
+    /// Discards what the caller sends, since there is no memory for it; the request in progress may be running and is
+    /// answered.
+    async fn discard_until_disconnect(&mut self) {
+        self.has_discarded = true;
+        discard_received(self.stream.socket());
+        limit_buffers(self.stream.socket(), None, Some(DISCARD_RECEIVE_BYTES));
+        loop {
+            self.stream.discard();
+            match self.stream.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => async_std::task::sleep(READ_AHEAD_POLL_INTERVAL).await,
+            }
         }
     }
 }
--- a/tests/untrusted_callers/calm.rs
+++ b/tests/untrusted_callers/calm.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::crowd::{Desk, MAX_BODY_BYTES};
-use crate::replica::{HUGE_PATH, cut_answers};
+use crate::replica::{HUGE_PATH, SLOW_PATH, cut_answers};
 use crate::wire::{LIMIT, read_answer, request};
 
 /// Descriptors of the node.
@@ -107,3 +107,39 @@
         assert!(!is_complete, "{version}: {} bytes look complete", answer.len());
     }
 }
+
+// Guards against a booking that runs and whose connection is closed, since its caller has sent more ahead than there is
+// memory for.
+#[test]
+fn a_running_request_is_answered_whatever_its_caller_has_sent_ahead() {
+    const CALLERS: usize = 160;
+    let desk = Desk::start(MAX_FDS);
+    let address = desk.node.callers();
+    let ask = |number: usize| {
+        let first = request("POST", "shop.example", SLOW_PATH, &format!("q-{number}"), "", "");
+        let next = request("POST", "shop.example", "/read", &format!("n-{number}"), "", "");
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        stream.write_all(first.as_bytes()).expect("an open connection");
+        std::thread::sleep(Duration::from_millis(200));
+        // The node may take a part of it only.
+        stream
+            .set_write_timeout(Some(Duration::from_millis(200)))
+            .expect("a timeout can be set");
+        let _ = stream.write_all(next.repeat(40_000 / next.len()).as_bytes());
+        read_answer(&mut stream).map(|answer| answer.status())
+    };
+    let statuses: Vec<Option<u16>> = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|number| scope.spawn(move || ask(number)))
+            .collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().expect("a caller"))
+            .collect()
+    });
+    let answered = statuses.iter().filter(|status| **status == Some(200)).count();
+    let short = desk.node.metric("closed_callers", "read_ahead");
+    println!("sent_ahead: {answered} of {CALLERS} answered, memory was short for {short}");
+    assert!(short > 0.0, "memory has to be short for some");
+    assert_eq!(answered, CALLERS, "{statuses:?}");
+}
--- a/tests/untrusted_callers/replica.rs
+++ b/tests/untrusted_callers/replica.rs
@@ -23,6 +23,12 @@
 /// Path of requests that get such an answer.
 pub const HUGE_PATH: &str = "/read/huge";
 
+/// Path of requests that take [`SLOW_RUN`].
+pub const SLOW_PATH: &str = "/book/slow";
+
+/// How long such a request runs.
+const SLOW_RUN: Duration = Duration::from_millis(1_500);
+
 /// How long a replica waits for a reader that takes nothing before it cuts its answer off.
 const UNREAD_LIMIT: Duration = Duration::from_secs(2);
 
@@ -74,7 +80,12 @@
         let is_written = match request.path() {
             LONG_PATH => answer_long(&mut stream, &request, LONG_ANSWER_BYTES),
             HUGE_PATH => answer_long(&mut stream, &request, HUGE_ANSWER_BYTES),
-            _ => answer(&mut stream, &request, b"ok"),
+            path => {
+                if path == SLOW_PATH {
+                    std::thread::sleep(SLOW_RUN);
+                }
+                answer(&mut stream, &request, b"ok")
+            }
         };
         if !is_written {
             let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
