Send a request to its end while its answer is read

Callers saw: a replica that answers a long upload at once with a 200 without a length, sends a part of the body and resets or closes the connection: the part as a complete 200 (MIXED). A sound replica that answers so and reads on got no more of the upload, and its caller 504.

Cause: sending stopped at the first bytes of an answer and its outcome was dropped. A reset is reported once for a socket; where the sending met it, reading met an ordinary end. That the order of `select`'s arms favoured the sender only made it frequent.

Change: sending and reading go on side by side (`gateway/upload.rs`). An answer that ends with its connection is whole only if the request was sent to its end and the system holds no error for the connection, also after the check of the process.

--- a/src/gateway/answer_end.rs
+++ b/src/gateway/answer_end.rs
@@ -21,6 +21,8 @@
     ReplicaExited,
     /// The answer ended with its connection, and the replica's process was not shown to run on.
     ReplicaUnproven,
+    /// The answer ended with its connection, which was reset afterwards: the replica had not read the request.
+    ConnectionReset,
 }
 
 impl BrokenEnd {
@@ -30,12 +32,13 @@
             Self::InsideEvent => "it ended inside an event",
             Self::ReplicaExited => "its replica exited",
             Self::ReplicaUnproven => "its replica did not answer after it",
+            Self::ConnectionReset => "its connection was reset after it",
         }
     }
 }
 
 /// Checks an answer that has been read to its end. An answer that ended with its connection is whole only if its
-/// replica is shown to be running.
+/// replica is shown to be running and the connection was not reset meanwhile.
 pub async fn check_end(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
@@ -50,7 +53,8 @@
         return Ok(());
     };
     match check_life(context, request, replica, witness).await {
-        ReplicaLife::Alive => Ok(()),
+        // A reset that answers the last bytes of the request may arrive after the end of the answer.
+        ReplicaLife::Alive => answer.check_connection().map_err(|_| BrokenEnd::ConnectionReset),
         ReplicaLife::Exited => Err(BrokenEnd::ReplicaExited),
         ReplicaLife::Unproven => Err(BrokenEnd::ReplicaUnproven),
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -50,7 +50,7 @@
     /// Request head as sent by the caller.
     pub head: RequestHead,
     /// Request body; empty if there is none.
-    pub body: CallerBody,
+    pub body: Arc<CallerBody>,
     /// Whether the request has a body, which may be empty.
     pub has_body: bool,
     /// The platform's facts, read from the head.
@@ -144,7 +144,7 @@
     let trace = RequestTrace::new(context, &facts, &rule, received_at, &snapshot);
     let identity = identify_caller(&snapshot, &rule, facts.api_key);
     let has_body = body.is_some();
-    let body = body.unwrap_or_default();
+    let body = Arc::new(body.unwrap_or_default());
     let request = CallerRequest {
         features: find_features(&head, &facts, &body, &service),
         has_body,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod stream_order;
 mod trace;
 mod unproven;
+mod upload;
 mod upstream;
 mod verdict;
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,8 +1,9 @@
 //! One request-response exchange with a replica.
 
+use std::io;
+use std::sync::Arc;
+
 use async_std::net::TcpStream;
-use futures::AsyncWriteExt;
-use futures::future::{Either, select};
 use snafu::Snafu;
 
 use super::authentication::check_caller;
@@ -12,13 +13,14 @@
 use super::loss::{ReplicaContact, RunStage};
 use super::memory_account::MemoryKind;
 use super::replica_state::{record_replica_state, report_rate_limit};
+use super::upload::BodyUpload;
 use super::{AnswerFacts, GatewayContext};
 use crate::blackboard::{ReplicaId, ReplicaRecord};
 use crate::clock;
 use crate::http::{BodyDecoder, BodyFraming, HeadLimits, ResponseHead, frame_response};
 use crate::prelude::*;
 use crate::runtime::RunPermit;
-use crate::transport::{HttpStream, StreamError, limit_buffers, until};
+use crate::transport::{HttpStream, StreamError, limit_buffers, take_error, until};
 
 /// Connect timeout for replicas, in milliseconds: some round trips between zones and one retransmission.
 pub const CONNECT_TIMEOUT_MS: u64 = 250;
@@ -146,7 +148,7 @@
     /// Request head, ready to be sent; a small body is appended before sending.
     pub head: Vec<u8>,
     /// Request body; `None` if there is none.
-    pub body: Option<&'a CallerBody>,
+    pub body: Option<&'a Arc<CallerBody>>,
     /// Id that identifies the response as this request's; empty if any response counts as its own.
     pub request_id: &'a str,
     /// Work that the replica does for a caller; `None` for requests of the gateway itself.
@@ -175,13 +177,32 @@
     pub witness: Option<WitnessConnection>,
     stream: HttpStream,
     decoder: BodyDecoder,
+    /// The sending of the request, which may outlast the head of its answer.
+    upload: BodyUpload,
     may_keep: bool,
 }
 
 impl UpstreamAnswer {
     /// Reads the next bytes of the body; `None` once it is complete.
     pub async fn read(&mut self) -> Result<Option<Vec<u8>>, StreamError> {
-        self.stream.read_body(&mut self.decoder).await
+        let reading = self.stream.read_body(&mut self.decoder);
+        let piece = self.upload.run_beside(reading).await?;
+        if piece.is_none() && self.framing == BodyFraming::UntilClose {
+            // The end of the connection ends the answer only if the replica has read the request: one that closes
+            // its connection under an upload resets it, and the sender may be told instead of the reader.
+            self.upload.finish().await?;
+            self.check_connection()?;
+        }
+        Ok(piece)
+    }
+
+    /// Checks that the connection was not reset, as far as the system knows by now.
+    pub fn check_connection(&self) -> Result<(), StreamError> {
+        let failure = self.upload.failure().map(io::Error::from);
+        match failure.or_else(|| take_error(self.stream.socket())) {
+            Some(source) => Err(StreamError::Broken { source }),
+            None => Ok(()),
+        }
     }
 
     /// Reads until the body is complete or longer than a limit; also returns whether it is complete.
@@ -203,7 +224,8 @@
 
     /// Returns the connection to the pool if it can carry another request.
     pub fn release(self, context: &GatewayContext, replica: &ReplicaId) {
-        if self.may_keep && self.decoder.is_done() && self.stream.is_reusable() {
+        let is_over = self.decoder.is_done() && self.upload.is_complete();
+        if self.may_keep && is_over && self.stream.is_reusable() {
             context.pool.put(replica, self.stream, &self.head);
         }
     }
@@ -360,29 +382,26 @@
         contact,
     };
     let asked_at = clock::now();
-    let mut is_body_sent = true;
-    let segments = || request.body.into_iter().flat_map(CallerBody::segments);
-    let mut head = if segments().map(<[u8]>::len).sum::<usize>() <= SMALL_BODY_BYTES {
-        segments().for_each(|segment| request.head.extend_from_slice(segment));
-        // A replica that closed the connection may have sent a response before.
-        let written = stream.write(&request.head).await;
-        match stream.read_response(ANSWER_HEAD_LIMITS).await {
-            Ok(head) => head,
-            Err(error) => return Err(lost(written.err().map_or(error, StreamError::from))),
+    let segments = || request.body.into_iter().flat_map(|body| body.segments());
+    let body_bytes = segments().map(<[u8]>::len).sum::<usize>();
+    let mut upload = match request.body {
+        Some(body) if body_bytes > SMALL_BODY_BYTES => {
+            let head = std::mem::take(&mut request.head);
+            begin_upload(context, stream.socket(), head, body)
+        }
+        _ => {
+            segments().for_each(|segment| request.head.extend_from_slice(segment));
+            BodyUpload::ended(stream.write(&request.head).await)
+        }
+    };
+    // A replica that closed the connection may have sent a response before.
+    let reading = stream.read_response(ANSWER_HEAD_LIMITS);
+    let mut head = match upload.run_beside(reading).await {
+        Ok(head) => head,
+        Err(error) => {
+            let failure = upload.failure().map(io::Error::from);
+            return Err(lost(failure.map_or(error, StreamError::from)));
         }
-    } else {
-        let socket = stream.socket().clone();
-        let mut share = context.memory.share(MemoryKind::Upstream);
-        let has_room = share.grow_to(2 * LONG_SEND_BYTES);
-        let send_bytes = if has_room {
-            LONG_SEND_BYTES
-        } else {
-            SOCKET_BUFFER_BYTES
-        };
-        limit_buffers(&socket, Some(send_bytes), None);
-        let (head, is_complete) = write_large(socket, &mut stream, &request).await.map_err(lost)?;
-        is_body_sent = is_complete;
-        head
     };
     for _ in 0..=MAX_STRAY_ANSWERS {
         let facts = context.protocol.read_answer(&head);
@@ -399,7 +418,6 @@
         if !is_stray {
             report_rate_limit(context, &request, &facts, is_own, asked_at);
             let may_keep = !request.choice.is_dedicated()
-                && is_body_sent
                 && head.keeps_connection()
                 && framing != BodyFraming::UntilClose;
             let is_checked = framing == BodyFraming::UntilClose
@@ -412,18 +430,18 @@
                 witness: is_checked.then(|| WitnessConnection::open(request.replica)),
                 stream,
                 decoder,
+                upload,
                 may_keep,
             });
         }
         // This is a late response to an earlier request; it is skipped.
-        stream
-            .read_complete_body(&mut decoder, MAX_STRAY_BYTES)
-            .await
-            .map_err(lost)?;
+        let reading = stream.read_complete_body(&mut decoder, MAX_STRAY_BYTES);
+        upload.run_beside(reading).await.map_err(lost)?;
         if framing == BodyFraming::UntilClose {
             break;
         }
-        head = stream.read_response(ANSWER_HEAD_LIMITS).await.map_err(lost)?;
+        let reading = stream.read_response(ANSWER_HEAD_LIMITS);
+        head = upload.run_beside(reading).await.map_err(lost)?;
     }
     Err(ExchangeError::Lost {
         reason: "answers to other requests".to_owned(),
@@ -432,25 +450,20 @@
     })
 }
 
-/// Writes a long body while waiting for an early response; also returns whether the whole body was written.
-async fn write_large(
-    mut socket: TcpStream,
-    stream: &mut HttpStream,
-    request: &UpstreamRequest<'_>,
-) -> Result<(ResponseHead, bool), StreamError> {
-    let writing = async {
-        socket.write_all(&request.head).await?;
-        for segment in request.body.into_iter().flat_map(CallerBody::segments) {
-            socket.write_all(segment).await?;
-        }
-        Ok::<(), std::io::Error>(())
+/// Begins to send a long body, through a send buffer that is enlarged if there is memory for it.
+fn begin_upload(
+    context: &GatewayContext,
+    socket: &TcpStream,
+    head: Vec<u8>,
+    body: &Arc<CallerBody>,
+) -> BodyUpload {
+    let mut share = context.memory.share(MemoryKind::Upstream);
+    let send_bytes = match share.grow_to(2 * LONG_SEND_BYTES) {
+        true => LONG_SEND_BYTES,
+        false => SOCKET_BUFFER_BYTES,
     };
-    let writing = std::pin::pin!(writing);
-    let reading = std::pin::pin!(stream.read_response(ANSWER_HEAD_LIMITS));
-    match select(writing, reading).await {
-        Either::Left((_, reading)) => Ok((reading.await?, true)),
-        Either::Right((head, _)) => Ok((head?, false)),
-    }
+    limit_buffers(socket, Some(send_bytes), None);
+    BodyUpload::begin(socket.clone(), head, body.clone(), share)
 }
 
 /// Sends a request that has a small response, and reads the complete response.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,4 +6,4 @@
 
 pub use deadline::until;
 pub use http_stream::{ConnectionPermit, HttpStream, StreamError};
-pub use socket::{CloseMode, configure_socket, has_input, limit_buffers, set_close_mode};
+pub use socket::{CloseMode, configure_socket, has_input, limit_buffers, set_close_mode, take_error};
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -1,5 +1,6 @@
 //! Socket options: no delay for small writes, detection of half-open connections, and how a connection is closed.
 
+use std::io;
 use std::time::Duration;
 
 use async_std::net::TcpStream;
@@ -75,3 +76,9 @@
     let peeked = stream.peek(&mut byte).now_or_never();
     matches!(peeked, Some(Ok(1..)))
 }
+
+/// Takes the error that the system holds for a connection, such as a reset that came after the peer's last byte. No
+/// later call returns it again.
+pub fn take_error(stream: &TcpStream) -> Option<io::Error> {
+    SockRef::from(stream).take_error().unwrap_or_else(Some)
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod crossed_close;
 mod deadly_part;
 mod decisions;
+mod early_answers;
 mod endless;
 mod engine_removal;
 mod equal_reads;
