Refuse answers whose status is none of HTTP

Cause: the parser took any three digits for a status. On the own interface the library refuses all but 1xx.

Change: outside 100 to 599, and for 101, the head is malformed, so that the exchange counts as lost at that replica: another one is asked where the route allows that, else 502. The own interface takes no 1xx for an answer.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -166,7 +166,7 @@
         HttpError::Chunk | HttpError::Truncated => {
             RefusalNotice::new(ResultCode::BodyBroken, source.to_string())
         }
-        HttpError::Head | HttpError::Framing => {
+        HttpError::Head | HttpError::Status | HttpError::Framing => {
             RefusalNotice::new(ResultCode::BadRequestLine, source.to_string())
         }
     };
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -8,6 +8,9 @@
     /// The start line or a header line is malformed.
     #[snafu(display("malformed head"))]
     Head,
+    /// The status of a response is none of HTTP.
+    #[snafu(display("invalid status"))]
+    Status,
     /// The head has more bytes or lines than allowed.
     #[snafu(display("head too large"))]
     HeadTooLarge,
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use httparse::{EMPTY_HEADER, Header, Status};
 
 use super::{HeaderList, HttpError};
@@ -7,6 +9,12 @@
 /// The most header lines of a head; more are rejected.
 const MAX_LINES: usize = 128;
 
+/// The statuses of HTTP.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// The status that answers a request for an upgrade.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Limits of a message head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeadLimits {
@@ -66,9 +74,9 @@
         keeps_connection(self.is_http11, &self.headers)
     }
 
-    /// Whether this is an interim (1xx) response, which is followed by another one; 101 is final.
+    /// Whether this is an interim (1xx) response, which is followed by another one.
     pub fn is_interim(&self) -> bool {
-        (100..200).contains(&self.status) && self.status != 101
+        (100..200).contains(&self.status)
     }
 }
 
@@ -104,6 +112,11 @@
 
 /// Parses a response's head at the start of `bytes`. Returns the head and its length, or `None` while it is
 /// incomplete.
+///
+/// # Errors
+///
+/// If the head is malformed or too large, or its status is not one of 100 to 599 (RFC 9110, section 15) or is 101, as no
+/// request asks for an upgrade.
 pub fn parse_response(bytes: &[u8], limits: HeadLimits) -> Result<Option<(ResponseHead, usize)>, HttpError> {
     let mut lines = [EMPTY_HEADER; MAX_LINES];
     let mut response = httparse::Response::new(&mut lines);
@@ -112,8 +125,12 @@
         Status::Partial => return check_partial(bytes, limits),
     };
     check_head(&bytes[..length], limits)?;
+    let status = response.code.ok_or(HttpError::Head)?;
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(HttpError::Status);
+    }
     let head = ResponseHead {
-        status: response.code.ok_or(HttpError::Head)?,
+        status,
         is_http11: response.version == Some(1),
         headers: copy_headers(response.headers),
     };
--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -70,8 +70,9 @@
 ) -> Result<Response, UpstreamError> {
     let limit = clock::now().remaining(deadline);
     match timeout(limit, async_h1::connect(stream, request)).await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(_)) => Err(UpstreamError::Broken {
+        // async-h1 takes an interim response, or one that switches protocols, for the final one.
+        Ok(Ok(response)) if !response.status().is_informational() => Ok(response),
+        Ok(Ok(_) | Err(_)) => Err(UpstreamError::Broken {
             address: address.to_owned(),
         }),
         Err(_) => Err(UpstreamError::Deadline {
--- a/tests/http_codec.rs
+++ b/tests/http_codec.rs
@@ -258,3 +258,18 @@
         prop_assert_eq!(head.headers.text("x-a"), Some(value.trim_matches(' ')));
     }
 }
+
+// Guards against an answer whose status is none of HTTP and that is passed on as it came.
+#[test]
+fn a_response_needs_a_status_of_http_that_needs_no_upgrade() {
+    for status in 0..1_000_u16 {
+        let text = format!("HTTP/1.1 {status:03} Status\r\n\r\n");
+        let parsed = parse_response(text.as_bytes(), LIMITS);
+        let status_read = parsed.map(|parsed| parsed.map(|(head, _)| (head.status, head.is_interim())));
+        match status {
+            100 | 102..=199 => assert_eq!(status_read, Ok(Some((status, true)))),
+            200..=599 => assert_eq!(status_read, Ok(Some((status, false)))),
+            _ => assert_eq!(status_read, Err(HttpError::Status), "{status}"),
+        }
+    }
+}
--- a/tests/platform/early_answers.rs
+++ b/tests/platform/early_answers.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use socket2::SockRef;
 
-use crate::node::{GatewayNode, config_document};
+use crate::node::{GatewayNode, config_document, wait_until};
 use crate::store::StandInStore;
 use crate::wire::{Message, read_answer, request};
 
@@ -92,6 +92,8 @@
 /// What the replicas of a deployment do, and how many whole uploads they have read.
 struct UploadReplica {
     answer: Mutex<EarlyAnswer>,
+    /// A status line that is sent in place of the answer.
+    status_line: Mutex<Option<String>>,
     whole_uploads: Mutex<usize>,
     arrivals: Mutex<usize>,
 }
@@ -100,6 +102,7 @@
     fn new(answer: EarlyAnswer) -> Arc<Self> {
         Arc::new(Self {
             answer: Mutex::new(answer),
+            status_line: Mutex::default(),
             whole_uploads: Mutex::default(),
             arrivals: Mutex::default(),
         })
@@ -140,6 +143,17 @@
                 .header("Content-Length")
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(0);
+            let status_line = self.status_line.lock().expect("no holder panics").clone();
+            if let Some(line) = status_line {
+                read_body(&mut stream, 0, length);
+                let text = format!("{line}\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\n");
+                let _ = stream.write_all(text.as_bytes());
+                if line.ends_with("length") {
+                    let _ = stream.write_all(b"Content-Length: 4\r\n");
+                }
+                let _ = stream.write_all(b"\r\nbody");
+                return;
+            }
             let answer = *self.answer.lock().expect("no holder panics");
             let read_bytes = read_body(&mut stream, 0, answer.read_before.min(length));
             answer.write(&mut stream, id);
@@ -208,7 +222,7 @@
 
 /// One node with a replica of each service, which behave alike.
 struct Deployment {
-    _store: StandInStore,
+    store: StandInStore,
     node: GatewayNode,
     replica: Arc<UploadReplica>,
 }
@@ -224,11 +238,7 @@
         replica.start(&store, "i-d1", "llm", Some("decode"));
         let node = GatewayNode::start(&store, "vm-1", &[]);
         node.wait_ready();
-        Self {
-            _store: store,
-            node,
-            replica,
-        }
+        Self { store, node, replica }
     }
 
     fn upload(&self, path: &str, id: &str, bytes: usize) -> Option<Message> {
@@ -366,3 +376,58 @@
     .to_vec();
     play_all(&cases);
 }
+
+// Guards against MIXED: an answer whose status is none of HTTP, which is passed on as it came.
+#[test]
+fn an_answer_without_a_status_of_http_is_not_passed_on() {
+    let answer = EarlyAnswer {
+        framing: AnswerFraming::Length,
+        read_before: 0,
+        after: AfterAnswer::ReadsOn,
+    };
+    let deployment = Deployment::start(answer);
+    let mut defects = Vec::new();
+    for status in ["000", "099", "101", "600", "999"] {
+        for reason in ["Status", "With a length"] {
+            *deployment.replica.status_line.lock().expect("no holder panics") =
+                Some(format!("HTTP/1.1 {status} {reason}"));
+            for path in PATHS {
+                let answer = deployment.upload_until_sent(path, "q-1", 100);
+                let is_right = answer.as_ref().is_some_and(|answer| {
+                    answer.status() == 502 && answer.is_whole && answer.header("X-Not-Executed").is_none()
+                });
+                if !is_right {
+                    defects.push(format!("{status} {reason} {path}: {answer:?}"));
+                }
+            }
+        }
+    }
+    println!("{} defects\n{}", defects.len(), defects.join("\n"));
+    assert!(defects.is_empty());
+}
+
+// Guards against an answer without a status of HTTP that ends a request which another replica could serve.
+#[test]
+fn a_request_that_got_no_status_of_http_is_sent_to_another_replica_where_it_may_be() {
+    let answer = EarlyAnswer {
+        framing: AnswerFraming::Length,
+        read_before: 0,
+        after: AfterAnswer::ReadsOn,
+    };
+    let deployment = Deployment::start(answer);
+    *deployment.replica.status_line.lock().expect("no holder panics") =
+        Some("HTTP/1.1 000 Status".to_owned());
+    let sound = UploadReplica::new(answer);
+    sound.start(&deployment.store, "i-2", "desk", None);
+    wait_until("both replicas are listed", || {
+        deployment.node.metric("replicas", "state=\"listed\"") >= 3.0
+    });
+    for number in 0..6 {
+        let got = deployment.upload("/read", &format!("q-{number}"), 100);
+        assert!(got.as_ref().is_some_and(looks_whole), "{number}: {got:?}");
+    }
+    assert!(
+        deployment.replica.arrivals() > 0,
+        "the replica in trouble has to be asked"
+    );
+}
