Record the end of an upload in one place

The outcome was written in three places, and the end of an answer without a length asked for it twice: `finish` returned what `check_connection` reads again. Both go through `ended` and `failure` now.

--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -70,28 +70,20 @@
             Either::Left((output, _)) => return output,
             Either::Right((outcome, reading)) => (outcome, reading),
         };
-        self.writing = None;
-        self.failure = outcome.err().map(|error| error.kind());
+        *self = Self::ended(outcome);
         reading.await
     }
 
     /// Sends the rest of the request.
-    ///
-    /// # Errors
-    ///
-    /// If the request could not be sent to its end.
-    pub async fn finish(&mut self) -> Result<(), Error> {
+    pub async fn finish(&mut self) {
         if let Some(writing) = &mut self.writing {
-            let outcome = writing.await;
-            self.writing = None;
-            self.failure = outcome.err().map(|error| error.kind());
+            *self = Self::ended(writing.await);
         }
-        self.failure.map_or(Ok(()), |kind| Err(kind.into()))
     }
 
     /// Why the request could not be sent; `None` if it could, or is being sent.
-    pub fn failure(&self) -> Option<ErrorKind> {
-        self.failure
+    pub fn failure(&self) -> Option<Error> {
+        self.failure.map(Error::from)
     }
 
     /// Whether the whole request was sent.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,6 +1,5 @@
 //! One request-response exchange with a replica.
 
-use std::io;
 use std::sync::Arc;
 
 use async_std::net::TcpStream;
@@ -190,7 +189,7 @@
         if piece.is_none() && self.framing == BodyFraming::UntilClose {
             // The end of the connection ends the answer only if the replica has read the request: one that closes
             // its connection under an upload resets it, and the sender may be told instead of the reader.
-            self.upload.finish().await?;
+            self.upload.finish().await;
             self.check_connection()?;
         }
         Ok(piece)
@@ -198,7 +197,7 @@
 
     /// Checks that the connection was not reset, as far as the system knows by now.
     pub fn check_connection(&self) -> Result<(), StreamError> {
-        let failure = self.upload.failure().map(io::Error::from);
+        let failure = self.upload.failure();
         match failure.or_else(|| take_error(self.stream.socket())) {
             Some(source) => Err(StreamError::Broken { source }),
             None => Ok(()),
@@ -398,10 +397,7 @@
     let reading = stream.read_response(ANSWER_HEAD_LIMITS);
     let mut head = match upload.run_beside(reading).await {
         Ok(head) => head,
-        Err(error) => {
-            let failure = upload.failure().map(io::Error::from);
-            return Err(lost(failure.map_or(error, StreamError::from)));
-        }
+        Err(error) => return Err(lost(upload.failure().map_or(error, StreamError::from))),
     };
     for _ in 0..=MAX_STRAY_ANSWERS {
         let facts = context.protocol.read_answer(&head);
