--- a/tests/platform/early_answers.rs
+++ b/tests/platform/early_answers.rs
@@ -65,6 +65,13 @@
 }
 
 impl EarlyAnswer {
+    /// A whole answer with a length, whose replica reads the upload to its end.
+    const SOUND: Self = Self {
+        framing: AnswerFraming::Length,
+        read_before: 0,
+        after: AfterAnswer::ReadsOn,
+    };
+
     fn is_sound(self) -> bool {
         matches!(self.after, AfterAnswer::ReadsOn | AfterAnswer::HalfCloses)
     }
@@ -380,12 +387,7 @@
 // Guards against MIXED: an answer whose status is none of HTTP, which is passed on as it came.
 #[test]
 fn an_answer_without_a_status_of_http_is_not_passed_on() {
-    let answer = EarlyAnswer {
-        framing: AnswerFraming::Length,
-        read_before: 0,
-        after: AfterAnswer::ReadsOn,
-    };
-    let deployment = Deployment::start(answer);
+    let deployment = Deployment::start(EarlyAnswer::SOUND);
     let mut defects = Vec::new();
     for status in ["000", "099", "101", "600", "999"] {
         for reason in ["Status", "With a length"] {
@@ -409,29 +411,19 @@
 // Guards against an answer without a status of HTTP that ends a request which another replica could serve.
 #[test]
 fn a_request_that_got_no_status_of_http_is_sent_to_another_replica_where_it_may_be() {
-    let answer = EarlyAnswer {
-        framing: AnswerFraming::Length,
-        read_before: 0,
-        after: AfterAnswer::ReadsOn,
-    };
-    let deployment = Deployment::start(answer);
+    let deployment = Deployment::start(EarlyAnswer::SOUND);
     *deployment.replica.status_line.lock().expect("no holder panics") =
         Some("HTTP/1.1 000 Status".to_owned());
-    let sound = UploadReplica::new(answer);
+    let sound = UploadReplica::new(EarlyAnswer::SOUND);
     sound.start(&deployment.store, "i-2", "desk", None);
     wait_until("both replicas are listed", || {
         deployment.node.metric("replicas", "state=\"listed\"") >= 3.0
     });
     // The node chooses between the two; it asks both once requests run side by side.
     let has_asked = (0..MAX_ATTEMPTS).any(|attempt| {
-        let ask = |number: usize| deployment.upload("/read", &format!("q-{attempt}-{number}"), 100);
+        let ask = &|number: usize| deployment.upload("/read", &format!("q-{attempt}-{number}"), 100);
         let answers: Vec<_> = std::thread::scope(|scope| {
-            let asks = [0, 1, 2, 3, 4, 5, 6, 7].map(|number| {
-                scope.spawn({
-                    let ask = &ask;
-                    move || ask(number)
-                })
-            });
+            let asks = [0, 1, 2, 3, 4, 5, 6, 7].map(|number| scope.spawn(move || ask(number)));
             asks.map(|ask| ask.join().expect("the request is sent")).to_vec()
         });
         for answer in answers {
