Let a reading of an older copy prove no configuration

Callers: with strict API keys a removed key could be accepted for longer than the settings allow, if the removal was acknowledged, lost with the store's last moments, and the node then lost the store again before it was written again.

Cause: a reading of the copy that shows the version in force counted as proof that nothing newer had been acknowledged.

Change: for 2.5 s after the era changed a reading proves nothing, unless the version in force was seen to be written in the new era.

--- a/src/controllers/proof/mod.rs
+++ b/src/controllers/proof/mod.rs
@@ -10,6 +10,7 @@
 mod inquiry;
 
 use super::message::PeerMessage;
+use super::store_era::REWRITE_MS;
 use crate::blackboard::WatchPace;
 use crate::prelude::*;
 use inquiry::ProofInquiry;
@@ -94,6 +95,9 @@
     reads_itself: bool,
     /// The latest position of the store in this VM's reads.
     read_position: StorePosition,
+    /// The era in which the configuration in force was seen to be written, after the store had come back from an
+    /// older copy. The default stands for none.
+    written_era: StoreEra,
     /// When this VM last read the store itself.
     last_read_at: Option<Moment>,
     /// When the proof was lost; `None` while there is one.
@@ -113,6 +117,7 @@
             gap_at: None,
             reads_itself: false,
             read_position: StorePosition::default(),
+            written_era: StoreEra::default(),
             last_read_at: None,
             lost_at: None,
         }
@@ -128,16 +133,28 @@
         }
         self.read_position = reading.store_position;
         let is_in_force = reading.newest == ReadContent::Offered(stamp);
+        if is_in_force && reading.is_continuous {
+            self.written_era = reading.store_position.era();
+        }
         if is_in_force {
             self.gap_at = None;
         } else if !reading.is_continuous {
             self.gap_at = Some(context.now);
         }
-        if self.gap_at.is_none() {
+        if self.gap_at.is_none() && !self.is_from_copy(reading, context.board) {
             self.extend(reading.began_at.after_ms(valid_ms), context);
         }
     }
 
+    /// Whether a reading may lack a version that was acknowledged before the store came back from an older copy and
+    /// is not written again yet.
+    fn is_from_copy(&self, reading: &RegisterReading, board: &Blackboard) -> bool {
+        let is_rewritten = self.written_era == reading.store_position.era();
+        let changed_at = board.store_era.changed_at;
+        let rewritten_by = changed_at.map(|at| at.after_ms(REWRITE_MS));
+        !is_rewritten && rewritten_by.is_some_and(|at| !reading.began_at.reached(at))
+    }
+
     /// Records a peer's answer, which counts from the time at which this VM asked.
     fn record_answer(
         &mut self,
--- a/tests/config_proof.rs
+++ b/tests/config_proof.rs
@@ -510,3 +510,53 @@
         "a read that is behind an earlier one counts"
     );
 }
+
+/// Guards against proof by a copy that lacks a version in which a key is removed, and against proof that waits for the
+/// revisions of the era before.
+#[test]
+fn a_copy_proves_nothing_until_the_configuration_is_written_again_or_the_time_is_over() {
+    /// How long the operator may take to write again what the copy lacks, in milliseconds.
+    const REWRITE_MS: u64 = 2_500;
+    let known = StorePosition::new(StoreEra::new(1), 900);
+    let copied = |revision| StorePosition::new(StoreEra::new(2), revision);
+    for is_rewritten in [false, true] {
+        let mut fleet = Fleet::new(1);
+        let offer = |fleet: &mut Fleet, written: StorePosition| {
+            let stamp = RegisterStamp { revision: 9, written };
+            let (text, source) = ("version 9".into(), RegisterSource::Service);
+            fleet.send(0, &Event::RegisterOffered { stamp, text, source });
+            ReadContent::Offered(stamp)
+        };
+        let read = |fleet: &mut Fleet, newest, is_continuous, store_position| {
+            let reading = RegisterReading {
+                began_at: fleet.clock(0),
+                newest,
+                is_continuous,
+                store_position,
+            };
+            fleet.send(0, &Event::RegisterRead(reading));
+            fleet.board(0).register.proved_until
+        };
+        let newest = offer(&mut fleet, known);
+        let proved = read(&mut fleet, newest, false, known);
+        fleet.now += 1_000;
+        let newest = offer(&mut fleet, copied(500));
+        assert_eq!(
+            read(&mut fleet, newest, false, copied(510)),
+            proved,
+            "by the copy"
+        );
+        fleet.now += 500;
+        assert_eq!(read(&mut fleet, ReadContent::Nothing, true, copied(511)), proved);
+        if is_rewritten {
+            let newest = offer(&mut fleet, copied(512));
+            assert!(
+                read(&mut fleet, newest, true, copied(512)) > proved,
+                "it was written again"
+            );
+            continue;
+        }
+        fleet.now += REWRITE_MS - 500;
+        assert!(read(&mut fleet, ReadContent::Nothing, true, copied(512)) > proved);
+    }
+}
