Derive numbers of orders from era, revision and time

Cause: a number was the store's revision, or one more than the latest known order. Repeated orders that move no engine counted up in memory only, and a drill takes the revision back.

Change: the store's position, era first, then the time of the order in units of 100 ms.

--- a/src/controllers/rebalance.rs
+++ b/src/controllers/rebalance.rs
@@ -50,8 +50,16 @@
 /// three seconds.
 const HOLDER_CHANGE_MS: u64 = 5_000;
 
-/// Low bits of a fencing token, which number the orders given at one revision of the store.
-const ORDER_NUMBER_BITS: u32 = 8;
+/// Low bits of a fencing token: the time of the order, which tells orders at one position of the store apart also
+/// if all processes were started again in between. They overflow after 19 days without a change of the store.
+const ORDER_TIME_BITS: u32 = 24;
+
+/// Unit of that time, in milliseconds.
+const ORDER_TIME_UNIT_MS: u64 = 100;
+
+/// Bits of a fencing token above the time: the store's revision. The era is above them, in the nine bits that are left
+/// of a signed integer.
+const REVISION_BITS: u32 = 30;
 
 /// An order that moves an engine to the other pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,8 +68,8 @@
     pub engine: ReplicaId,
     /// The pool that the engine joins.
     pub role: EngineRole,
-    /// Grows with each order, across restarts of this process too: it is derived from the store's own
-    /// position.
+    /// Grows with each order, across restarts of this process and of the store too: it is derived from the
+    /// store's own position and the time.
     pub fencing_token: u64,
 }
 
@@ -231,7 +239,7 @@
                 until: context.now.after_ms(wait_ms),
             },
         );
-        let token = (context.board.store_position.parts().1 << ORDER_NUMBER_BITS).max(self.last_token() + 1);
+        let token = first_token(context.board, context.now).max(self.last_token() + 1);
         self.latest_order = Some(KnownOrder {
             engine: engine.name.clone(),
             fencing_token: token,
@@ -300,6 +308,15 @@
     }
 }
 
+/// The lowest fencing token of an order that is given now: the position of the store, then the time.
+fn first_token(board: &Blackboard, now: Moment) -> u64 {
+    let (era, revision) = board.store_position.parts();
+    let epoch_ms = board.own.started_epoch_ms + now.0;
+    let time = (epoch_ms / ORDER_TIME_UNIT_MS) & ((1 << ORDER_TIME_BITS) - 1);
+    let position = (u64::from(era) << REVISION_BITS) + revision;
+    (position << ORDER_TIME_BITS) + time
+}
+
 fn mark_busy(engine: &ReplicaId, span_ms: u64, context: &mut ControlContext<'_>) {
     let until = context.now.after_ms(span_ms);
     context.board.upstream_mut(engine).down_until = Some(until);
