--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod deaths;
+mod eras;
 mod limits;
 mod parts;
 mod quotas;
