Keep nodes between two states from applying their difference

Callers: a listed replica gets no requests from some nodes for as long as its entry stays as it is.

Cause: a reader passes on how a whole list differs from the one it knew as "all changes since". An entry that was removed and listed again in between is no difference, and a node that knows of the removal only took that over. The filter of known entries did the same to batches of changes.

Change: an update says whether it is a difference; a node strictly between its positions asks for the whole list.

--- a/src/controllers/discovery/history.rs
+++ b/src/controllers/discovery/history.rs
@@ -39,11 +39,12 @@
     /// All changes after a position, merged into one update; `None` if some are not kept any more.
     pub fn changes_after(&self, known: StorePosition) -> Option<ReplicaUpdate> {
         let newest = self.updates.back()?.position;
-        if self.updates.front()?.since > known {
+        let newer = || self.updates.iter().filter(|update| update.position > known);
+        if newer().next().is_some_and(|update| !update.applies_to(known)) {
             return None;
         }
         let mut latest: FastMap<&ReplicaId, Option<&ReplicaRecord>> = FastMap::default();
-        for update in self.updates.iter().filter(|update| update.position > known) {
+        for update in newer() {
             latest.extend(update.present.iter().map(|record| (&record.id, Some(record))));
             latest.extend(update.removed.iter().map(|id| (id, None)));
         }
@@ -51,6 +52,7 @@
             position: newest,
             since: known,
             is_whole: false,
+            is_difference: newer().any(|update| update.is_difference),
             present: Vec::new(),
             removed: Vec::new(),
         };
--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -49,6 +49,9 @@
     pub since: StorePosition,
     /// Whether `present` is the whole list rather than the changed entries.
     pub is_whole: bool,
+    /// Whether this has only the differences between the states at `since` and at `position`. An entry that changed
+    /// and changed back in between is not among them, so a node at a position in between can't use this.
+    pub is_difference: bool,
     /// Entries that were added or changed, or all entries of a whole list.
     pub present: Vec<ReplicaRecord>,
     /// Replicas whose entries were removed; empty for a whole list.
@@ -62,11 +65,17 @@
             position,
             since: position,
             is_whole: false,
+            is_difference: false,
             present: Vec::new(),
             removed: Vec::new(),
         }
     }
 
+    /// Whether a list at this position has all that it needs to take over these changes, unless it has them.
+    fn applies_to(&self, known: StorePosition) -> bool {
+        self.since <= known && !(self.is_difference && known > self.since && known < self.position)
+    }
+
     /// The number of entries that were changed or removed.
     fn entry_count(&self) -> usize {
         self.present.len() + self.removed.len()
@@ -160,6 +169,7 @@
             position: reading.position.max(least).min(context.board.store_position),
             since,
             is_whole: false,
+            is_difference: true,
             present,
             removed,
         };
@@ -170,12 +180,14 @@
     /// The changes read from the store that this node does not know yet: another reader may have sent some
     /// already. All removals are kept, since this node may have dropped a replica that others still have.
     fn find_unknown_changes(&self, reading: &ReplicaUpdate, board: &Blackboard) -> ReplicaUpdate {
+        let present = find_changed(reading, board);
         ReplicaUpdate {
             since: reading
                 .since
                 .max(self.full_read_position)
                 .max(board.list_position),
-            present: find_changed(reading, board),
+            is_difference: present.len() < reading.present.len(),
+            present,
             removed: reading.removed.clone(),
             ..*reading
         }
@@ -209,7 +221,8 @@
     ) {
         let known = context.board.list_position;
         let is_of_other_era = known.is_known() && update.position.era() != known.era();
-        if !update.is_whole && (update.since > known || is_of_other_era) {
+        let is_applicable = update.is_whole || (!is_of_other_era && update.applies_to(known));
+        if !is_applicable {
             let wait_ms = if update.entry_count() == 0 { 0 } else { MAX_LAG_MS };
             self.record_peer_ahead(from, update.position, wait_ms, context);
             return;
@@ -623,6 +636,7 @@
             position: context.board.list_position,
             since: StorePosition::default(),
             is_whole: true,
+            is_difference: false,
             present: listed.map(|facts| (*facts.record).clone()).collect(),
             removed: Vec::new(),
         };
--- a/src/peers/convert/replicas.rs
+++ b/src/peers/convert/replicas.rs
@@ -30,6 +30,7 @@
         revision: update.position.parts().1,
         era: update.position.era().number(),
         is_whole: update.is_whole,
+        is_difference: update.is_difference,
         since: update.since.parts().1,
         present: update.present.iter().map(to_frame).collect(),
         removed: update.removed.iter().map(ToString::to_string).collect(),
@@ -67,6 +68,7 @@
     Ok(PeerMessage::ReplicasContent(ReplicaUpdate {
         position: to_position(frame.era, frame.revision),
         is_whole: frame.is_whole,
+        is_difference: frame.is_difference,
         since: to_position(frame.era, frame.since),
         present: present?,
         removed: frame.removed.into_iter().map(Arc::from).collect(),
--- a/src/peers/wire/replicas.rs
+++ b/src/peers/wire/replicas.rs
@@ -92,6 +92,9 @@
     /// The era of both revisions; zero if the store names none.
     #[prost(uint32, tag = "6")]
     pub era: u32,
+    /// Whether these are only the differences between the states at the two revisions.
+    #[prost(bool, tag = "7")]
+    pub is_difference: bool,
 }
 
 /// Requests the content of a register.
--- a/src/platform/replica_watch.rs
+++ b/src/platform/replica_watch.rs
@@ -134,6 +134,7 @@
         position: reading.position,
         since: reading.since,
         is_whole: reading.is_full,
+        is_difference: false,
         present: Vec::new(),
         removed: Vec::new(),
     };
--- a/tests/back_off.rs
+++ b/tests/back_off.rs
@@ -85,6 +85,7 @@
             position: StorePosition::without_era(revision),
             since: StorePosition::without_era(revision - 1),
             is_whole: revision == 1,
+            is_difference: false,
             present: vec![record],
             removed: Vec::new(),
         },
--- a/tests/fleet_view/eras.rs
+++ b/tests/fleet_view/eras.rs
@@ -77,6 +77,7 @@
             position: self.position(last.map_or(1, |(index, _)| index + 1)),
             since: StorePosition::default(),
             is_whole: true,
+            is_difference: false,
             present: content.into_iter().map(replica).collect(),
             removed: Vec::new(),
         }
@@ -91,6 +92,7 @@
             position: self.position(self.changes.len()),
             since,
             is_whole: false,
+            is_difference: false,
             present: present.into_iter().map(replica).collect(),
             removed: removed.into_iter().map(Into::into).collect(),
         }
@@ -188,6 +190,30 @@
     }
 }
 
+/// Guards against a difference between two states that is taken for all changes between them: a replica that was removed
+/// and listed again while a reader was frozen is lost on nodes that know of the removal.
+#[test]
+fn a_replica_that_is_removed_and_listed_again_behind_a_frozen_reader_is_used_by_all() {
+    const NODES: usize = 9;
+    let mut fleet = SimulatedFleet::new(NODES, 0);
+    let mut store = ModelStore::new(4, NODES);
+    store.run_ms(&mut fleet, 4_000);
+    let reader = fleet.readers()[2];
+    fleet.freeze(reader);
+    store.write("i-2", false);
+    store.run_ms(&mut fleet, 500);
+    // A node that knows of the removal only.
+    fleet.freeze(2);
+    store.write("i-2", true);
+    store.run_ms(&mut fleet, 500);
+    fleet.thaw(2);
+    fleet.thaw(reader);
+    store.run_ms(&mut fleet, 5_000);
+    for index in 0..NODES {
+        assert_eq!(used_by(&fleet, index), store.content(), "vm-{index}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 30, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/tests/fleet_view/main.rs
+++ b/tests/fleet_view/main.rs
@@ -47,6 +47,7 @@
         position: StorePosition::without_era(revision),
         since: StorePosition::without_era(since),
         is_whole: since == 0,
+        is_difference: false,
         present: present.iter().map(|id| replica(id)).collect(),
         removed: removed.iter().map(|id| Arc::from(*id)).collect(),
     }
--- a/tests/pace/decisions.rs
+++ b/tests/pace/decisions.rs
@@ -270,6 +270,7 @@
         position: StorePosition::without_era(2),
         since: StorePosition::without_era(1),
         is_whole: false,
+        is_difference: false,
         present: vec![parse(",\"coldRemainingMs\":5000", Moment(1_000))],
         removed: Vec::new(),
     };
@@ -303,6 +304,7 @@
             position: StorePosition::without_era(revision),
             since: StorePosition::without_era(revision - 1),
             is_whole: revision == 1,
+            is_difference: false,
             present: vec![record],
             removed: Vec::new(),
         };
--- a/tests/rebalance.rs
+++ b/tests/rebalance.rs
@@ -98,6 +98,7 @@
         position: StorePosition::without_era(revision),
         since: StorePosition::default(),
         is_whole: true,
+        is_difference: false,
         present: roles
             .enumerate()
             .map(|(number, role)| engine(number, role))
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -59,6 +59,7 @@
             position,
             since: StorePosition::default(),
             is_whole: true,
+            is_difference: false,
             present: present.to_vec(),
             removed: Vec::new(),
         };
@@ -133,6 +134,7 @@
         position: since.next(),
         since,
         is_whole: false,
+        is_difference: false,
         present: present.to_vec(),
         removed: removed.iter().map(|id| (*id).into()).collect(),
     }
