Write no body behind the head of an answer to HEAD

Cause: whoever writes an answer did not know the request's method. The same held for the endpoints of readiness, directory and metrics, and for HEAD, 204 and 304 on streaming routes, behind which the last chunk was written.

Change: refusals take the method; streams' answers without a body have no chunks.

Measured: platform::head_requests, two tests on real processes; both fail without the change ("{\"code\":1016..." and "0\r\n\r\nHTTP/1.1 " as the start of the next answer) and pass with it.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -25,8 +25,8 @@
     }
 }
 
-/// Writes a complete refusal.
-pub fn write_refusal(notice: &RefusalNotice, persistence: ConnectionPersistence) -> Vec<u8> {
+/// Writes a complete refusal of a request with this method. A refusal of `HEAD` has no body, only its length.
+pub fn write_refusal(notice: &RefusalNotice, method: &str, persistence: ConnectionPersistence) -> Vec<u8> {
     let body = notice.to_json().to_string();
     let mut writer = HeadWriter::response(refusal_status(notice))
         .line("Content-Type", b"application/json")
@@ -37,6 +37,7 @@
             format_args!("{}.{:03}", span_ms / 1_000, span_ms % 1_000),
         );
     }
+    let body = if method == "HEAD" { "" } else { &body };
     finish(writer, persistence, body.as_bytes())
 }
 
@@ -57,6 +58,15 @@
     finish(writer, persistence, b"")
 }
 
+/// Writes the head of a replica's answer that has no body because of the request's method or the answer's status.
+pub fn write_bodiless_head(
+    protocol: &dyn WireProtocol,
+    head: &ResponseHead,
+    persistence: ConnectionPersistence,
+) -> Vec<u8> {
+    finish(copy_head(protocol, head, false), persistence, b"")
+}
+
 /// Writes the head of a replica's answer whose body follows in chunks.
 pub fn write_chunked_head(
     protocol: &dyn WireProtocol,
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -15,7 +15,7 @@
 use super::body_memory::CallerBody;
 use super::caller_registry::{CallerConnection, CallerPhase};
 use super::context::CallerGuard;
-use super::exchange::{AnswerOutcome, DEFAULT_RETRY_AFTER_MS, refuse_unrouted, serve_request, write_notice};
+use super::exchange::{AnswerOutcome, DEFAULT_RETRY_AFTER_MS, log_refusal, serve_request, write_notice};
 use super::last_answer::wait_for_accept_end;
 use super::memory_account::MemoryKind;
 use crate::clock;
@@ -51,6 +51,9 @@
 /// Receive buffer of a connection whose input is discarded, in bytes.
 const DISCARD_RECEIVE_BYTES: usize = 4 * 1024;
 
+/// Stands for the method of a request whose head was not read.
+const UNREAD_METHOD: &str = "";
+
 /// Reason of connections that send ahead more than there is memory for.
 const READ_AHEAD: &str = "read_ahead";
 
@@ -93,7 +96,8 @@
 fn refuse_crossing(context: &GatewayContext, socket: &TcpStream) {
     let notice = RefusalNotice::new(ResultCode::Overloaded, "").retry_after_ms(DEFAULT_RETRY_AFTER_MS);
     context.record_closed(CROSSED_CLOSE);
-    let is_written = write_notice(socket, &notice, ConnectionPersistence::Close).now_or_never();
+    let is_written =
+        write_notice(socket, &notice, UNREAD_METHOD, ConnectionPersistence::Close).now_or_never();
     if is_written.is_some() && socket.shutdown(Shutdown::Write).is_ok() {
         // A connection that is closed with unread bytes is reset, which may destroy the answer.
         discard_received(socket);
@@ -136,7 +140,14 @@
             Err(ReadFailure::Gone) => return ServiceEnd::Finished,
             Err(ReadFailure::Taken) => return ServiceEnd::Taken,
             Err(ReadFailure::Refused(notice)) => {
-                return refuse_crowd(context, connection, stream.socket(), &notice, "-").await;
+                return refuse_crowd(
+                    context,
+                    connection,
+                    stream.socket(),
+                    &notice,
+                    ("-", UNREAD_METHOD),
+                )
+                .await;
             }
         };
         let body = match read_body_until_exit(context, &mut stream, connection, &head, &limits).await {
@@ -184,7 +195,7 @@
 ) -> ServiceEnd {
     let socket = stream.socket().clone();
     let request_id = context.protocol.read_request(head).id;
-    let end = refuse_crowd(context, connection, &socket, notice, &request_id).await;
+    let end = refuse_crowd(context, connection, &socket, notice, (&request_id, &head.method)).await;
     if end == ServiceEnd::Finished {
         close_after_answer(stream).await;
     }
@@ -198,7 +209,7 @@
     connection: &CallerConnection,
     socket: &TcpStream,
     notice: &RefusalNotice,
-    request_id: &str,
+    (request_id, method): (&str, &str),
 ) -> ServiceEnd {
     if !connection.enter(CallerPhase::Answering) {
         return ServiceEnd::Taken;
@@ -207,10 +218,9 @@
     context.metrics.count_closed(reason);
     if context.crowd_log.record(reason, clock::now()).is_some() {
         let revision = context.snapshot().revision;
-        refuse_unrouted(socket, notice, ConnectionPersistence::Close, request_id, revision).await;
-    } else {
-        write_notice(socket, notice, ConnectionPersistence::Close).await;
+        log_refusal(request_id, "-", notice, revision);
     }
+    write_notice(socket, notice, method, ConnectionPersistence::Close).await;
     ServiceEnd::Finished
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -138,7 +138,8 @@
     let (rule, service, deadline) = match found {
         Ok(found) => found,
         Err(notice) => {
-            return refuse_unrouted(socket, &notice, persistence, &facts.id, snapshot.revision).await;
+            log_refusal(&facts.id, "-", &notice, snapshot.revision);
+            return write_notice(socket, &notice, &head.method, persistence).await;
         }
     };
     let trace = RequestTrace::new(context, &facts, &rule, received_at, &snapshot);
@@ -300,19 +301,7 @@
     request.trace.end(outcome, refusal_status(notice));
     request.trace.record().code = notice.code.number();
     log_refusal(&request.facts.id, &request.rule.name, notice, request.revision);
-    write_notice(socket, notice, request.persistence).await
-}
-
-/// Answers a request that has no route with a refusal.
-pub async fn refuse_unrouted(
-    socket: &TcpStream,
-    notice: &RefusalNotice,
-    persistence: ConnectionPersistence,
-    request_id: &str,
-    revision: Revision,
-) -> AnswerOutcome {
-    log_refusal(request_id, "-", notice, revision);
-    write_notice(socket, notice, persistence).await
+    write_notice(socket, notice, &request.head.method, request.persistence).await
 }
 
 /// Adds the default Retry-After to temporary refusals that have none.
@@ -325,7 +314,8 @@
     }
 }
 
-fn log_refusal(request_id: &str, route: &str, notice: &RefusalNotice, revision: Revision) {
+/// Logs a refusal; the route is `-` if none was looked for or found.
+pub fn log_refusal(request_id: &str, route: &str, notice: &RefusalNotice, revision: Revision) {
     spdlog::error!(
         "event=refused request={request_id} route={route} code={} reason={} detail=\"{}\" retry_after_ms={} \
          revision={revision}",
@@ -336,14 +326,20 @@
     );
 }
 
-/// Writes a refusal; a caller that does not read it is given up after a while.
+/// Writes a refusal of a request with this method; a caller that does not read it is given up after a while.
 pub async fn write_notice(
     mut socket: &TcpStream,
     notice: &RefusalNotice,
+    method: &str,
     persistence: ConnectionPersistence,
 ) -> AnswerOutcome {
     let deadline = clock::now().after_ms(REFUSAL_WRITE_MS);
-    match until(deadline, socket.write_all(&write_refusal(notice, persistence))).await {
+    match until(
+        deadline,
+        socket.write_all(&write_refusal(notice, method, persistence)),
+    )
+    .await
+    {
         Some(Ok(())) => AnswerOutcome::Complete(persistence),
         Some(Err(_)) | None => AnswerOutcome::Cut,
     }
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -129,7 +129,9 @@
             writer = writer.line("Connection", b"close");
         }
         let mut bytes = writer.finish();
-        bytes.extend_from_slice(&reply.body);
+        if head.method != "HEAD" {
+            bytes.extend_from_slice(&reply.body);
+        }
         stream.write(&bytes).await?;
         if !is_persistent {
             return Ok(());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 use async_std::net::TcpStream;
 
 use super::GatewayContext;
-use super::answer::{ConnectionPersistence, write_chunked_head, write_closing_head};
+use super::answer::{ConnectionPersistence, write_bodiless_head, write_chunked_head, write_closing_head};
 use super::answer_end::{BrokenEnd, check_end, is_event_stream};
 use super::answer_write::{AnswerBuffer, reserve_buffers, write_answer_part};
 use super::dispatch::DispatchLease;
@@ -42,8 +42,11 @@
         request: &'a CallerRequest,
         head: &ResponseHead,
     ) -> Self {
-        let is_chunked = request.head.is_http11;
-        let pending = if is_chunked {
+        let has_body = request.head.method != "HEAD" && !matches!(head.status, 204 | 304);
+        let is_chunked = has_body && request.head.is_http11;
+        let pending = if !has_body {
+            write_bodiless_head(&*context.protocol, head, request.persistence)
+        } else if is_chunked {
             write_chunked_head(&*context.protocol, head, request.persistence)
         } else {
             // Whatever ends the connection before the answer is complete, also an exit of this process.
@@ -52,7 +55,7 @@
         };
         Self {
             socket,
-            persistence: if is_chunked {
+            persistence: if is_chunked || !has_body {
                 request.persistence
             } else {
                 ConnectionPersistence::Close
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod fixture;
 mod generation_limits;
 mod generations;
+mod head_requests;
 mod key_revocation;
 mod life;
 mod limited_fleet;
