--- a/tests/fleet_view/eras.rs
+++ b/tests/fleet_view/eras.rs
@@ -72,7 +72,7 @@
         let content = self.content();
         let is_listed =
             |(_, (id, is_present)): &(usize, &(String, bool))| *is_present && content.contains(id.as_str());
-        let last = self.changes.iter().enumerate().filter(is_listed).last();
+        let last = self.changes.iter().enumerate().rfind(is_listed);
         ReplicaUpdate {
             position: self.position(last.map_or(1, |(index, _)| index + 1)),
             since: StorePosition::default(),
--- a/tests/untrusted_callers/resources.rs
+++ b/tests/untrusted_callers/resources.rs
@@ -80,18 +80,23 @@
     line.trim().strip_suffix("kB")?.trim().parse().ok()
 }
 
+/// States of sockets in the kernel's table.
+const SYN_SENT: &str = "02";
+const LISTEN: &str = "0A";
+
 /// Bytes that were received and not read, or written and not acknowledged, on the node's side.
 fn socket_bytes(ip: Ipv4Addr, replicas: &[SocketAddr]) -> u64 {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let rows = table.lines().skip(1).filter_map(|line| {
         let mut fields = line.split_whitespace().skip(1);
         let (local, remote, state) = (fields.next()?, fields.next()?, fields.next()?);
-        let is_listening = state == "0A";
-        let is_own = parse_address(local)?.ip() == ip && !is_listening;
+        // A listening socket has no bytes, and before a connection is established its queues show random numbers.
+        let has_no_bytes = matches!(state, SYN_SENT | LISTEN);
+        let is_own = parse_address(local)?.ip() == ip;
         let is_upstream = replicas.contains(&parse_address(remote)?);
         let (sent, received) = fields.next()?.split_once(':')?;
         let bytes = u64::from_str_radix(sent, 16).ok()? + u64::from_str_radix(received, 16).ok()?;
-        (is_own || is_upstream).then_some(bytes)
+        (!has_no_bytes && (is_own || is_upstream)).then_some(bytes)
     });
     rows.sum()
 }
