Renew all watches of the store after one got no answer

Cause: a watch of the list waits up to 6 s for its answer. The watch of the configuration on the same node timed out after 1.2 to 2.1 s and told nobody; where all nodes read the list, none read it then.

Change: a call that times out marks connections opened before as possibly half-open, so that the other watches begin anew.

--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -188,6 +188,9 @@
                         "event=store_read_failed prefix={} reason=\"{error}\"",
                         self.target.prefix
                     );
+                    if matches!(error, StoreError::TimedOut) {
+                        self.endpoint.record_silence(clock::now());
+                    }
                     self.reconsider_cursor(&error);
                     self.is_era_unsure = true;
                     self.control.send_event((self.target.to_event)(false));
@@ -258,7 +261,7 @@
                 cursor.era(),
                 ends_by_limit
             ));
-            let moved = std::pin::pin!(wait_until_moved(&self.endpoint, address));
+            let moved = std::pin::pin!(wait_until_unreachable(&self.endpoint, address, began_at));
             let obsolete = select(obsolete, moved);
             match select(watching, obsolete).await {
                 Either::Left((watched, _)) => return Ok((watched?, began_at)),
@@ -269,9 +272,10 @@
     }
 }
 
-/// Returns once the store has moved.
-async fn wait_until_moved(endpoint: &StoreEndpoint, address: SocketAddr) {
-    while endpoint.address() == address {
+/// Returns once another call to the store has timed out after a watch began, so that the watch's connection may be
+/// half-open, or the store has moved.
+async fn wait_until_unreachable(endpoint: &StoreEndpoint, address: SocketAddr, began_at: Moment) {
+    while endpoint.address() == address && !endpoint.is_silent_since(began_at) {
         async_std::task::sleep(HALF_OPEN_CHECK_INTERVAL).await;
     }
 }
--- a/tests/platform/list_spread.rs
+++ b/tests/platform/list_spread.rs
@@ -6,8 +6,8 @@
 use stand_ins::proxy::RouteMode;
 
 use crate::config_fleet::{
-    ConfigFleet, FIRST_VERSION, IN_FORCE_WITHIN, NEW_REPLICA, NEW_SERVICE, OLD_REPLICA, OLD_SERVICE, draft,
-    served_by,
+    CALM_AFTER, ConfigFleet, FIRST_VERSION, IN_FORCE_WITHIN, NEW_REPLICA, NEW_SERVICE, OLD_REPLICA,
+    OLD_SERVICE, draft, served_by,
 };
 use crate::node::wait_until;
 use crate::replica::{ReplicaBehavior, StandInReplica};
@@ -68,6 +68,32 @@
     assert!(latest <= DRAINED_WITHIN, "{latest:?}");
 }
 
+/// Guards against watches of the list that wait for longer than the bound on connections that fell silent, though another
+/// watch of the same node has found that out.
+#[test]
+fn a_draining_replica_gets_nothing_once_calm_after_all_connections_to_the_store_fell_silent() {
+    let fleet = ConfigFleet::start(3);
+    // The watches of the list begin anew after a change.
+    let other = StandInReplica::start(&fleet.store, "i-other", OLD_SERVICE, None, ReplicaBehavior::Well);
+    wait_until("all know the other replica", || {
+        let mut nodes = fleet.nodes.iter();
+        nodes.all(|node| node.metric("replicas{", "state=\"listed\"") == 3.0)
+    });
+    std::thread::sleep(Duration::from_millis(600));
+    fleet.proxies.iter().for_each(|proxy| proxy.silence());
+    let silent_at = Instant::now();
+    fleet.replicas[0].publish(&fleet.store, OLD_SERVICE, None, "draining");
+    std::thread::sleep(CALM_AFTER);
+    let mut latest = Duration::ZERO;
+    while silent_at.elapsed() < CALM_AFTER + PATIENCE / 2 {
+        if fleet.nodes.iter().any(|node| served_by(node) == OLD_REPLICA) {
+            latest = silent_at.elapsed();
+        }
+    }
+    drop(other);
+    assert_eq!(latest, Duration::ZERO, "requests until then after the silence");
+}
+
 /// Guards against a store that is read at the address of the start after the settings name another one.
 #[test]
 fn a_changed_address_of_the_store_is_followed_with_and_without_a_signal() {
