--- a/tests/platform/list_spread.rs
+++ b/tests/platform/list_spread.rs
@@ -100,7 +100,7 @@
     let fleet = ConfigFleet::start(3);
     let address = fleet.store.address.to_string();
     for (node, proxy) in fleet.nodes.iter().zip(&fleet.proxies) {
-        node.change_settings(&proxy.address(), &address);
+        node.change_settings(proxy.address(), &address);
     }
     // The others notice the change of the file by themselves.
     fleet.nodes[0].signal("HUP");
