End an obsolete watch of the store by one loop

Two loops polled every 250 ms beside each watch, one for silent links, eras and limits, one for a silent or moved store; each was a timer on every VM. One loop checks all. No behaviour is meant to change.

--- a/src/platform/store_follower.rs
+++ b/src/platform/store_follower.rs
@@ -1,6 +1,5 @@
 //! Follows the items under one prefix of the store: one full read, then watches.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -258,40 +257,32 @@
                 &self.control,
                 timing,
                 began_at,
+                ends_by_limit,
+                || self.endpoint.address() != address || self.endpoint.is_silent_since(began_at),
                 cursor.era(),
-                ends_by_limit
             ));
-            let moved = std::pin::pin!(wait_until_unreachable(&self.endpoint, address, began_at));
-            let obsolete = select(obsolete, moved);
             match select(watching, obsolete).await {
                 Either::Left((watched, _)) => return Ok((watched?, began_at)),
                 // Dropping the pending watch closes its connection.
-                Either::Right(_) => {}
+                Either::Right(((), _)) => {}
             }
         }
     }
 }
 
-/// Returns once another call to the store has timed out after a watch began, so that the watch's connection may be
-/// half-open, or the store has moved.
-async fn wait_until_unreachable(endpoint: &StoreEndpoint, address: SocketAddr, began_at: Moment) {
-    while endpoint.address() == address && !endpoint.is_silent_since(began_at) {
-        async_std::task::sleep(HALF_OPEN_CHECK_INTERVAL).await;
-    }
-}
-
-/// Returns once the connection of a watch that began at `began_at` may be half-open, the store is in a later era, or,
-/// with `ends_by_limit`, once watches are limited.
+/// Returns once the connection of a watch that began at `began_at` may be half-open, the store is in a later era or
+/// `is_unreachable` by it, or, with `ends_by_limit`, once watches are limited.
 async fn wait_until_obsolete(
     control: &ControlHandle,
     timing: WatchTiming,
     began_at: Moment,
-    era: StoreEra,
     ends_by_limit: bool,
+    is_unreachable: impl Fn() -> bool,
+    era: StoreEra,
 ) {
     let is_other_era = || control.snapshot().store_era > era;
     let is_limited = || ends_by_limit && (timing.wait_limit_ms)(&control.snapshot()).is_some();
-    while !control.may_be_half_open_since(began_at) && !is_other_era() && !is_limited() {
+    while !control.may_be_half_open_since(began_at) && !is_unreachable() && !is_other_era() && !is_limited() {
         async_std::task::sleep(HALF_OPEN_CHECK_INTERVAL).await;
     }
 }
