Send no hedged calls to draining replicas

Cause: a hedged send leaves out the replica of the first send. Where that is the only one that stays, the last choice, the draining replica, is the only one, though the call needs no replica: it is only slow. The new test failed on the code before with answers of the draining replica. Change: a hedged send leaves out all leaving replicas of its service. First sends and retries still fall back on them.

--- a/src/controllers/dispatch/selector.rs
+++ b/src/controllers/dispatch/selector.rs
@@ -280,6 +280,15 @@
         first
     }
 
+    /// The replicas of a service that are leaving, whether or not they still get requests.
+    pub fn leaving(&self, service: &str) -> Vec<ReplicaId> {
+        let leaving = self
+            .replica_stats
+            .values()
+            .filter(|stats| &*stats.record.service == service && stats.stop_at.is_some());
+        leaving.map(|stats| stats.record.id.clone()).collect()
+    }
+
     /// Whether a replica is leaving and gets no more requests from callers. One without statistics is no longer
     /// listed, since these are dropped once it has stopped.
     pub fn is_stopped(&self, record: &ReplicaRecord, now: Moment) -> bool {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -117,14 +117,21 @@
     }
 
     /// Acquires the permits and a replica for a hedged send; `None` if there may be none. Replicas with a
-    /// rate limit are not hedged to, since that would use up their permits. Under admission control a hedged send
-    /// takes a slot only if one is free at once.
+    /// rate limit are not hedged to, since that would use up their permits, nor are leaving ones, since a call that
+    /// is only slow does not need them. Under admission control a hedged send takes a slot only if one is free at
+    /// once.
     async fn prepare_hedge(&mut self) -> Option<SendAdmission> {
         let permit = RunPermit::for_hedge(&self.context.control, &self.request.features)?;
         if !self.may_send() {
             return None;
         }
-        let criteria = self.selection_criteria();
+        let service = &self.request.service;
+        let leaving = self.context.with_selector(|selector| selector.leaving(service));
+        let avoid = [self.progress.tried.as_slice(), &leaving].concat();
+        let criteria = SelectionCriteria {
+            avoid: &avoid,
+            ..self.selection_criteria()
+        };
         match choose_admitted(self.context, self.request, &criteria, SlotPurpose::Hedge).await {
             AdmittedChoice::Chosen(LeaseChoice::Reserved(lease)) => self.admit_send(lease, permit, None),
             AdmittedChoice::Chosen(LeaseChoice::Limited(_))
--- a/tests/platform/replica_words.rs
+++ b/tests/platform/replica_words.rs
@@ -112,6 +112,27 @@
     assert_eq!(replicas[0].count(), before, "{}", other.log());
 }
 
+/// Guards against hedged sends to a draining replica: it is the last choice, but a hedge has no other, since the first
+/// send has the only replica that stays.
+#[test]
+fn a_draining_replica_gets_no_hedged_calls() {
+    let (store, node, replicas) = start_desk([ReplicaBehavior::Well, ReplicaBehavior::Slow]);
+    replicas[0].publish(&store, "desk", None, "draining");
+    wait_until("the node knows that it drains", || {
+        node.metric("replicas{", "state=\"leaving\"") == 1.0
+    });
+    let before = replicas[0].count();
+    let answers = ask_until(&node, Instant::now() + Duration::from_millis(900), |number| {
+        call("/read", &format!("q-{number}"))
+    });
+    assert!(answers.len() > 1, "{}", node.log());
+    assert!(
+        answers.iter().all(|answer| answer.text() == "i-2 x"),
+        "{answers:?}"
+    );
+    assert_eq!(replicas[0].count(), before, "{}", node.log());
+}
+
 #[test]
 fn engines_that_report_leaving_get_no_prompts_and_no_streams() {
     let Engines {
