Print refusals by reason and the longest gap of sends in tests of deadly parts

Refusals for full queues and a long gap between harmless requests distinguish a machine that stood still from a quarantine of a part that harmless requests share.

--- a/tests/platform/deadly_part.rs
+++ b/tests/platform/deadly_part.rs
@@ -1,6 +1,7 @@
 //! A part of prompts that crashes each replica which begins to answer a request with it. No two requests with
 //! the part are alike, and harmless requests share their other parts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::mpsc::{Sender, channel};
@@ -114,6 +115,19 @@
         ids.len()
     }
 
+    /// Number of refusals of all nodes by their reasons.
+    fn refusals(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for log in self.nodes.iter().map(GatewayNode::log) {
+            let lines = log.lines().filter(|line| line.contains("event=refused "));
+            let reasons = lines.filter_map(|line| line.split("reason=").nth(1)?.split(' ').next());
+            for reason in reasons {
+                *counts.entry(reason.to_owned()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     fn log_paths(&self) -> Vec<PathBuf> {
         self.nodes.iter().map(GatewayNode::log_path).collect()
     }
@@ -246,6 +260,15 @@
     (counted.len(), served)
 }
 
+/// The longest time between two harmless requests, which shows whether the machine was too busy to send them.
+fn longest_gap(sent: &[SentRequest]) -> Duration {
+    let harmless = sent.iter().filter(|result| !result.is_deadly);
+    let mut times: Vec<Instant> = harmless.map(|result| result.sent_at).collect();
+    times.sort_unstable();
+    let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+    gaps.max().unwrap_or_default()
+}
+
 fn assert_contained(fleet: &Fleet, sent: &[SentRequest]) {
     let crashes = fleet.crash_times().len();
     let late = fleet.late_requests();
@@ -256,7 +279,10 @@
     let (counted, served) = count_served(sent, Some(decisive + SERVED_AFTER));
     let seen = format!(
         "{crashes} replicas crashed, {late} late requests, {all_served} of {all} harmless requests served, \
-         {served} of {counted} since {SERVED_AFTER:?} after the decisive crash, logs {:?}",
+         {served} of {counted} since {SERVED_AFTER:?} after the decisive crash, refusals {:?}, longest gap {:?}, \
+         logs {:?}",
+        fleet.refusals(),
+        longest_gap(sent),
         fleet.log_paths()
     );
     println!("{seen}");
@@ -404,7 +430,9 @@
             .map(|node| node.log().matches("reason=quarantined").count())
             .sum();
         let seen = format!(
-            "{path}: {served} of {all} served, {refused} refused, {held} held, {:?}",
+            "{path}: {served} of {all} served, {refused} refused, {held} held, refusals {:?}, longest gap {:?}, {:?}",
+            fleet.refusals(),
+            longest_gap(&sent),
             fleet.log_paths()
         );
         println!("{seen}");
