Let requests without the other suspects of each crash free a common part

Cause: two requests with different harmful parts and a common one crashed a replica each before any harmless request had passed. The common part was the only one in both, so it was held for 10 s, and after a trial run with another harmful request for 5 min. Change: at a crash count of two a request is a trial run if each crashed run had another suspected part that it lacks; three passes clear the part, one more crash holds it for 5 min.

--- a/src/blackboard/suspicion.rs
+++ b/src/blackboard/suspicion.rs
@@ -21,6 +21,9 @@
     pub passes: u32,
     /// Other features that all crashed runs had, any of which may be the cause instead.
     pub companions: Arc<[RequestFeature]>,
+    /// The other parts that each crashed run had, any of which may be the cause of that crash instead. Empty for
+    /// contents, and once further crashes speak against a different cause of each.
+    pub other_parts: Arc<[Arc<[RequestFeature]>]>,
 }
 
 impl Suspicion {
@@ -129,9 +132,12 @@
         }
     }
 
-    /// Whether all crashes of a suspicion may be due to a feature that these do not include.
+    /// Whether all crashes of a suspicion may be due to features that these do not include: one of all crashes, or
+    /// one of each.
     fn has_other_cause(&self, suspicion: &Suspicion, features: &FeatureSet) -> bool {
-        let mut companions = suspicion.companions.iter();
-        companions.any(|companion| !features.contains(*companion) && self.get(*companion).is_some())
+        let may_be_cause = |other: &RequestFeature| !features.contains(*other) && self.get(*other).is_some();
+        let mut each_crash = suspicion.other_parts.iter();
+        suspicion.companions.iter().any(may_be_cause)
+            || !suspicion.other_parts.is_empty() && each_crash.all(|parts| parts.iter().any(may_be_cause))
     }
 }
--- a/src/controllers/quarantine/case.rs
+++ b/src/controllers/quarantine/case.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::blackboard::{RequestFeature, Suspicion};
+use crate::blackboard::{FeatureKind, RequestFeature, Suspicion};
 use crate::prelude::*;
 
 /// The crash count in a row from which a feature is quarantined. A single crash may have another cause.
@@ -187,6 +187,7 @@
             tolerated_until: self.tolerated_until,
             passes: self.passes,
             companions: self.companions(),
+            other_parts: self.other_parts(),
         })
     }
 
@@ -203,6 +204,22 @@
         others.filter(is_common).collect()
     }
 
+    /// The other parts of each crashed run, while the feature is a part at the threshold of its quarantine. Each of
+    /// these crashes may have a cause of its own; one more crash, in a trial run, makes that unlikely, and then the
+    /// quarantine holds.
+    fn other_parts(&self) -> Arc<[Arc<[RequestFeature]>]> {
+        if self.feature.kind != FeatureKind::Part || self.crash_count() != QUARANTINE_THRESHOLD {
+            return Arc::default();
+        }
+        let is_other =
+            |feature: &RequestFeature| feature.kind == FeatureKind::Part && *feature != self.feature;
+        let parts_of = |report: &CrashReport| {
+            let features = report.suspects.iter().map(|suspect| suspect.feature);
+            features.filter(is_other).collect()
+        };
+        self.reports().map(parts_of).collect()
+    }
+
     fn quarantined_until(&self) -> Moment {
         let quarantine_ends = self.reports.iter().filter_map(|counted| {
             let span_ms = quarantine_ms(counted.crash_count)?;
--- a/tests/fleet_view/parts.rs
+++ b/tests/fleet_view/parts.rs
@@ -23,6 +23,10 @@
     RequestFeature::part("m", b"deadly")
 }
 
+fn other_deadly() -> RequestFeature {
+    RequestFeature::part("m", b"other deadly")
+}
+
 fn shared() -> RequestFeature {
     RequestFeature::part("m", b"shared")
 }
@@ -225,6 +229,57 @@
     }
 }
 
+/// Two crashes under unlike requests with different harmful parts and a common harmless one.
+fn crash_under_two_parts(fleet: &mut SimulatedFleet) {
+    for (upstream, part) in [("i-1", deadly()), ("i-2", other_deadly())] {
+        let content = part.hash;
+        crash(fleet, 3, upstream, &FeatureSet::new(content, [shared(), part]));
+    }
+    assert!((0..NODES).all(|node| is_quarantined(fleet, node, shared())));
+}
+
+// Guards against a part that all requests share being held, since two harmful ones came before any harmless one.
+#[test]
+fn requests_without_either_of_two_harmful_parts_show_that_their_common_part_is_harmless() {
+    let mut fleet = start(12);
+    crash_under_two_parts(&mut fleet);
+    for part in [deadly(), other_deadly()] {
+        let harmful = FeatureSet::new(3, [shared(), part]);
+        assert!(matches!(
+            restriction(&fleet, 7, &harmful),
+            RunRestriction::Quarantined { .. }
+        ));
+    }
+    let scope = TrialScope {
+        feature: shared(),
+        tells_apart: true,
+    };
+    let harmless = FeatureSet::new(4, [shared()]);
+    assert_eq!(restriction(&fleet, 7, &harmless), RunRestriction::Trial(scope));
+    for node in [7, 8, 9] {
+        pass(&mut fleet, node, shared());
+        fleet.run_ms(GOSSIP_MS);
+    }
+    for node in 0..NODES {
+        assert_eq!(restriction(&fleet, node, &harmless), RunRestriction::Unrestricted);
+        assert_eq!(crash_count(&fleet, node, deadly()), 1, "node {node}");
+    }
+}
+
+// Guards against one more crash for each unlike part beside the harmful one.
+#[test]
+fn a_third_crash_ends_the_trial_runs_of_a_part_beside_unlike_ones() {
+    let mut fleet = start(13);
+    crash_under_two_parts(&mut fleet);
+    let third = RequestFeature::part("m", b"third");
+    crash(&mut fleet, 5, "i-3", &FeatureSet::new(5, [shared(), third]));
+    let harmless = FeatureSet::new(6, [shared()]);
+    assert!((0..NODES).all(|node| matches!(
+        restriction(&fleet, node, &harmless),
+        RunRestriction::Quarantined { .. }
+    )));
+}
+
 #[test]
 fn a_quarantined_part_comes_free_once_requests_with_it_pass() {
     let mut fleet = start(7);
--- a/tests/platform/deadly_part.rs
+++ b/tests/platform/deadly_part.rs
@@ -153,6 +153,8 @@
     /// Parts of the deadly requests' prompts before the last one; the requests take turns.
     deadly_prefixes: &'static [&'static [&'static str]],
     harmless_interval: Duration,
+    /// When the first harmless request is sent.
+    harmless_after: Duration,
 }
 
 impl LoadPlan {
@@ -166,6 +168,7 @@
             lines,
             deadly_prefixes,
             harmless_interval: HARMLESS_INTERVAL,
+            harmless_after: Duration::ZERO,
         }
     }
 }
@@ -213,7 +216,7 @@
         let (addresses, plan, results) = (addresses.clone(), *plan, results.clone());
         std::thread::spawn(move || {
             for number in 0.. {
-                let due_at = began_at + plan.harmless_interval * number;
+                let due_at = began_at + plan.harmless_after + plan.harmless_interval * number;
                 if due_at >= end_at {
                     break;
                 }
@@ -330,6 +333,16 @@
     ));
 }
 
+// Guards against a part that all requests share being held, since two harmful ones came before any harmless one.
+#[test]
+fn harmless_requests_that_come_after_two_deadly_ones_are_served() {
+    let deadly: &[&[&str]] = &[&[SHARED_PART, DEADLY_PARTS[0]], &[SHARED_PART, DEADLY_PARTS[1]]];
+    assert_plan_contained(&LoadPlan {
+        harmless_after: WARM_UP + Duration::from_secs(1),
+        ..LoadPlan::new("/stream/single", STREAM_LINES, deadly)
+    });
+}
+
 #[test]
 fn a_part_that_crashes_replicas_is_quarantined_for_idempotent_calls() {
     assert_plan_contained(&LoadPlan::new("/read", "", MIDDLE));
