--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -1,7 +1,7 @@
 //! A randomized soak of three nodes with their replicas, store and callers. Signals, restarts and faults
 //! follow one another; at the same time connections to the replicas and the store are slow, stalled or cut,
-//! replicas crash or report limits, and some requests crash replicas. `SOAK_SEEDS=first..last` chooses the
-//! seeds; each seed that failed once stays in [`REGRESSIONS`].
+//! replicas crash or report limits, the store comes back from older copies, and some requests crash replicas.
+//! `SOAK_SEEDS=first..last` chooses the seeds; each seed that failed once stays in [`REGRESSIONS`].
 
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -103,6 +103,24 @@
 /// How long a replica reports a limit, in milliseconds.
 const LIMIT_SPANS_MS: std::ops::Range<u64> = 7_000..9_000;
 
+/// Offset that gives the store's returns from older copies a seed of their own.
+const COPIES_SEED: u64 = 1 << 35;
+
+/// The pauses between two such returns, in milliseconds; some come while the nodes recover from the one before.
+const COPY_PAUSES_MS: std::ops::Range<u64> = 300..4_000;
+
+/// How long the store is away before, in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 0..600;
+
+/// How many changes the copy lacks at most; at a change every 300 ms or so it is some seconds old.
+const MAX_LOST_CHANGES: usize = 8;
+
+/// How long after its return the changes are written again, in milliseconds.
+const REWRITTEN_AFTER_MS: std::ops::Range<u64> = 0..1_500;
+
+/// Time between two writes of a replica's entry by the replica itself.
+const WRITE_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// The API key of all callers where the configuration lists workspaces.
 const CALLER_KEY: &str = "soak-key-of-callers";
 
@@ -274,8 +292,15 @@
             .iter()
             .for_each(|proxy| proxy.set_mode(RouteMode::Pass, 0));
         self.store.set_behavior(StoreBehavior::Well);
-        for (replica, service, phase) in &self.replicas {
+        for (replica, ..) in &self.replicas {
             replica.set_behavior(ReplicaBehavior::Well);
+        }
+        self.write_entries();
+    }
+
+    /// Lets each replica write its entry again.
+    fn write_entries(&self) {
+        for (replica, service, phase) in &self.replicas {
             replica.publish(&self.store, service, *phase, "ready");
         }
     }
@@ -339,6 +364,24 @@
     }
 }
 
+/// Lets the store come back from older copies until `is_over` is set; what they lack is written again.
+fn copy_back(store: &StandInStore, seed: u64, is_over: &AtomicBool) {
+    let mut random = StdRng::seed_from_u64(seed + COPIES_SEED);
+    // The first changes were made before the nodes started.
+    let first = store.revision() as usize;
+    let mut pause = |range| std::thread::sleep(Duration::from_millis(random.random_range(range)));
+    while !is_over.load(Ordering::Relaxed) {
+        pause(COPY_PAUSES_MS);
+        store.set_behavior(StoreBehavior::Lost);
+        pause(AWAY_MS);
+        let changes = (store.revision() as usize).saturating_sub(first);
+        let lost = store.come_back_without(changes.min(MAX_LOST_CHANGES));
+        let kept = store.revision();
+        pause(REWRITTEN_AFTER_MS);
+        store.write_again(lost, kept);
+    }
+}
+
 /// Lets one replica after the other report a limit until `is_over` is set. Returns the spans in which limits
 /// were reported.
 fn report_limits(replicas: &[StandInReplica], seed: u64, is_over: &AtomicBool) -> Vec<LimitSpan> {
@@ -519,6 +562,10 @@
         let is_recovering = is_recovering.clone();
         std::thread::spawn(move || crash_replicas(&replicas, seed, &is_recovering))
     };
+    let copies = {
+        let (store, is_recovering) = (system.store.clone(), is_recovering.clone());
+        std::thread::spawn(move || copy_back(&store, seed, &is_recovering))
+    };
     let limits = {
         let plain = system
             .replicas
@@ -543,6 +590,7 @@
     is_recovering.store(true, Ordering::Relaxed);
     proxies.join().expect("the proxies' thread");
     crashes.join().expect("the crashes' thread");
+    copies.join().expect("the copies' thread");
     system.recover();
     let serves = |node: &GatewayNode, number: u32| {
         let text = request(
@@ -560,6 +608,19 @@
             node.readiness() == 200 && (0..5).all(|number| serves(node, number))
         });
     }
+    let era = f64::from(system.store.era());
+    let mut written_at = Instant::now();
+    wait_until("each node knows the store's last state", || {
+        // A node that read a copy and later changes at once can't tell them apart until an entry is written again.
+        if written_at.elapsed() >= WRITE_INTERVAL {
+            system.write_entries();
+            written_at = Instant::now();
+        }
+        system.nodes.iter().all(|node| {
+            let listed = node.metric("replicas{", "state=\"listed\"");
+            node.metric("store_era", "") == era && listed == system.replicas.len() as f64
+        })
+    });
     if let Some(removed_at) = system.removed_at {
         // Some requests with the removed key are sent after it must no longer run.
         std::thread::sleep((removed_at + 2 * REMOVED_WITHIN).saturating_duration_since(Instant::now()));
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -103,14 +103,34 @@
     }
 
     /// Comes back from an outage, as a copy without the last `lost` changes, whose revisions are given out again.
-    pub fn come_back_without(&self, lost: usize) {
+    /// Returns their keys and values.
+    pub fn come_back_without(&self, lost: usize) -> Vec<(String, Option<String>)> {
         let mut state = self.lock();
         let kept = state.changes.len() - lost;
-        state.changes.truncate(kept);
+        let lost = state.changes.split_off(kept);
         state.dropped_to = state.dropped_to.min(kept as u64);
         state.era += 1;
         state.era_header = Some(state.era.to_string());
         state.behavior = StoreBehavior::Well;
+        lost.into_iter().map(|(_, key, value)| (key, value)).collect()
+    }
+
+    /// Writes lost changes again, without those of keys that were written after a revision.
+    pub fn write_again(&self, lost: Vec<(String, Option<String>)>, after: u64) {
+        let mut state = self.lock();
+        let written: Vec<String> = state.changes[after as usize..]
+            .iter()
+            .map(|(_, key, _)| key.clone())
+            .collect();
+        for (key, value) in lost.into_iter().filter(|(key, _)| !written.contains(key)) {
+            let revision = state.changes.len() as u64 + 1;
+            state.changes.push((revision, key, value));
+        }
+    }
+
+    /// How often it came back from a copy, beginning with one.
+    pub fn era(&self) -> u32 {
+        self.lock().era
     }
 
     /// Sets the era that later answers name, whatever the era is.
