--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -27,7 +27,7 @@
 ///
 /// - 13, 20: a generation without an available engine, or past its deadline, was refused without Retry-After.
 /// - 729: the check applied a replica's limit to a restarted replica before the new process had reported it.
-const REGRESSIONS: [u64; 3] = [13, 20, 729];
+const REGRESSIONS: [u64; 5] = [13, 20, 405, 409, 729];
 
 /// A seed in which a harmless call was quarantined for minutes: the proxies of crashed replicas accepted it
 /// and closed.
