Ask one function whether an answer has a body

The rule stood in the framing of answers and, since the refusals of HEAD were mended, in three more places of the gateway. Answers are as before; refuse_crowd takes the id and the method as parameters of their own.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,7 +1,7 @@
 //! Writes answers to callers: the gateway's refusals, and the heads of replicas' answers.
 
 use super::WireProtocol;
-use crate::http::{HeadWriter, ResponseHead};
+use crate::http::{HeadWriter, ResponseHead, has_body};
 use crate::prelude::*;
 
 /// Status of the refusal of a request that is quarantined because upstreams crashed under it. The refused
@@ -28,7 +28,8 @@
 /// Writes a complete refusal of a request with this method. A refusal of `HEAD` has no body, only its length.
 pub fn write_refusal(notice: &RefusalNotice, method: &str, persistence: ConnectionPersistence) -> Vec<u8> {
     let body = notice.to_json().to_string();
-    let mut writer = HeadWriter::response(refusal_status(notice))
+    let status = refusal_status(notice);
+    let mut writer = HeadWriter::response(status)
         .line("Content-Type", b"application/json")
         .display("Content-Length", body.len());
     if let Some(span_ms) = notice.retry_after_ms {
@@ -37,7 +38,7 @@
             format_args!("{}.{:03}", span_ms / 1_000, span_ms % 1_000),
         );
     }
-    let body = if method == "HEAD" { "" } else { &body };
+    let body = if has_body(method, status) { &body } else { "" };
     finish(writer, persistence, body.as_bytes())
 }
 
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -140,14 +140,8 @@
             Err(ReadFailure::Gone) => return ServiceEnd::Finished,
             Err(ReadFailure::Taken) => return ServiceEnd::Taken,
             Err(ReadFailure::Refused(notice)) => {
-                return refuse_crowd(
-                    context,
-                    connection,
-                    stream.socket(),
-                    &notice,
-                    ("-", UNREAD_METHOD),
-                )
-                .await;
+                let socket = stream.socket();
+                return refuse_crowd(context, connection, socket, &notice, "-", UNREAD_METHOD).await;
             }
         };
         let body = match read_body_until_exit(context, &mut stream, connection, &head, &limits).await {
@@ -195,7 +189,7 @@
 ) -> ServiceEnd {
     let socket = stream.socket().clone();
     let request_id = context.protocol.read_request(head).id;
-    let end = refuse_crowd(context, connection, &socket, notice, (&request_id, &head.method)).await;
+    let end = refuse_crowd(context, connection, &socket, notice, &request_id, &head.method).await;
     if end == ServiceEnd::Finished {
         close_after_answer(stream).await;
     }
@@ -209,7 +203,8 @@
     connection: &CallerConnection,
     socket: &TcpStream,
     notice: &RefusalNotice,
-    (request_id, method): (&str, &str),
+    request_id: &str,
+    method: &str,
 ) -> ServiceEnd {
     if !connection.enter(CallerPhase::Answering) {
         return ServiceEnd::Taken;
--- a/src/gateway/plain_server.rs
+++ b/src/gateway/plain_server.rs
@@ -15,7 +15,7 @@
 
 use crate::clock;
 use crate::controllers::resolve::near_entries;
-use crate::http::{BodyDecoder, HeadLimits, HeadWriter, RequestHead, frame_request, parse_request};
+use crate::http::{BodyDecoder, HeadLimits, HeadWriter, RequestHead, frame_request, has_body, parse_request};
 use crate::transport::{HttpStream, StreamError, until};
 
 /// How long to wait for the next request's head on a connection, in milliseconds.
@@ -129,7 +129,7 @@
             writer = writer.line("Connection", b"close");
         }
         let mut bytes = writer.finish();
-        if head.method != "HEAD" {
+        if has_body(&head.method, reply.status) {
             bytes.extend_from_slice(&reply.body);
         }
         stream.write(&bytes).await?;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,7 +17,7 @@
 use super::upstream::UpstreamAnswer;
 use crate::clock;
 use crate::controllers::dispatch::SendOutcome;
-use crate::http::{BodyFraming, LAST_CHUNK, ResponseHead, write_chunk};
+use crate::http::{BodyFraming, LAST_CHUNK, ResponseHead, has_body, write_chunk};
 use crate::runtime::RunPermit;
 use crate::transport::{CloseMode, StreamError, set_close_mode, until};
 
@@ -42,7 +42,7 @@
         request: &'a CallerRequest,
         head: &ResponseHead,
     ) -> Self {
-        let has_body = request.head.method != "HEAD" && !matches!(head.status, 204 | 304);
+        let has_body = has_body(&request.head.method, head.status);
         let is_chunked = has_body && request.head.is_http11;
         let pending = if !has_body {
             write_bodiless_head(&*context.protocol, head, request.persistence)
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -41,9 +41,14 @@
     }
 }
 
+/// Whether a response with this status to a request with this method may have a body.
+pub fn has_body(method: &str, status: u16) -> bool {
+    method != "HEAD" && !matches!(status, 100..200 | 204 | 304)
+}
+
 /// The framing of the body of a response to a request with the given method.
 pub fn frame_response(head: &ResponseHead, method: &str) -> Result<BodyFraming, HttpError> {
-    if method == "HEAD" || head.is_interim() || matches!(head.status, 204 | 304) {
+    if !has_body(method, head.status) {
         return Ok(BodyFraming::Empty);
     }
     let length = content_length(&head.headers)?;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -13,7 +13,7 @@
 
 pub use body::{BodyDecoder, BodyStep};
 pub use error::HttpError;
-pub use framing::{BodyFraming, frame_request, frame_response};
+pub use framing::{BodyFraming, frame_request, frame_response, has_body};
 pub use head::{HeadLimits, RequestHead, ResponseHead, parse_request, parse_response};
 pub use header::{HeaderList, is_hop_by_hop};
 pub use writer::{CONTINUE_RESPONSE, HeadWriter, LAST_CHUNK, write_chunk};
