Name the two states of unconfirmed entries once, and what is known of a start once

The metrics, the log and the list each matched the variants of EntryTrust; upsert, judge_entry and fresh_since each filtered what is known by the same start.

--- a/src/blackboard/replica.rs
+++ b/src/blackboard/replica.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// Whether the copy lacks the entry.
+    pub fn is_missing(self) -> bool {
+        matches!(self, Self::Missing { .. })
+    }
+
+    /// Whether the copy lists a replica that had drained or been removed.
+    pub fn is_outdated(self) -> bool {
+        matches!(self, Self::Outdated { .. })
+    }
+
     /// When the entry is looked at again if it has not changed; `None` if no time alone changes anything.
     pub fn review_at(self) -> Option<Moment> {
         match self {
--- a/src/controllers/discovery/mod.rs
+++ b/src/controllers/discovery/mod.rs
@@ -276,15 +276,15 @@
         context.publish();
     }
 
-    /// When a replica's start was first listed; `None` if it may have been running long before.
+    /// When a replica's start was first listed, given what is known of that start; `None` if it may have been running
+    /// long before.
     fn fresh_since(
         &self,
         record: &ReplicaRecord,
         known: Option<&ReplicaFacts>,
         now: Moment,
     ) -> Option<Moment> {
-        let is_same_start = |known: &&ReplicaFacts| known.record.started_epoch_ms == record.started_epoch_ms;
-        match known.filter(is_same_start) {
+        match known {
             Some(known) => known.fresh_since,
             None => {
                 let was_dropped = self.dropped_starts.get(&record.id) == Some(&record.started_epoch_ms);
@@ -313,16 +313,13 @@
         }
         // The replica's own announcement overrides a list entry that does not say yet that it drains.
         let announced_stop_at = self.leaving.stop_at(&record.id, record.started_epoch_ms);
-        let known_stop_at = known
-            .filter(|known| known.record.started_epoch_ms == record.started_epoch_ms)
-            .and_then(|known| known.stop_at);
+        let known_start = known.filter(|known| known.record.started_epoch_ms == record.started_epoch_ms);
+        let known_stop_at = known_start.and_then(|known| known.stop_at);
         let dropped_start = self.dropped_starts.get(&record.id).copied();
         let changed_at = context.board.store_era.changed_at.unwrap_or(context.now);
-        let trust = judge_entry(record, known, dropped_start, source, changed_at);
+        let trust = judge_entry(record, known_start, dropped_start, source, changed_at);
         let stop_at = match (record.is_draining, known_stop_at) {
-            (false, _) if matches!(trust, EntryTrust::Outdated { .. }) => {
-                Some(known_stop_at.unwrap_or(context.now))
-            }
+            (false, _) if trust.is_outdated() => Some(known_stop_at.unwrap_or(context.now)),
             (false, _) => announced_stop_at,
             (true, Some(stop_at)) => Some(stop_at),
             (true, None) => Some(announced_stop_at.unwrap_or(context.now.after_ms(STOP_DELAY_MS))),
@@ -337,10 +334,8 @@
         if is_same {
             return;
         }
-        let fresh_since = self.fresh_since(record, known, context.now);
-        let known_cold_until = known
-            .filter(|known| known.record.started_epoch_ms == record.started_epoch_ms)
-            .and_then(|known| known.record.cold_until);
+        let fresh_since = self.fresh_since(record, known_start, context.now);
+        let known_cold_until = known_start.and_then(|known| known.record.cold_until);
         context.log(format!(
             "event=replica_listed replica={} service={} role={} address={} zone={} draining={} trust={} \
              list_revision={}",
@@ -668,17 +663,14 @@
 
 /// Whether the list has an entry of the replica.
 fn is_on_list(facts: &ReplicaFacts) -> bool {
-    facts.is_listed && !matches!(facts.trust, EntryTrust::Missing { .. })
+    facts.is_listed && !facts.trust.is_missing()
 }
 
-/// Logs what became of the replicas as the list of a new era was applied.
+/// Logs the outcome of applying the first list of a new era.
 fn log_copy(previous: StorePosition, context: &mut ControlContext<'_>) {
-    let count_of = |is_counted: fn(&EntryTrust) -> bool| {
-        let facts = context.board.replicas.values();
-        facts.filter(|facts| is_counted(&facts.trust)).count()
-    };
-    let missing = count_of(|trust| matches!(trust, EntryTrust::Missing { .. }));
-    let outdated = count_of(|trust| matches!(trust, EntryTrust::Outdated { .. }));
+    let facts = || context.board.replicas.values();
+    let missing = facts().filter(|facts| facts.trust.is_missing()).count();
+    let outdated = facts().filter(|facts| facts.trust.is_outdated()).count();
     context.log(format!(
         "event=list_from_copy list_revision={} previous={previous} missing={missing} outdated={outdated}",
         context.board.list_position
@@ -691,7 +683,7 @@
     let is_changed = |record: &&ReplicaRecord| {
         let known = board.replicas.get(&record.id);
         known.is_none_or(|facts| {
-            let is_outdated = matches!(facts.trust, EntryTrust::Outdated { .. });
+            let is_outdated = facts.trust.is_outdated();
             !facts.record.is_same_entry(record) || !is_on_list(facts) || (is_outdated && !reading.is_whole)
         })
     };
--- a/src/controllers/discovery/trust.rs
+++ b/src/controllers/discovery/trust.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 
 /// How long after its return the store may list replicas that are gone, in milliseconds: it removes an entry after
-/// three check-in intervals of some 1.2 s without a sign of its replica.
+/// three heartbeat intervals of some 1.2 s without a sign of its replica.
 const EXPIRY_MS: u64 = 5_000;
 
 /// Where an entry was read.
@@ -25,8 +25,8 @@
     changed_at.after_ms(REWRITE_MS)
 }
 
-/// How far an entry counts. `known` is what this node knows under the same id, and `dropped_start` the latest start
-/// that was known and dropped.
+/// How far an entry counts. `known` is what this node knows of the same start, and `dropped_start` the latest start under
+/// the id that was known and dropped.
 pub fn judge_entry(
     record: &ReplicaRecord,
     known: Option<&ReplicaFacts>,
@@ -34,7 +34,6 @@
     source: EntrySource,
     changed_at: Moment,
 ) -> EntryTrust {
-    let known = known.filter(|known| known.record.started_epoch_ms == record.started_epoch_ms);
     if record.is_draining || source == EntrySource::Change {
         return EntryTrust::Current;
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -19,7 +19,7 @@
 use super::send_slot::SlotDecision;
 use super::statements::UnknownAttributes;
 use super::trace::{RequestOutcome, TraceRecord};
-use crate::blackboard::{EntryTrust, FeatureKind, OfferOutcome, ReplicaFacts, ReplicaId};
+use crate::blackboard::{FeatureKind, OfferOutcome, ReplicaFacts, ReplicaId};
 use crate::clock;
 use crate::controllers::pace::PaceLevel;
 use crate::event_log::EventLog;
@@ -258,11 +258,9 @@
             self.replicas
                 .record(count as u64, &[KeyValue::new("state", state)]);
         }
-        let is_missing = |facts: &&ReplicaFacts| matches!(facts.trust, EntryTrust::Missing { .. });
-        let is_outdated = |facts: &&ReplicaFacts| matches!(facts.trust, EntryTrust::Outdated { .. });
         for (state, count) in [
-            ("missing", count_of(is_missing)),
-            ("outdated", count_of(is_outdated)),
+            ("missing", count_of(|facts| facts.trust.is_missing())),
+            ("outdated", count_of(|facts| facts.trust.is_outdated())),
         ] {
             self.unconfirmed
                 .record(count as u64, &[KeyValue::new("state", state)]);
