--- a/tests/fleet_view/parts.rs
+++ b/tests/fleet_view/parts.rs
@@ -195,82 +195,62 @@
     assert!((0..NODES).all(|node| is_quarantined(&fleet, node, deadly())));
 }
 
-#[test]
-fn requests_without_the_other_common_part_show_which_of_two_is_harmful() {
-    let mut fleet = start(6);
-    for (upstream, content) in [("i-1", 1), ("i-2", 2)] {
-        crash(
-            &mut fleet,
-            3,
-            upstream,
-            &FeatureSet::new(content, [shared(), deadly()]),
-        );
+/// Two crashes under unlike requests with the shared part and one of these, after which the shared one is held.
+fn crash_with_shared_part(fleet: &mut SimulatedFleet, others: [RequestFeature; 2]) {
+    for (content, (upstream, other)) in (1..).zip(["i-1", "i-2"].into_iter().zip(others)) {
+        crash(fleet, 3, upstream, &FeatureSet::new(content, [shared(), other]));
+    }
+    assert!((0..NODES).all(|node| is_quarantined(fleet, node, shared())));
+}
+
+/// Checks that requests with the held shared part and a harmful one are refused, and that those with the shared one
+/// alone are trial runs, which clear it.
+fn assert_trials_clear_the_shared_part(fleet: &mut SimulatedFleet, harmful: &[RequestFeature]) {
+    for part in harmful {
+        let both = FeatureSet::new(3, [shared(), *part]);
+        assert!(matches!(
+            restriction(fleet, 7, &both),
+            RunRestriction::Quarantined { .. }
+        ));
     }
-    assert!((0..NODES).all(|node| is_quarantined(&fleet, node, shared())));
-    let both = FeatureSet::new(3, [shared(), deadly()]);
-    assert!(matches!(
-        restriction(&fleet, 7, &both),
-        RunRestriction::Quarantined { .. }
-    ));
     let scope = TrialScope {
         feature: shared(),
         tells_apart: true,
     };
     let harmless = FeatureSet::new(4, [shared()]);
-    assert_eq!(restriction(&fleet, 7, &harmless), RunRestriction::Trial(scope));
+    assert_eq!(restriction(fleet, 7, &harmless), RunRestriction::Trial(scope));
     for node in [7, 8, 9] {
-        pass(&mut fleet, node, shared());
+        pass(fleet, node, shared());
         fleet.run_ms(GOSSIP_MS);
     }
     for node in 0..NODES {
-        assert_eq!(crash_count(&fleet, node, shared()), 0, "node {node}");
-        assert!(is_quarantined(&fleet, node, deadly()), "node {node}");
-        assert_eq!(restriction(&fleet, node, &harmless), RunRestriction::Unrestricted);
+        assert_eq!(crash_count(fleet, node, shared()), 0, "node {node}");
+        assert_eq!(restriction(fleet, node, &harmless), RunRestriction::Unrestricted);
     }
 }
 
-/// Two crashes under unlike requests with different harmful parts and a common harmless one.
-fn crash_under_two_parts(fleet: &mut SimulatedFleet) {
-    for (upstream, part) in [("i-1", deadly()), ("i-2", other_deadly())] {
-        let content = part.hash;
-        crash(fleet, 3, upstream, &FeatureSet::new(content, [shared(), part]));
-    }
-    assert!((0..NODES).all(|node| is_quarantined(fleet, node, shared())));
+#[test]
+fn requests_without_the_other_common_part_show_which_of_two_is_harmful() {
+    let mut fleet = start(6);
+    crash_with_shared_part(&mut fleet, [deadly(), deadly()]);
+    assert_trials_clear_the_shared_part(&mut fleet, &[deadly()]);
+    assert!((0..NODES).all(|node| is_quarantined(&fleet, node, deadly())));
 }
 
 // Guards against a part that all requests share being held, since two harmful ones came before any harmless one.
 #[test]
 fn requests_without_either_of_two_harmful_parts_show_that_their_common_part_is_harmless() {
     let mut fleet = start(12);
-    crash_under_two_parts(&mut fleet);
-    for part in [deadly(), other_deadly()] {
-        let harmful = FeatureSet::new(3, [shared(), part]);
-        assert!(matches!(
-            restriction(&fleet, 7, &harmful),
-            RunRestriction::Quarantined { .. }
-        ));
-    }
-    let scope = TrialScope {
-        feature: shared(),
-        tells_apart: true,
-    };
-    let harmless = FeatureSet::new(4, [shared()]);
-    assert_eq!(restriction(&fleet, 7, &harmless), RunRestriction::Trial(scope));
-    for node in [7, 8, 9] {
-        pass(&mut fleet, node, shared());
-        fleet.run_ms(GOSSIP_MS);
-    }
-    for node in 0..NODES {
-        assert_eq!(restriction(&fleet, node, &harmless), RunRestriction::Unrestricted);
-        assert_eq!(crash_count(&fleet, node, deadly()), 1, "node {node}");
-    }
+    crash_with_shared_part(&mut fleet, [deadly(), other_deadly()]);
+    assert_trials_clear_the_shared_part(&mut fleet, &[deadly(), other_deadly()]);
+    assert!((0..NODES).all(|node| crash_count(&fleet, node, deadly()) == 1));
 }
 
 // Guards against one more crash for each unlike part beside the harmful one.
 #[test]
 fn a_third_crash_ends_the_trial_runs_of_a_part_beside_unlike_ones() {
     let mut fleet = start(13);
-    crash_under_two_parts(&mut fleet);
+    crash_with_shared_part(&mut fleet, [deadly(), other_deadly()]);
     let third = RequestFeature::part("m", b"third");
     crash(&mut fleet, 5, "i-3", &FeatureSet::new(5, [shared(), third]));
     let harmless = FeatureSet::new(6, [shared()]);
@@ -299,14 +279,7 @@
 #[test]
 fn a_restarted_node_learns_of_quarantined_parts_and_of_their_companions() {
     let mut fleet = start(8);
-    for (upstream, content) in [("i-1", 1), ("i-2", 2)] {
-        crash(
-            &mut fleet,
-            3,
-            upstream,
-            &FeatureSet::new(content, [shared(), deadly()]),
-        );
-    }
+    crash_with_shared_part(&mut fleet, [deadly(), deadly()]);
     fleet.restart(7);
     fleet.run_ms(2_000);
     let both = FeatureSet::new(3, [shared(), deadly()]);
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -30,7 +30,7 @@
     dropped_to: u64,
     behavior: StoreBehavior,
     ranges: u32,
-    /// How often it came back from an older copy, and the header that says so; `None` for answers without one.
+    /// The era, and the value of its header; `None` for answers without one.
     era: u32,
     era_header: Option<String>,
     /// The most items in one page of a range.
@@ -128,7 +128,7 @@
         }
     }
 
-    /// How often it came back from a copy, beginning with one.
+    /// The era: it rises by one with each return from an older copy.
     pub fn era(&self) -> u32 {
         self.lock().era
     }
